Lay out the workspace: types, ports, in-memory platform services

Cause: nothing stood yet; every subsystem needs the same names, units and ports. Change: workspace with shared types, catalog objects, port traits, HTTP server and client, settings reader, in-memory table and object store, fakes of peers and membership. Conclusion: subsystems can be built side by side against these ports.

--- /dev/null
+++ b/crates/adapters/src/lib.rs
@@ -0,0 +1,6 @@
+//! Adapters that several binaries share: HTTP by hyper, settings, logs.
+
+pub mod http_client;
+pub mod http_server;
+pub mod logs;
+pub mod settings;
--- /dev/null
+++ b/crates/ports/src/lib.rs
@@ -0,0 +1,36 @@
+//! Traits and typed messages between the decisions and their adapters.
+//!
+//! Each trait documents the contract that an adapter meets. A port returns boxed futures, so
+//! that it can be held as `Arc<dyn …>` and replaced by a small fake in tests.
+
+pub mod claims;
+pub mod clock;
+pub mod hosts;
+pub mod members;
+pub mod objects;
+pub mod peers;
+pub mod ratings;
+pub mod table;
+pub mod upstream;
+pub mod usage;
+pub mod weights;
+
+use std::future::Future;
+use std::pin::Pin;
+
+/// The future that a port returns.
+pub type PortFuture<'a, T> = Pin<Box<dyn Future<Output = T> + Send + 'a>>;
+
+/// Why a call to the platform failed.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum PlatformError {
+    /// The call was not applied: nothing was sent, or the platform said that it refused it.
+    #[error("the platform did not take the call: {0}")]
+    NotApplied(String),
+    /// The call may or may not have been applied; read back before deciding anything.
+    #[error("the platform's reply was lost: {0}")]
+    Unknown(String),
+    /// The platform is over its rate; nothing was applied.
+    #[error("the platform is over its rate")]
+    Throttled,
+}
--- /dev/null
+++ b/src/bin/oleander-local/main.rs
@@ -0,0 +1,3 @@
+//! Starts the whole system in one process.
+
+fn main() {}
