Add ports for the catalog in force, account shares and quality

Cause: entries, stewards and ledgers need one seam for each of these three. Change: three port traits and the rating sums they carry; an empty catalog crate.

--- /dev/null
+++ b/crates/catalog/src/lib.rs
@@ -0,0 +1,1 @@
+//! Publishes the catalog and follows the one in force.
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod catalog;
 pub mod ids;
+pub mod quality;
 pub mod reason;
 pub mod units;
 pub mod usage;
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -1,1 +1,1 @@
-//! Placeholder.
+//! The data path: callers' HTTP, admission, attempts, sessions.
--- a/crates/history/src/lib.rs
+++ b/crates/history/src/lib.rs
@@ -1,1 +1,1 @@
-//! Placeholder.
+//! Histories of concurrent runs and the checks over them.
--- a/crates/ledger/src/lib.rs
+++ b/crates/ledger/src/lib.rs
@@ -1,1 +1,1 @@
-//! Placeholder.
+//! Usage records, batches, claims and statements.
--- /dev/null
+++ b/crates/ports/src/catalog.rs
@@ -0,0 +1,25 @@
+//! The catalog in force on this process.
+
+use oleander_core::catalog::Snapshot;
+use std::sync::Arc;
+
+/// Whether work may be admitted under the catalog in force.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CatalogStanding {
+    /// A catalog is in force and the process is in contact with the store or a peer.
+    InForce,
+    /// No catalog was learned yet.
+    Missing,
+    /// The process has reached neither the store nor a peer for the policy's time and the
+    /// policy says that it refuses.
+    CutOff,
+}
+
+/// The catalog in force. Its revision never goes down.
+pub trait CatalogPort: Send + Sync {
+    /// The catalog in force; an empty one of revision 0 before any is known.
+    fn snapshot(&self) -> Arc<Snapshot>;
+
+    /// Whether work may be admitted.
+    fn standing(&self) -> CatalogStanding;
+}
--- a/crates/ports/src/lib.rs
+++ b/crates/ports/src/lib.rs
@@ -3,6 +3,7 @@
 //! Each trait documents the contract that an adapter meets. A port returns boxed futures, so
 //! that it can be held as `Arc<dyn …>` and replaced by a small fake in tests.
 
+pub mod catalog;
 pub mod claims;
 pub mod clock;
 pub mod hosts;
@@ -10,6 +11,7 @@
 pub mod objects;
 pub mod peers;
 pub mod ratings;
+pub mod shares;
 pub mod table;
 pub mod upstream;
 pub mod usage;
--- a/crates/steward/src/lib.rs
+++ b/crates/steward/src/lib.rs
@@ -1,1 +1,1 @@
-//! Placeholder.
+//! Catalog publication, leases, roll-outs and orders.
