Speak to the platform's services over HTTP

Cause: processes on diskless hosts reach table, objects, weights, ratings and host list over the network; whether a failed write may have been applied has to survive that step. Change: one adapter per port with a shared call that maps each failure to not applied, throttled or unknown. Conclusion: the wire is fixed and documented on the module.

--- a/crates/adapters/src/lib.rs
+++ b/crates/adapters/src/lib.rs
@@ -3,4 +3,5 @@
 pub mod http_client;
 pub mod http_server;
 pub mod logs;
+pub mod platform;
 pub mod settings;
--- /dev/null
+++ b/crates/adapters/src/platform/call.rs
@@ -0,0 +1,89 @@
+//! One HTTP call to a service of the platform.
+
+use crate::http_client::{CallError, HttpClient};
+use crate::platform::NOT_APPLIED_HEADER;
+use bytes::Bytes;
+use http::{Method, Request, Response, StatusCode};
+use http_body_util::Full;
+use oleander_ports::PlatformError;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// Longest time for one call.
+pub(super) const CALL_TIMEOUT: Duration = Duration::from_secs(2);
+/// Largest answer that is read, in bytes.
+const MAX_ANSWER_BYTES: usize = 64 * 1024 * 1024;
+
+/// A service of the platform at one address.
+pub(super) struct ServiceCaller {
+    address: SocketAddr,
+    client: HttpClient,
+}
+
+impl ServiceCaller {
+    pub(super) fn new(address: SocketAddr) -> Self {
+        Self { address, client: HttpClient::new() }
+    }
+
+    /// Sends a request to `path` and returns any answer that the service gave.
+    pub(super) async fn send(
+        &self,
+        method: Method,
+        path: &str,
+        headers: &[(&str, &str)],
+        body: Vec<u8>,
+    ) -> Result<Response<Bytes>, PlatformError> {
+        let mut request = Request::builder()
+            .method(method)
+            .uri(format!("http://{}{path}", self.address))
+            .header(http::header::HOST, self.address.to_string());
+        for (name, value) in headers {
+            request = request.header(*name, *value);
+        }
+        let request = request
+            .body(Full::new(Bytes::from(body)))
+            .map_err(|error| PlatformError::NotApplied(error.to_string()))?;
+        let answer = self.client.send_whole(request, CALL_TIMEOUT, MAX_ANSWER_BYTES).await;
+        answer.map_err(call_error)
+    }
+
+    /// Sends a request and reads a successful JSON answer.
+    pub(super) async fn json<T: DeserializeOwned>(
+        &self,
+        method: Method,
+        path: &str,
+        body: Option<&(impl Serialize + Sync)>,
+    ) -> Result<T, PlatformError> {
+        let encoded = body.map(serde_json::to_vec).transpose();
+        let encoded = encoded.map_err(|error| PlatformError::NotApplied(error.to_string()))?;
+        let answer = self.send(method, path, &[], encoded.unwrap_or_default()).await?;
+        if !answer.status().is_success() {
+            return Err(status_error(&answer));
+        }
+        let read = serde_json::from_slice(answer.body());
+        read.map_err(|error| PlatformError::Unknown(format!("the answer is malformed: {error}")))
+    }
+}
+
+fn call_error(error: CallError) -> PlatformError {
+    match error {
+        CallError::Connect(_) => PlatformError::NotApplied(error.to_string()),
+        CallError::Lost(_) | CallError::Timeout(_) | CallError::Body(_) => {
+            PlatformError::Unknown(error.to_string())
+        }
+    }
+}
+
+/// The error that a service's answer stands for.
+pub(super) fn status_error(answer: &Response<Bytes>) -> PlatformError {
+    let text = String::from_utf8_lossy(answer.body());
+    let said = format!("{}: {}", answer.status(), text.trim());
+    let refused = answer.headers().contains_key(NOT_APPLIED_HEADER);
+    match answer.status() {
+        StatusCode::TOO_MANY_REQUESTS => PlatformError::Throttled,
+        status if refused || status.is_client_error() => PlatformError::NotApplied(said),
+        _ => PlatformError::Unknown(said),
+    }
+}
