--- /dev/null
+++ b/crates/core/src/choice_mode.rs
@@ -0,0 +1,76 @@
+//! How versions and upstreams are chosen: the router's own way and the baselines beside it.
+
+use serde::{Deserialize, Serialize};
+use std::fmt;
+use std::str::FromStr;
+use std::sync::Arc;
+
+/// A way to choose versions and upstreams.
+///
+/// ```
+/// use oleander_core::choice_mode::ChoiceMode;
+///
+/// assert_eq!("always_costly".parse::<ChoiceMode>().unwrap(), ChoiceMode::AlwaysCostly);
+/// assert_eq!(ChoiceMode::default().to_string(), "model_aware");
+/// ```
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum ChoiceMode {
+    /// The cheapest chain that meets target and deadline, on the upstream with least expected cost.
+    #[default]
+    ModelAware,
+    /// Always the last step of the cascade.
+    AlwaysCostly,
+    /// Always the first step, then the next one after every answer but the last step's.
+    CheapThenEscalate,
+    /// The router's own chain, on an upstream drawn uniformly.
+    UniformRandom,
+    /// The router's own chain, on the upstream that last reported the least load.
+    LeastReported,
+}
+
+impl ChoiceMode {
+    /// Every mode, in a fixed order.
+    pub const ALL: [Self; 5] = [
+        Self::ModelAware,
+        Self::AlwaysCostly,
+        Self::CheapThenEscalate,
+        Self::UniformRandom,
+        Self::LeastReported,
+    ];
+
+    /// The name, in snake case.
+    #[must_use]
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::ModelAware => "model_aware",
+            Self::AlwaysCostly => "always_costly",
+            Self::CheapThenEscalate => "cheap_then_escalate",
+            Self::UniformRandom => "uniform_random",
+            Self::LeastReported => "least_reported",
+        }
+    }
+}
+
+impl fmt::Display for ChoiceMode {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.name())
+    }
+}
+
+/// The text is not a choice mode.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[error(
+    "{0:?} is not a choice mode; use model_aware, always_costly, cheap_then_escalate, \
+     uniform_random or least_reported"
+)]
+pub struct ChoiceModeError(Arc<str>);
+
+impl FromStr for ChoiceMode {
+    type Err = ChoiceModeError;
+
+    fn from_str(text: &str) -> Result<Self, ChoiceModeError> {
+        let found = Self::ALL.into_iter().find(|mode| mode.name() == text);
+        found.ok_or_else(|| ChoiceModeError(Arc::from(text)))
+    }
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -5,6 +5,7 @@
 //! the binaries carry inputs in and outputs out.
 
 pub mod catalog;
+pub mod choice_mode;
 pub mod ids;
 pub mod quality;
 pub mod reason;
--- /dev/null
+++ b/crates/entry/src/refusal.rs
@@ -0,0 +1,122 @@
+//! Refusals and failures, in the usual JSON shape of errors.
+
+use http::{HeaderMap, HeaderName, HeaderValue, Response, StatusCode};
+use oleander_adapters::http_server::{ResponseBody, json_response};
+use oleander_core::reason::{Reason, RunState};
+use serde::Serialize;
+use std::time::Duration;
+
+/// Carries the reason code of a refusal.
+pub const REASON_HEADER: &str = "x-oleander-reason";
+/// Carries whether anything ran.
+pub const RUN_STATE_HEADER: &str = "x-oleander-run-state";
+
+/// Why a request gets no answer, and whether anything ran.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("{reason}: {message}")]
+pub struct Refusal {
+    /// The reason.
+    pub reason: Reason,
+    /// Whether anything ran.
+    pub run: RunState,
+    /// What is wrong, for people.
+    pub message: String,
+    /// Place in the request: a JSON path or the name of a header.
+    pub place: Option<String>,
+    /// When a later try makes sense.
+    pub retry_after: Option<Duration>,
+}
+
+impl Refusal {
+    /// A refusal of a request of which nothing ran.
+    #[must_use]
+    pub fn new(reason: Reason, message: impl Into<String>) -> Self {
+        let run = RunState::NotRun;
+        Self { reason, run, message: message.into(), place: None, retry_after: None }
+    }
+
+    /// Says how far the request got.
+    #[must_use]
+    pub const fn with_run(mut self, run: RunState) -> Self {
+        self.run = run;
+        self
+    }
+
+    /// Names the place in the request.
+    #[must_use]
+    pub fn with_place(mut self, place: impl Into<String>) -> Self {
+        self.place = Some(place.into());
+        self
+    }
+
+    /// Says when a later try makes sense.
+    #[must_use]
+    pub const fn with_retry_after(mut self, wait: Duration) -> Self {
+        self.retry_after = Some(wait);
+        self
+    }
+
+    /// The body of the answer.
+    #[must_use]
+    pub fn body(&self) -> ErrorBody<'_> {
+        let error = ErrorDetail {
+            message: &self.message,
+            kind: error_type(self.reason),
+            param: self.place.as_deref(),
+            code: self.reason.code(),
+        };
+        ErrorBody { error }
+    }
+
+    /// The answer that the caller gets.
+    #[must_use]
+    pub fn response(&self) -> Response<ResponseBody> {
+        let status = StatusCode::from_u16(self.reason.status());
+        let mut response =
+            json_response(status.unwrap_or(StatusCode::INTERNAL_SERVER_ERROR), &self.body());
+        self.add_headers(response.headers_mut());
+        response
+    }
+
+    fn add_headers(&self, headers: &mut HeaderMap) {
+        set_header(headers, REASON_HEADER, self.reason.code());
+        set_header(headers, RUN_STATE_HEADER, &self.run.to_string());
+        if let Some(wait) = self.retry_after {
+            let seconds = wait.as_millis().div_ceil(1_000).max(1);
+            headers.insert(http::header::RETRY_AFTER, HeaderValue::from(seconds as u64));
+        }
+    }
+}
+
+/// Sets a header unless the value has forbidden characters.
+pub fn set_header(headers: &mut HeaderMap, name: &'static str, value: &str) {
+    if let Ok(value) = HeaderValue::from_str(value) {
+        headers.insert(HeaderName::from_static(name), value);
+    }
+}
+
+/// The usual JSON shape of errors.
+#[derive(Debug, Serialize)]
+pub struct ErrorBody<'a> {
+    error: ErrorDetail<'a>,
+}
+
+#[derive(Debug, Serialize)]
+struct ErrorDetail<'a> {
+    message: &'a str,
+    #[serde(rename = "type")]
+    kind: &'static str,
+    param: Option<&'a str>,
+    code: &'static str,
+}
+
+const fn error_type(reason: Reason) -> &'static str {
+    match reason.status() {
+        401 => "authentication_error",
+        403 => "permission_error",
+        404 => "not_found_error",
+        429 => "rate_limit_error",
+        400..=499 => "invalid_request_error",
+        _ => "server_error",
+    }
+}
