Stand in for the platform, model engines and plain services

Cause: the adapters need something that serves their wire and fails on demand. Change: the platform's five services, model engines with slots, queue, priorities, prefix cache, resume, cancel and fenced orders, plain services, fault plans, a control port, and a deployment that starts an upstream for each one in a catalog.

--- a/crates/adapters/src/platform/call.rs
+++ b/crates/adapters/src/platform/call.rs
@@ -12,7 +12,7 @@
 use std::time::Duration;
 
 /// Longest time for one call.
-pub(super) const CALL_TIMEOUT: Duration = Duration::from_secs(2);
+const CALL_TIMEOUT: Duration = Duration::from_secs(2);
 /// Largest answer that is read, in bytes.
 const MAX_ANSWER_BYTES: usize = 64 * 1024 * 1024;
 
@@ -20,11 +20,16 @@
 pub(super) struct ServiceCaller {
     address: SocketAddr,
     client: HttpClient,
+    timeout: Duration,
 }
 
 impl ServiceCaller {
     pub(super) fn new(address: SocketAddr) -> Self {
-        Self { address, client: HttpClient::new() }
+        Self { address, client: HttpClient::new(), timeout: CALL_TIMEOUT }
+    }
+
+    pub(super) const fn set_timeout(&mut self, timeout: Duration) {
+        self.timeout = timeout;
     }
 
     /// Sends a request to `path` and returns any answer that the service gave.
@@ -45,7 +50,7 @@
         let request = request
             .body(Full::new(Bytes::from(body)))
             .map_err(|error| PlatformError::NotApplied(error.to_string()))?;
-        let answer = self.client.send_whole(request, CALL_TIMEOUT, MAX_ANSWER_BYTES).await;
+        let answer = self.client.send_whole(request, self.timeout, MAX_ANSWER_BYTES).await;
         answer.map_err(call_error)
     }
 
--- a/crates/adapters/src/platform/objects.rs
+++ b/crates/adapters/src/platform/objects.rs
@@ -7,6 +7,7 @@
 use oleander_ports::{PlatformError, PortFuture};
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 /// An object store at one address.
 pub struct HttpObjects {
@@ -20,6 +21,13 @@
         Self { caller: ServiceCaller::new(address) }
     }
 
+    /// Sets the longest time for one call.
+    #[must_use]
+    pub const fn with_timeout(mut self, timeout: Duration) -> Self {
+        self.caller.set_timeout(timeout);
+        self
+    }
+
     async fn put(&self, name: &str, body: Vec<u8>) -> Result<PutOutcome, PlatformError> {
         let path = format!("/objects/{}", encode_text(name));
         let answer = self.caller.send(Method::PUT, &path, &[("if-none-match", "*")], body).await?;
--- a/crates/adapters/src/platform/table.rs
+++ b/crates/adapters/src/platform/table.rs
@@ -6,6 +6,7 @@
 use oleander_ports::table::{TablePort, TableRow, TableTransaction, TransactionOutcome};
 use oleander_ports::{PlatformError, PortFuture};
 use std::net::SocketAddr;
+use std::time::Duration;
 
 /// A table service at one address.
 pub struct HttpTable {
@@ -19,6 +20,13 @@
         Self { caller: ServiceCaller::new(address) }
     }
 
+    /// Sets the longest time for one call.
+    #[must_use]
+    pub const fn with_timeout(mut self, timeout: Duration) -> Self {
+        self.caller.set_timeout(timeout);
+        self
+    }
+
     async fn read_row(&self, key: &str) -> Result<Option<TableRow>, PlatformError> {
         let path = format!("/rows/{}", encode_text(key));
         let answer = self.caller.send(Method::GET, &path, &[], Vec::new()).await?;
--- /dev/null
+++ b/crates/standin/src/deployment.rs
@@ -0,0 +1,146 @@
+//! Stand-ins for every upstream of a catalog, and the platform beside them.
+
+use crate::control::{self, ControlTargets};
+use crate::engine::{EngineSettings, EngineStandin};
+use crate::platform::{PlatformStandin, any_port};
+use crate::service::ServiceStandin;
+use oleander_adapters::settings::PlatformSettings;
+use oleander_core::catalog::Catalog;
+use oleander_core::catalog::objects::Version;
+use oleander_core::ids::{PoolName, UpstreamName, VersionName};
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// Confidence of engines whose versions have no expected quality.
+const DEFAULT_CONFIDENCE: f64 = 0.8;
+
+/// Where the stand-ins of a catalog listen.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AddressPlan {
+    /// Where the catalog says.
+    AsWritten,
+    /// On free ports of the loopback interface; the catalog is changed to match.
+    AnyPort,
+}
+
+/// Running stand-ins.
+pub struct StandinDeployment {
+    /// The platform.
+    pub platform: PlatformStandin,
+    /// Where the platform listens.
+    pub platform_addresses: PlatformSettings,
+    /// The engines, by name.
+    pub engines: BTreeMap<UpstreamName, EngineStandin>,
+    /// The instances of plain services, by name.
+    pub services: BTreeMap<UpstreamName, ServiceStandin>,
+    /// The catalog with the addresses at which the upstreams really listen.
+    pub catalog: Catalog,
+    /// Where faults are set.
+    pub control_address: SocketAddr,
+}
+
+impl StandinDeployment {
+    /// Starts the platform and an upstream for each one in the catalog.
+    ///
+    /// # Errors
+    ///
+    /// When an address cannot be bound.
+    pub async fn start(
+        mut catalog: Catalog,
+        plan: AddressPlan,
+        platform_wanted: Option<&PlatformSettings>,
+        control_wanted: SocketAddr,
+    ) -> anyhow::Result<Self> {
+        let platform = PlatformStandin::new();
+        set_true_quality(&platform, &catalog);
+        let platform_addresses = match platform_wanted {
+            Some(wanted) => platform.start(wanted).await?,
+            None => platform.start_anywhere().await?,
+        };
+        let engines = start_engines(&mut catalog, plan).await?;
+        let services = start_services(&mut catalog, plan).await?;
+        let targets = ControlTargets::new(&platform, &engines, &services);
+        let control_address = control::start(control_wanted, targets).await?;
+        Ok(Self { platform, platform_addresses, engines, services, catalog, control_address })
+    }
+}
+
+fn set_true_quality(platform: &PlatformStandin, catalog: &Catalog) {
+    for (name, version) in &catalog.versions {
+        for (cascade, quality) in &version.quality {
+            platform.ratings.set_quality(cascade, name, quality.get());
+        }
+    }
+}
+
+/// Versions that each pool runs.
+fn versions_by_pool(catalog: &Catalog) -> BTreeMap<PoolName, Vec<VersionName>> {
+    let mut pools: BTreeMap<PoolName, Vec<VersionName>> = BTreeMap::new();
+    for (name, version) in &catalog.versions {
+        pools.entry(version.pool.clone()).or_default().push(name.clone());
+    }
+    pools
+}
+
+fn bind_address(plan: AddressPlan, written: SocketAddr) -> SocketAddr {
+    match plan {
+        AddressPlan::AsWritten => written,
+        AddressPlan::AnyPort => any_port(),
+    }
+}
+
+async fn start_engines(
+    catalog: &mut Catalog,
+    plan: AddressPlan,
+) -> anyhow::Result<BTreeMap<UpstreamName, EngineStandin>> {
+    let mut engines = BTreeMap::new();
+    for (pool, versions) in versions_by_pool(catalog) {
+        let first = catalog.versions[&versions[0]].clone();
+        let Some(pool) = catalog.pools.get_mut(&pool) else { continue };
+        for (name, upstream) in &mut pool.upstreams {
+            let mut settings = engine_settings(name, &versions, &first);
+            settings.slots = upstream.slots;
+            settings.checks_fencing = upstream.checks_fencing;
+            let engine = EngineStandin::new(settings);
+            upstream.address = engine.start(bind_address(plan, upstream.address)).await?;
+            engines.insert(name.clone(), engine);
+        }
+    }
+    Ok(engines)
+}
+
+fn engine_settings(
+    name: &UpstreamName,
+    versions: &[VersionName],
+    first: &Version,
+) -> EngineSettings {
+    let mut settings = EngineSettings::new(name.clone(), versions.to_vec());
+    settings.first_token = first.first_token.as_duration();
+    settings.token_gap = first.token_gap.as_duration();
+    settings.load_time = Duration::from_millis(u64::from(first.weight_megabytes / 10));
+    let qualities = first.quality.values().map(|quality| quality.get());
+    settings.confidence = qualities.fold(f64::NAN, f64::max);
+    if settings.confidence.is_nan() {
+        settings.confidence = DEFAULT_CONFIDENCE;
+    }
+    settings
+}
+
+async fn start_services(
+    catalog: &mut Catalog,
+    plan: AddressPlan,
+) -> anyhow::Result<BTreeMap<UpstreamName, ServiceStandin>> {
+    let pools: BTreeSet<PoolName> =
+        catalog.services.values().map(|service| service.pool.clone()).collect();
+    let mut services = BTreeMap::new();
+    for pool in pools {
+        let Some(pool) = catalog.pools.get_mut(&pool) else { continue };
+        for (name, upstream) in &mut pool.upstreams {
+            let service = ServiceStandin::new(name.clone());
+            upstream.address = service.start(bind_address(plan, upstream.address)).await?;
+            services.insert(name.clone(), service);
+        }
+    }
+    Ok(services)
+}
--- /dev/null
+++ b/crates/standin/src/engine/answer.rs
@@ -0,0 +1,57 @@
+//! The words of an answer, fixed by version, prompt and position.
+
+use oleander_core::ids::VersionName;
+
+const WORDS: &[&str] = &[
+    "route", "menu", "plan", "contains", "milk", "and", "wheat", "for", "the", "stop", "at",
+    "noon", "rack", "power", "clause", "term", "tenant", "cage", "ticket", "stock", "with",
+    "order", "before", "after", "lot", "serves", "twelve", "each", "crew", "notes",
+];
+
+/// Shortest answer that is not cut by the caller's limit, in tokens.
+const SHORTEST_ANSWER: u32 = 12;
+/// Number of different answer lengths.
+const ANSWER_LENGTHS: u64 = 24;
+
+/// FNV-1a over the parts, with a separator after each.
+pub(super) fn hash_parts(parts: &[&[u8]]) -> u64 {
+    let mut hash: u64 = 0xcbf2_9ce4_8422_2325;
+    for part in parts {
+        for byte in part.iter().chain(&[0xff]) {
+            hash = (hash ^ u64::from(*byte)).wrapping_mul(0x0100_0000_01b3);
+        }
+    }
+    hash
+}
+
+/// The words that any engine with `version` answers to `prompt`, at most `limit`.
+///
+/// ```
+/// use oleander_core::ids::VersionName;
+/// use oleander_standin::engine::answer_words;
+///
+/// let version: VersionName = "menu-writer-small@1".parse().unwrap();
+/// let words = answer_words(&version, "plan the route", 5);
+/// assert_eq!(words.len(), 5);
+/// assert_eq!(words, answer_words(&version, "plan the route", 5));
+/// ```
+#[must_use]
+pub fn answer_words(version: &VersionName, prompt: &str, limit: u32) -> Vec<String> {
+    let seed = hash_parts(&[version.as_str().as_bytes(), prompt.as_bytes()]);
+    let length = SHORTEST_ANSWER + (seed % ANSWER_LENGTHS) as u32;
+    let word = |position: u32| {
+        let drawn = hash_parts(&[&seed.to_le_bytes(), &position.to_le_bytes()]);
+        WORDS[(drawn >> 16) as usize % WORDS.len()]
+    };
+    let spaced = |position: u32| match position {
+        0 => word(0).to_owned(),
+        _ => format!(" {}", word(position)),
+    };
+    (0..length.min(limit)).map(spaced).collect()
+}
+
+/// Whether an answer of `tokens` was cut by the caller's limit.
+pub(super) fn was_cut(version: &VersionName, prompt: &str, tokens: usize) -> bool {
+    let seed = hash_parts(&[version.as_str().as_bytes(), prompt.as_bytes()]);
+    (tokens as u32) < SHORTEST_ANSWER + (seed % ANSWER_LENGTHS) as u32
+}
--- /dev/null
+++ b/crates/standin/src/engine/chat.rs
@@ -0,0 +1,302 @@
+//! Chat completions, whole and streamed.
+
+use crate::engine::answer::{answer_words, hash_parts, was_cut};
+use crate::engine::queue::SlotPermit;
+use crate::engine::{EngineStandin, server};
+use crate::platform::bad_call;
+use bytes::Bytes;
+use futures_util::stream;
+use http::{HeaderMap, HeaderValue, Request, Response, StatusCode};
+use http_body_util::{BodyExt, StreamBody};
+use hyper::body::{Frame, Incoming};
+use oleander_adapters::http_server::{BodyError, ResponseBody, json_response, read_body};
+use oleander_core::catalog::objects::Priority;
+use oleander_core::ids::{AttemptId, VersionName};
+use oleander_ports::upstream::{ATTEMPT_HEADER, PRIORITY_HEADER, RESUME_HEADER, VERSION_HEADER};
+use serde::Deserialize;
+use serde_json::{Value, json};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::mpsc;
+
+/// Largest body that is read, in bytes.
+const MAX_BODY_BYTES: usize = 8 * 1024 * 1024;
+/// Answer length when the request names none, in tokens.
+const DEFAULT_MAX_TOKENS: u32 = 512;
+/// Chunks that may wait for a slow reader.
+const CHUNK_BUFFER: usize = 16;
+/// Words of the prompt that make up its cacheable prefix.
+const PREFIX_WORDS: usize = 16;
+/// Carries the confidence that the engine has in a whole answer.
+const CONFIDENCE_HEADER: &str = "x-confidence";
+
+#[derive(Deserialize)]
+struct ChatBody {
+    model: VersionName,
+    #[serde(default)]
+    messages: Vec<Value>,
+    #[serde(default)]
+    stream: bool,
+    #[serde(default, alias = "max_completion_tokens")]
+    max_tokens: Option<u32>,
+}
+
+/// Everything that is known of one attempt before it runs.
+struct ChatJob {
+    attempt_text: Arc<str>,
+    attempt: Option<AttemptId>,
+    version: VersionName,
+    words: Vec<String>,
+    cut_by_limit: bool,
+    prompt_tokens: u32,
+    cached_tokens: u32,
+    resume_from: usize,
+    confidence: f64,
+}
+
+pub(super) async fn complete(
+    engine: &EngineStandin,
+    request: Request<Incoming>,
+    peer: SocketAddr,
+) -> Response<ResponseBody> {
+    let (head, body) = request.into_parts();
+    let body = match read_body(body, MAX_BODY_BYTES).await {
+        Ok(body) => body,
+        Err(error) => return bad_call(&error.to_string()),
+    };
+    let body: ChatBody = match serde_json::from_slice(&body) {
+        Ok(body) => body,
+        Err(error) => return bad_call(&error.to_string()),
+    };
+    if let Some(why) = refusal(engine, &body.model) {
+        return server::not_run(engine, &why);
+    }
+    let Some(permit) = engine.queue.enter(priority(&head.headers)).await else {
+        return server::not_run(engine, "the queue is full");
+    };
+    let job = prepare(engine, &head.headers, &body);
+    let run = engine.note_run(&job.attempt_text, &job.version);
+    tokio::time::sleep(prefill_time(engine, &job)).await;
+    if body.stream {
+        return stream_answer(engine, job, permit, run, peer);
+    }
+    whole_answer(engine, job, permit, run).await
+}
+
+fn refusal(engine: &EngineStandin, version: &VersionName) -> Option<String> {
+    let state = engine.lock();
+    if state.leaving {
+        return Some("the engine is leaving".to_owned());
+    }
+    (!state.versions.is_ready(version)).then(|| format!("{version} is not loaded"))
+}
+
+fn priority(headers: &HeaderMap) -> Priority {
+    match headers.get(PRIORITY_HEADER).and_then(|value| value.to_str().ok()) {
+        Some("low") => Priority::Low,
+        Some("high") => Priority::High,
+        _ => Priority::Normal,
+    }
+}
+
+fn prompt_text(messages: &[Value]) -> String {
+    let parts = messages.iter().map(|message| match &message["content"] {
+        Value::String(text) => text.clone(),
+        other => other.to_string(),
+    });
+    parts.collect::<Vec<_>>().join("\n")
+}
+
+fn prepare(engine: &EngineStandin, headers: &HeaderMap, body: &ChatBody) -> ChatJob {
+    let text = |name| headers.get(name).and_then(|value: &HeaderValue| value.to_str().ok());
+    let sent = text(ATTEMPT_HEADER).unwrap_or_default();
+    let faulty = engine.faults.take(|plan| &mut plan.wrong_attempts);
+    let attempt_text: Arc<str> = Arc::from(if faulty { "req-crossed.0" } else { sent });
+    let wrong_version = engine.faults.take(|plan| &mut plan.wrong_versions);
+    let version =
+        if wrong_version { other_version(engine, &body.model) } else { body.model.clone() };
+    let prompt = prompt_text(&body.messages);
+    let prompt_tokens = prompt.split_whitespace().count() as u32;
+    let prefix: Vec<&str> = prompt.split_whitespace().take(PREFIX_WORDS).collect();
+    let digest = hash_parts(&[version.as_str().as_bytes(), prefix.join(" ").as_bytes()]);
+    let digest: Arc<str> = Arc::from(format!("{digest:016x}"));
+    let hit = engine.lock().prefixes.touch(&digest);
+    let limit = body.max_tokens.unwrap_or(DEFAULT_MAX_TOKENS);
+    let words = answer_words(&version, &prompt, limit);
+    ChatJob {
+        attempt: sent.parse().ok(),
+        attempt_text,
+        cut_by_limit: was_cut(&version, &prompt, words.len()),
+        words,
+        prompt_tokens,
+        cached_tokens: if hit { prompt_tokens } else { 0 },
+        resume_from: text(RESUME_HEADER).and_then(|text| text.parse().ok()).unwrap_or(0),
+        confidence: engine.settings.confidence,
+        version,
+    }
+}
+
+fn other_version(engine: &EngineStandin, wanted: &VersionName) -> VersionName {
+    let loaded = engine.lock().versions.ready();
+    let other = loaded.into_iter().find(|version| version != wanted);
+    other.unwrap_or_else(|| VersionName::new("unknown@0").unwrap_or_else(|_| wanted.clone()))
+}
+
+fn prefill_time(engine: &EngineStandin, job: &ChatJob) -> Duration {
+    let uncached = f64::from(job.prompt_tokens - job.cached_tokens) / 1_000.0;
+    engine.settings.first_token + engine.settings.prefill_per_thousand.mul_f64(uncached)
+}
+
+fn gap(engine: &EngineStandin) -> Duration {
+    let (running, _) = engine.queue.load();
+    let others = f64::from(running.saturating_sub(1));
+    engine.settings.token_gap.mul_f64(1.0 + others * engine.settings.batch_slowdown)
+}
+
+fn usage(job: &ChatJob) -> Value {
+    let completion = job.words.len() as u32;
+    json!({
+        "prompt_tokens": job.prompt_tokens,
+        "completion_tokens": completion,
+        "total_tokens": job.prompt_tokens + completion,
+        "prompt_tokens_details": { "cached_tokens": job.cached_tokens },
+        "confidence": job.confidence,
+    })
+}
+
+const fn finish_reason(job: &ChatJob) -> &'static str {
+    if job.cut_by_limit { "length" } else { "stop" }
+}
+
+fn add_identity(job: &ChatJob, response: &mut Response<ResponseBody>) {
+    let headers = response.headers_mut();
+    if let Ok(value) = HeaderValue::from_str(&job.attempt_text) {
+        headers.insert(ATTEMPT_HEADER, value);
+    }
+    if let Ok(value) = HeaderValue::from_str(job.version.as_str()) {
+        headers.insert(VERSION_HEADER, value);
+    }
+}
+
+async fn whole_answer(
+    engine: &EngineStandin,
+    job: ChatJob,
+    permit: SlotPermit,
+    run: Option<usize>,
+) -> Response<ResponseBody> {
+    for _ in 1..job.words.len() {
+        tokio::time::sleep(gap(engine)).await;
+    }
+    drop(permit);
+    engine.note_finished(run);
+    let message = json!({ "role": "assistant", "content": job.words.concat() });
+    let choice = json!({ "index": 0, "message": message, "finish_reason": finish_reason(&job) });
+    let body = json!({
+        "id": format!("chatcmpl-{}", job.attempt_text),
+        "object": "chat.completion",
+        "created": 0,
+        "model": job.version,
+        "choices": [choice],
+        "usage": usage(&job),
+    });
+    let mut response = json_response(StatusCode::OK, &body);
+    add_identity(&job, &mut response);
+    if let Ok(value) = HeaderValue::from_str(&job.confidence.to_string()) {
+        response.headers_mut().insert(CONFIDENCE_HEADER, value);
+    }
+    response
+}
+
+type ChunkSender = mpsc::Sender<Result<Frame<Bytes>, BodyError>>;
+
+fn stream_answer(
+    engine: &EngineStandin,
+    job: ChatJob,
+    permit: SlotPermit,
+    run: Option<usize>,
+    peer: SocketAddr,
+) -> Response<ResponseBody> {
+    let (sender, receiver) = mpsc::channel(CHUNK_BUFFER);
+    let frames = stream::unfold(receiver, |mut receiver| async {
+        receiver.recv().await.map(|frame| (frame, receiver))
+    });
+    let mut response = Response::new(StreamBody::new(frames).boxed_unsync());
+    let kind = HeaderValue::from_static("text/event-stream");
+    response.headers_mut().insert(http::header::CONTENT_TYPE, kind);
+    add_identity(&job, &mut response);
+    let engine = engine.clone();
+    tokio::spawn(async move {
+        send_chunks(&engine, &job, run, peer, &sender).await;
+        drop(permit);
+    });
+    response
+}
+
+/// Streams an answer until its end, its reader's end, a cancel or a fault.
+async fn send_chunks(
+    engine: &EngineStandin,
+    job: &ChatJob,
+    run: Option<usize>,
+    peer: SocketAddr,
+    sender: &ChunkSender,
+) {
+    let cut = engine.faults.take(|plan| &mut plan.cuts);
+    let stall = engine.faults.take(|plan| &mut plan.stalls);
+    let duplicate = engine.faults.take(|plan| &mut plan.duplicates);
+    let cut_after = engine.faults.plan().cut_after as usize;
+    for (sent, position) in (job.resume_from..job.words.len()).enumerate() {
+        if sent > 0 {
+            tokio::time::sleep(gap(engine)).await;
+        }
+        if (cut && sent >= cut_after) || is_cancelled(engine, job) {
+            let _ = sender.send(Err("the stream was cut".into())).await;
+            return;
+        }
+        if stall && sent >= cut_after {
+            sender.closed().await;
+            return;
+        }
+        engine.faults.stay_silent_if_told(peer).await;
+        let chunk = token_chunk(job, position);
+        for _ in 0..1 + usize::from(duplicate) {
+            if sender.send(Ok(event(&chunk.to_string()))).await.is_err() {
+                return;
+            }
+        }
+    }
+    engine.note_finished(run);
+    let _ = sender.send(Ok(event(&last_chunk(job).to_string()))).await;
+    let _ = sender.send(Ok(event("[DONE]"))).await;
+}
+
+fn is_cancelled(engine: &EngineStandin, job: &ChatJob) -> bool {
+    job.attempt.is_some_and(|attempt| engine.lock().cancelled.remove(&attempt))
+}
+
+fn event(data: &str) -> Frame<Bytes> {
+    Frame::data(Bytes::from(format!("data: {data}\n\n")))
+}
+
+fn token_chunk(job: &ChatJob, position: usize) -> Value {
+    let delta = json!({ "content": job.words[position] });
+    chunk(job, position, &json!({ "index": 0, "delta": delta, "finish_reason": null }))
+}
+
+fn last_chunk(job: &ChatJob) -> Value {
+    let choice = json!({ "index": 0, "delta": {}, "finish_reason": finish_reason(job) });
+    let mut last = chunk(job, job.words.len(), &choice);
+    last["usage"] = usage(job);
+    last
+}
+
+fn chunk(job: &ChatJob, position: usize, choice: &Value) -> Value {
+    json!({
+        "id": format!("chatcmpl-{}", job.attempt_text),
+        "object": "chat.completion.chunk",
+        "created": 0,
+        "model": job.version,
+        "seq": position,
+        "choices": [choice],
+    })
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -3,5 +3,11 @@
 //! [`memory`] holds the platform's services in memory behind their ports. [`fakes`] stands in
 //! for the system's own other processes in tests of one process.
 
+pub mod control;
+pub mod deployment;
+pub mod engine;
 pub mod fakes;
+pub mod faults;
 pub mod memory;
+pub mod platform;
+pub mod service;
--- /dev/null
+++ b/crates/standin/src/service.rs
@@ -0,0 +1,110 @@
+//! A stand-in for an instance of a plain service.
+
+use crate::engine::RunNote;
+use crate::faults::{CallFate, FaultSwitch};
+use crate::platform::bad_call;
+use http::{HeaderValue, Request, Response, StatusCode};
+use hyper::body::Incoming;
+use oleander_adapters::http_server::{
+    HttpHandler, ResponseBody, json_response, read_body, text_response,
+};
+use oleander_core::ids::UpstreamName;
+use oleander_ports::upstream::{ATTEMPT_HEADER, NOT_RUN_HEADER};
+use serde_json::json;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+/// Largest body that is read, in bytes.
+const MAX_BODY_BYTES: usize = 1024 * 1024;
+
+/// An instance of a plain service that runs every call it gets. Clones share it.
+#[derive(Clone)]
+pub struct ServiceStandin {
+    name: UpstreamName,
+    faults: FaultSwitch,
+    runs: Arc<Mutex<Vec<RunNote>>>,
+}
+
+impl ServiceStandin {
+    /// An instance that does not listen yet.
+    #[must_use]
+    pub fn new(name: UpstreamName) -> Self {
+        Self { name, faults: FaultSwitch::new(), runs: Arc::default() }
+    }
+
+    /// Serves on `address` on a task of its own; returns the address that was bound.
+    ///
+    /// # Errors
+    ///
+    /// When the address cannot be bound.
+    pub async fn start(&self, address: SocketAddr) -> anyhow::Result<SocketAddr> {
+        let service = self.clone();
+        let handler: HttpHandler =
+            Arc::new(move |request, peer| Box::pin(answer(service.clone(), request, peer)));
+        crate::platform::spawn(address, handler).await
+    }
+
+    /// Its name.
+    #[must_use]
+    pub const fn name(&self) -> &UpstreamName {
+        &self.name
+    }
+
+    /// Its faults.
+    #[must_use]
+    pub const fn faults(&self) -> &FaultSwitch {
+        &self.faults
+    }
+
+    /// What it ran so far, oldest first.
+    #[must_use]
+    pub fn runs(&self) -> Vec<RunNote> {
+        self.lock().clone()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Vec<RunNote>> {
+        self.runs.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+async fn answer(
+    service: ServiceStandin,
+    request: Request<Incoming>,
+    peer: SocketAddr,
+) -> Response<ResponseBody> {
+    let fate = service.faults.meet(peer).await;
+    if fate == CallFate::Refuse {
+        let mut response = text_response(StatusCode::SERVICE_UNAVAILABLE, "the service is down");
+        response.headers_mut().insert(NOT_RUN_HEADER, HeaderValue::from_static("1"));
+        return response;
+    }
+    let response = run(&service, request).await;
+    if fate == CallFate::LoseReply {
+        std::future::pending::<()>().await;
+    }
+    service.faults.stay_silent_if_told(peer).await;
+    response
+}
+
+async fn run(service: &ServiceStandin, request: Request<Incoming>) -> Response<ResponseBody> {
+    let item = format!("{} {}", request.method(), request.uri().path());
+    let attempt = request.headers().get(ATTEMPT_HEADER).cloned();
+    let body = match read_body(request.into_body(), MAX_BODY_BYTES).await {
+        Ok(body) => body,
+        Err(error) => return bad_call(&error.to_string()),
+    };
+    let sent = attempt.as_ref().and_then(|value| value.to_str().ok()).unwrap_or_default();
+    let number = {
+        let mut runs = service.lock();
+        let item = Arc::from(item.as_str());
+        runs.push(RunNote { attempt: Arc::from(sent), item, finished: true });
+        runs.len()
+    };
+    let body: serde_json::Value = serde_json::from_slice(&body).unwrap_or_default();
+    let answer = json!({ "call": item, "run": number, "received": body });
+    let mut response = json_response(StatusCode::OK, &answer);
+    if let Some(attempt) = attempt {
+        response.headers_mut().insert(ATTEMPT_HEADER, attempt);
+    }
+    response
+}
