Add the decisions: choice, chain, admission, limits, detection, placement

Every decision is a pure function of state, input and time, one module each, so that the data path and the roll-out driver can call them and tests can drive them from a seed.

--- /dev/null
+++ b/crates/core/src/chain.rs
@@ -0,0 +1,267 @@
+//! Which versions a request is tried on, in order.
+//!
+//! The plan is the cheapest chain whose expected quality meets the target and whose expected
+//! latency meets the deadline: one version alone, or a cheaper one first whose answer is kept
+//! when its confidence reaches a threshold. A small, bounded share of requests explores a
+//! version that would not be chosen, so that its estimate can get better.
+
+use crate::confidence::ConfidenceTable;
+use crate::ids::{ModelName, VersionName};
+use crate::quality_estimate::QualityEstimate;
+use crate::stable_hash::{mix, unit_point};
+use crate::units::{Money, Quality};
+use std::time::Duration;
+
+/// Deviations of uncertainty that an estimate must have to spare above the target.
+const SAFETY_DEVIATIONS: f64 = 0.5;
+/// Confidence below which the baseline escalates.
+pub const BASELINE_THRESHOLD: f64 = 0.5;
+/// Most deviations below the target for a version that is worth exploring.
+const EXPLORE_DEVIATIONS: f64 = 2.0;
+
+/// One version that may serve the request. Make these with [`crate::chain_input::candidates`].
+#[derive(Clone, Debug, PartialEq)]
+pub struct ChainCandidate {
+    /// The version.
+    pub version: VersionName,
+    /// Its model.
+    pub model: ModelName,
+    /// Its estimated quality on the task class.
+    pub quality: QualityEstimate,
+    /// Expected price of the request.
+    pub cost: Money,
+    /// Expected time to the whole answer, queue included.
+    pub latency: Duration,
+    /// What its confidence is worth.
+    pub confidence: ConfidenceTable,
+}
+
+/// What the chain must meet.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ChainGoal {
+    /// Quality that answers must reach on average.
+    pub quality: Quality,
+    /// Time until the deadline.
+    pub left: Duration,
+}
+
+/// One step of a chain.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ChainStep {
+    /// The version.
+    pub version: VersionName,
+    /// Its model.
+    pub model: ModelName,
+    /// The answer is kept when its confidence is at least this; 0 keeps every answer.
+    pub keep_from: f64,
+}
+
+/// The plan of one request.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ChainPlan {
+    /// The steps, first tried first; the last keeps every answer.
+    pub steps: Vec<ChainStep>,
+    /// Expected price.
+    pub cost: Money,
+    /// Expected quality.
+    pub quality: f64,
+    /// Expected time to the whole answer when every step is taken.
+    pub latency: Duration,
+    /// Whether the plan explores.
+    pub explored: bool,
+}
+
+/// Why there is no plan.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum ChainError {
+    /// No version is allowed.
+    #[error("no version of the cascade is allowed")]
+    NoVersion,
+    /// No version can answer within the time left.
+    #[error("no allowed version can answer in time; {needed:?} would be enough")]
+    DeadlineTooShort {
+        /// The least time that would be enough.
+        needed: Duration,
+    },
+}
+
+/// How a chain is planned; the last two are baselines.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub enum ChainRule {
+    /// The cheapest chain that meets the goal.
+    #[default]
+    ModelAware,
+    /// The costliest version alone.
+    AlwaysCostly,
+    /// The cheapest version first; the costliest when its confidence is low.
+    CheapThenEscalate {
+        /// Answers with less confidence are escalated.
+        threshold: f64,
+    },
+}
+
+/// Plans chains.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ChainPlanner {
+    rule: ChainRule,
+    exploration: f64,
+}
+
+impl ChainPlanner {
+    /// Plans by a rule, without exploration.
+    #[must_use]
+    pub const fn new(rule: ChainRule) -> Self {
+        Self { rule, exploration: 0.0 }
+    }
+
+    /// Sets the share of requests that explore, from 0 to 1.
+    #[must_use]
+    pub const fn with_exploration(mut self, exploration: f64) -> Self {
+        self.exploration = exploration;
+        self
+    }
+
+    /// Plans one request. `candidates` go from cheap to costly; `random` decides exploration.
+    ///
+    /// # Errors
+    ///
+    /// [`ChainError`] when there is no candidate or none fits the time left.
+    pub fn plan(
+        &self,
+        candidates: &[ChainCandidate],
+        goal: &ChainGoal,
+        random: u64,
+    ) -> Result<ChainPlan, ChainError> {
+        let needed = candidates.iter().map(|candidate| candidate.latency).min();
+        let needed = needed.ok_or(ChainError::NoVersion)?;
+        let fits = |candidate: &&ChainCandidate| candidate.latency <= goal.left;
+        let fitting: Vec<&ChainCandidate> = candidates.iter().filter(fits).collect();
+        if fitting.is_empty() {
+            return Err(ChainError::DeadlineTooShort { needed });
+        }
+        let plan = match self.rule {
+            ChainRule::ModelAware => self.model_aware(&fitting, goal, random),
+            ChainRule::AlwaysCostly => costliest(&fitting).map(single),
+            ChainRule::CheapThenEscalate { threshold } => escalating(&fitting, goal, threshold),
+        };
+        plan.ok_or(ChainError::NoVersion)
+    }
+
+    fn model_aware(
+        &self,
+        fitting: &[&ChainCandidate],
+        goal: &ChainGoal,
+        random: u64,
+    ) -> Option<ChainPlan> {
+        let best = cheapest_plan(fitting, goal)?;
+        if unit_point(mix(random)) >= self.exploration {
+            return Some(best);
+        }
+        Some(explore(fitting, goal, &best, random).unwrap_or(best))
+    }
+}
+
+fn single(candidate: &ChainCandidate) -> ChainPlan {
+    ChainPlan {
+        steps: vec![step(candidate, 0.0)],
+        cost: candidate.cost,
+        quality: candidate.quality.mean,
+        latency: candidate.latency,
+        explored: false,
+    }
+}
+
+fn step(candidate: &ChainCandidate, keep_from: f64) -> ChainStep {
+    ChainStep { version: candidate.version.clone(), model: candidate.model.clone(), keep_from }
+}
+
+fn costliest<'a>(fitting: &[&'a ChainCandidate]) -> Option<&'a ChainCandidate> {
+    fitting.iter().copied().max_by_key(|candidate| candidate.cost)
+}
+
+fn safe_quality(candidate: &ChainCandidate) -> f64 {
+    candidate.quality.lower_bound(SAFETY_DEVIATIONS)
+}
+
+/// The cheapest plan that meets the target; the best that there is when none does.
+fn cheapest_plan(fitting: &[&ChainCandidate], goal: &ChainGoal) -> Option<ChainPlan> {
+    let target = goal.quality.get();
+    let singles = fitting.iter().map(|candidate| (safe_quality(candidate), single(candidate)));
+    let mut plans: Vec<(f64, ChainPlan)> = singles.collect();
+    for first in fitting {
+        for second in fitting.iter().filter(|second| second.cost > first.cost) {
+            plans.extend(pairs(first, second, goal));
+        }
+    }
+    let meets = |(quality, _): &&(f64, ChainPlan)| *quality >= target;
+    let cheapest = plans.iter().filter(meets).min_by_key(|(_, plan)| plan.cost);
+    let best = || plans.iter().max_by(|a, b| a.0.total_cmp(&b.0));
+    cheapest.or_else(best).map(|(_, plan)| plan.clone())
+}
+
+/// Chains of two, one for each threshold, with the quality that they surely reach.
+fn pairs(
+    first: &ChainCandidate,
+    second: &ChainCandidate,
+    goal: &ChainGoal,
+) -> Vec<(f64, ChainPlan)> {
+    let latency = first.latency + second.latency;
+    if latency > goal.left {
+        return Vec::new();
+    }
+    let forecasts = first.confidence.forecasts(first.quality.mean);
+    let useful = forecasts.filter(|forecast| forecast.kept > 0.0 && forecast.threshold > 0.0);
+    let plan = |forecast: crate::confidence::KeepForecast| {
+        let escalated = 1.0 - forecast.kept;
+        let quality = forecast.kept * forecast.quality + escalated * second.quality.mean;
+        let spread = forecast.kept * first.quality.deviation + escalated * second.quality.deviation;
+        let micros = second.cost.as_micros() as f64 * escalated;
+        let plan = ChainPlan {
+            steps: vec![step(first, forecast.threshold), step(second, 0.0)],
+            cost: first.cost + Money::from_micros(micros as u64),
+            quality,
+            latency,
+            explored: false,
+        };
+        (quality - SAFETY_DEVIATIONS * spread, plan)
+    };
+    useful.map(plan).collect()
+}
+
+fn escalating(fitting: &[&ChainCandidate], goal: &ChainGoal, threshold: f64) -> Option<ChainPlan> {
+    let cheap = fitting.iter().copied().min_by_key(|candidate| candidate.cost)?;
+    let costly = costliest(fitting)?;
+    let latency = cheap.latency + costly.latency;
+    if cheap.version == costly.version || latency > goal.left {
+        return Some(single(costly));
+    }
+    let steps = vec![step(cheap, threshold), step(costly, 0.0)];
+    let cost = cheap.cost + costly.cost;
+    Some(ChainPlan { steps, cost, quality: costly.quality.mean, latency, explored: false })
+}
+
+/// A version outside the best plan whose estimate is uncertain enough to be worth a look: it
+/// is cheaper, and it might meet the target.
+fn explore(
+    fitting: &[&ChainCandidate],
+    goal: &ChainGoal,
+    best: &ChainPlan,
+    random: u64,
+) -> Option<ChainPlan> {
+    let target = goal.quality.get();
+    let planned = |candidate: &ChainCandidate| {
+        best.steps.iter().any(|step| step.version == candidate.version)
+    };
+    let hopeful = |candidate: &ChainCandidate| {
+        candidate.quality.mean + EXPLORE_DEVIATIONS * candidate.quality.deviation >= target
+    };
+    let worth: Vec<_> =
+        fitting.iter().filter(|candidate| !planned(candidate) && hopeful(candidate)).collect();
+    if worth.is_empty() {
+        return None;
+    }
+    let index = (unit_point(mix(random ^ 1)) * worth.len() as f64) as usize;
+    let mut plan = single(worth[index.min(worth.len() - 1)]);
+    plan.explored = true;
+    Some(plan)
+}
--- /dev/null
+++ b/crates/core/src/ejection.rs
@@ -0,0 +1,95 @@
+//! Upstreams that fail more than others are left out for a while, never a whole pool.
+
+use crate::ids::UpstreamName;
+use crate::units::Timestamp;
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+/// Failures in a row after which an upstream is ejected.
+const FAILURES_IN_ROW: u32 = 5;
+/// Time of a first ejection; every further one in a row takes as much longer.
+const BASE_EJECTION: Duration = Duration::from_secs(10);
+const LONGEST_EJECTION: Duration = Duration::from_secs(120);
+
+#[derive(Clone, Copy, Debug, Default)]
+struct OutlierRecord {
+    failures: u32,
+    ejections: u32,
+    until: Option<Timestamp>,
+}
+
+impl OutlierRecord {
+    fn is_out(&self, now: Timestamp) -> bool {
+        self.until.is_some_and(|until| now < until)
+    }
+}
+
+/// Ejects outliers of one pool.
+#[derive(Clone, Debug)]
+pub struct OutlierEjection {
+    share: f64,
+    records: BTreeMap<UpstreamName, OutlierRecord>,
+}
+
+impl OutlierEjection {
+    /// Ejects at most `share` of the pool at once, and always leaves one upstream.
+    #[must_use]
+    pub const fn new(share: f64) -> Self {
+        Self { share, records: BTreeMap::new() }
+    }
+
+    /// Changes the share, as when the catalog changes.
+    pub const fn set_share(&mut self, share: f64) {
+        self.share = share;
+    }
+
+    /// Keeps records of these upstreams only and makes missing ones.
+    pub fn set_pool<'a>(&mut self, names: impl Iterator<Item = &'a UpstreamName>) {
+        let mut old = std::mem::take(&mut self.records);
+        let kept = names.map(|name| (name.clone(), old.remove(name).unwrap_or_default()));
+        self.records = kept.collect();
+    }
+
+    /// Notes that an upstream answered.
+    pub fn note_success(&mut self, upstream: &UpstreamName) {
+        if let Some(record) = self.records.get_mut(upstream) {
+            record.failures = 0;
+            record.ejections = record.ejections.saturating_sub(u32::from(record.until.is_some()));
+            record.until = None;
+        }
+    }
+
+    /// Notes that an upstream failed; `true` when it is ejected for that.
+    pub fn note_failure(&mut self, upstream: &UpstreamName, now: Timestamp) -> bool {
+        let room = self.ejected(now) < self.most();
+        let Some(record) = self.records.get_mut(upstream) else { return false };
+        record.failures += 1;
+        if record.is_out(now) || record.failures < FAILURES_IN_ROW || !room {
+            return false;
+        }
+        record.ejections += 1;
+        let span = BASE_EJECTION.saturating_mul(record.ejections).min(LONGEST_EJECTION);
+        record.until = Some(now + span);
+        // One failure after coming back is enough to eject again.
+        record.failures = FAILURES_IN_ROW - 1;
+        true
+    }
+
+    /// Whether an upstream is ejected now.
+    #[must_use]
+    pub fn is_ejected(&self, upstream: &UpstreamName, now: Timestamp) -> bool {
+        self.records.get(upstream).is_some_and(|record| record.is_out(now))
+    }
+
+    /// Number of upstreams that are ejected now.
+    #[must_use]
+    pub fn ejected(&self, now: Timestamp) -> usize {
+        self.records.values().filter(|record| record.is_out(now)).count()
+    }
+
+    fn most(&self) -> usize {
+        let size = self.records.len();
+        let share = (size as f64 * self.share) as usize;
+        share.min(size.saturating_sub(1))
+    }
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -4,10 +4,30 @@
 //! every decision is a plain struct with functions of `(state, input, now)`. The adapters and
 //! the binaries carry inputs in and outputs out.
 
+pub mod admission;
+pub mod backoff;
 pub mod catalog;
+pub mod chain;
+pub mod chain_input;
 pub mod choice_mode;
+pub mod concurrency;
+pub mod confidence;
+pub mod deadline;
+pub mod detect;
+pub mod ejection;
+pub mod hedge;
 pub mod ids;
+pub mod placement;
+pub mod prefix_hints;
 pub mod quality;
+pub mod quality_estimate;
 pub mod reason;
+pub mod retry_budget;
+pub mod rollout;
+pub mod slow_start;
+pub mod stable_hash;
+pub mod subset;
+pub mod token_bucket;
 pub mod units;
+pub mod upstream_choice;
 pub mod usage;
--- /dev/null
+++ b/crates/core/src/stable_hash.rs
@@ -0,0 +1,41 @@
+//! Hashes that are the same on every host and in every release.
+
+const FNV_OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
+const FNV_PRIME: u64 = 0x0000_0100_0000_01b3;
+/// Separates the parts, so that `("ab", "c")` and `("a", "bc")` differ.
+const PART_END: u8 = 0xff;
+const MANTISSA_BITS: u32 = 53;
+
+/// Hash of several texts in order.
+///
+/// ```
+/// use oleander_core::stable_hash::hash_parts;
+///
+/// assert_eq!(hash_parts(&["a", "b"]), hash_parts(&["a", "b"]));
+/// assert_ne!(hash_parts(&["ab", "c"]), hash_parts(&["a", "bc"]));
+/// ```
+#[must_use]
+pub fn hash_parts(parts: &[&str]) -> u64 {
+    let mut hash = FNV_OFFSET;
+    for part in parts {
+        for &byte in part.as_bytes().iter().chain(&[PART_END]) {
+            hash = (hash ^ u64::from(byte)).wrapping_mul(FNV_PRIME);
+        }
+    }
+    mix(hash)
+}
+
+/// Spreads every input bit over the whole word (the finaliser of splitmix64).
+#[must_use]
+pub const fn mix(word: u64) -> u64 {
+    let word = word.wrapping_add(0x9e37_79b9_7f4a_7c15);
+    let word = (word ^ (word >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    let word = (word ^ (word >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    word ^ (word >> 31)
+}
+
+/// Point of a word in 0..1.
+#[must_use]
+pub fn unit_point(word: u64) -> f64 {
+    (word >> (u64::BITS - MANTISSA_BITS)) as f64 / (1u64 << MANTISSA_BITS) as f64
+}
