--- a/crates/core/src/chain.rs
+++ b/crates/core/src/chain.rs
@@ -5,6 +5,7 @@
 //! when its confidence reaches a threshold. A small, bounded share of requests explores a
 //! version that would not be chosen, so that its estimate can get better.
 
+use crate::choice_mode::ChoiceMode;
 use crate::confidence::ConfidenceTable;
 use crate::ids::{ModelName, VersionName};
 use crate::quality_estimate::QualityEstimate;
@@ -14,8 +15,8 @@
 
 /// Deviations of uncertainty that an estimate must have to spare above the target.
 const SAFETY_DEVIATIONS: f64 = 0.5;
-/// Confidence below which the baseline escalates.
-pub const BASELINE_THRESHOLD: f64 = 0.5;
+/// Threshold of confidence that no answer reaches.
+pub const ESCALATE_ALL: f64 = 2.0;
 /// Most deviations below the target for a version that is worth exploring.
 const EXPLORE_DEVIATIONS: f64 = 2.0;
 
@@ -100,6 +101,16 @@
     },
 }
 
+impl From<ChoiceMode> for ChainRule {
+    fn from(mode: ChoiceMode) -> Self {
+        match mode {
+            ChoiceMode::AlwaysCostly => Self::AlwaysCostly,
+            ChoiceMode::CheapThenEscalate => Self::CheapThenEscalate { threshold: ESCALATE_ALL },
+            _ => Self::ModelAware,
+        }
+    }
+}
+
 /// Plans chains.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct ChainPlanner {
--- a/crates/core/src/upstream_choice.rs
+++ b/crates/core/src/upstream_choice.rs
@@ -6,6 +6,7 @@
 //! age, and the host's own requests in flight are counted exactly. That keeps hosts from
 //! rushing to the same upstream that looked idle a moment ago.
 
+use crate::choice_mode::ChoiceMode;
 use crate::ids::UpstreamName;
 use crate::stable_hash::{mix, unit_point};
 use crate::units::{Millis, Money, TokenCount};
@@ -128,6 +129,16 @@
     LeastReported,
 }
 
+impl From<ChoiceMode> for UpstreamRule {
+    fn from(mode: ChoiceMode) -> Self {
+        match mode {
+            ChoiceMode::UniformRandom => Self::UniformRandom,
+            ChoiceMode::LeastReported => Self::LeastReported,
+            _ => Self::ExpectedCost,
+        }
+    }
+}
+
 /// Chooses among the upstreams of a subset. Returns the index of the chosen view, or `None`
 /// when no upstream may get new work. `random` decides the draws.
 ///
