--- a/crates/adapters/src/lib.rs
+++ b/crates/adapters/src/lib.rs
@@ -1,7 +1,9 @@
 //! Adapters that several binaries share: HTTP by hyper, settings, logs.
 
+pub mod admin;
 pub mod http_client;
 pub mod http_server;
 pub mod logs;
 pub mod platform;
 pub mod settings;
+pub mod traces;
--- a/crates/adapters/src/settings.rs
+++ b/crates/adapters/src/settings.rs
@@ -2,7 +2,9 @@
 //!
 //! All findings of a file are reported together, each with its line and column.
 
-use jsonc_parser::ParseOptions;
+use jsonc_parser::common::Ranged;
+use jsonc_parser::errors::ParseError;
+use jsonc_parser::{CollectOptions, CommentCollectionStrategy, ParseOptions, parse_to_ast};
 use oleander_core::ids::{DomainName, HostId, KeyId, RegionName};
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
@@ -154,13 +156,42 @@
 /// [`SettingsError`] with the place of what is wrong.
 pub fn parse_settings<T: DeserializeOwned>(file: &str, text: &str) -> Result<T, SettingsError> {
     let file: Arc<str> = Arc::from(file);
-    let value =
-        jsonc_parser::parse_to_serde_value::<serde_json::Value>(text, &ParseOptions::default())
-            .map_err(|error| {
-                let (line, column) = (error.line_display(), error.column_display());
-                one_finding(&file, line, column, error.kind().to_string())
-            })?;
-    serde_json::from_value(value).map_err(|error| one_finding(&file, 0, 0, error.to_string()))
+    let plain = without_comments(text).map_err(|error| {
+        let (line, column) = (error.line_display(), error.column_display());
+        one_finding(&file, line, column, error.kind().to_string())
+    })?;
+    serde_json::from_str(&plain).map_err(|error| {
+        let message = error.to_string();
+        let place = format!(" at line {} column {}", error.line(), error.column());
+        let message = message.strip_suffix(&place).unwrap_or(&message).to_owned();
+        one_finding(&file, error.line(), error.column(), message)
+    })
+}
+
+/// The text with its comments blanked out, so that every place stays what it was.
+fn without_comments(text: &str) -> Result<String, ParseError> {
+    let collect = CollectOptions {
+        comments: CommentCollectionStrategy::Separate,
+        ..CollectOptions::default()
+    };
+    let options = ParseOptions {
+        allow_missing_commas: false,
+        allow_trailing_commas: false,
+        allow_loose_object_property_names: false,
+        allow_single_quoted_strings: false,
+        allow_hexadecimal_numbers: false,
+        ..ParseOptions::default()
+    };
+    let parsed = parse_to_ast(text, &collect, &options)?;
+    let mut bytes = text.as_bytes().to_vec();
+    for comment in
+        parsed.comments.iter().flat_map(|comments| comments.values()).flat_map(|c| c.iter())
+    {
+        let range = comment.range();
+        let blanked = bytes[range.start..range.end].iter_mut().filter(|byte| **byte != b'\n');
+        blanked.for_each(|byte| *byte = b' ');
+    }
+    Ok(String::from_utf8_lossy(&bytes).into_owned())
 }
 
 fn one_finding(file: &Arc<str>, line: usize, column: usize, message: String) -> SettingsError {
