--- a/crates/adapters/src/lib.rs
+++ b/crates/adapters/src/lib.rs
@@ -6,4 +6,5 @@
 pub mod logs;
 pub mod platform;
 pub mod settings;
+pub mod signals;
 pub mod traces;
--- a/src/bin/oleander-standin/main.rs
+++ b/src/bin/oleander-standin/main.rs
@@ -8,6 +8,7 @@
 use exit_codes::StandinExit;
 use oleander_adapters::logs::start_logs;
 use oleander_adapters::settings::{PlatformSettings, read_settings};
+use oleander_adapters::signals::StopSignals;
 use oleander_core::catalog::Catalog;
 use oleander_standin::deployment::{AddressPlan, StandinDeployment};
 use std::net::SocketAddr;
@@ -38,7 +39,7 @@
     standins.platform.ratings.set_sampling(cli.rated_share, late);
     let (engines, services) = (standins.engines.len(), standins.services.len());
     log::info!("standins_ready engines={engines} services={services} control={}", cli.control);
-    tokio::signal::ctrl_c().await?;
+    StopSignals::new()?.next().await;
     Ok(())
 }
 
