Print where a process really listens when it is ready

Cause: with port 0 in the settings nobody knows where a process listens. Change: ReadyLine, one line of JSON on standard output, used by oleander-standin first. Conclusion: tests and scripts start processes on ephemeral ports without races.

--- a/crates/adapters/src/lib.rs
+++ b/crates/adapters/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod http_server;
 pub mod logs;
 pub mod platform;
+pub mod ready;
 pub mod settings;
 pub mod signals;
 pub mod traces;
--- a/src/bin/oleander-standin/main.rs
+++ b/src/bin/oleander-standin/main.rs
@@ -7,9 +7,11 @@
 use cli::Cli;
 use exit_codes::StandinExit;
 use oleander_adapters::logs::start_logs;
+use oleander_adapters::ready::ReadyLine;
 use oleander_adapters::settings::{PlatformSettings, read_settings};
 use oleander_adapters::signals::StopSignals;
 use oleander_core::catalog::Catalog;
+use oleander_core::ids::HostId;
 use oleander_standin::deployment::{AddressPlan, StandinDeployment};
 use std::net::SocketAddr;
 use std::process::ExitCode;
@@ -39,7 +41,9 @@
     standins.platform.ratings.set_sampling(cli.rated_share, late);
     let (engines, services) = (standins.engines.len(), standins.services.len());
     log::info!("standins_ready engines={engines} services={services} control={}", cli.control);
-    StopSignals::new()?.next().await;
+    let mut signals = StopSignals::new()?;
+    ReadyLine::new(HostId::new("standin")?).with_admin(standins.control_address).print();
+    signals.next().await;
     Ok(())
 }
 
