Add the ledger: batches, copies, claims, folds and statements

Billing and at-most-once claims need a place that outlives the host that saw the request. A ledger groups records for 10 ms, fixes the group, gets a copy into another failure domain (or the table) and only then says that the records are held. Runs of groups are written every 2 s as rows named by origin, sequence and content, so that anyone may write them any number of times. Records fall into the shard of their client account and the window in which their request was minted, where copies meet and count once. Closed windows are folded into sums.

Claims are rows changed by conditional writes only; claims that arrive within 4 ms share a transaction.

Types of claims move from ports to core, where the decisions are, and are exported from ports as before. UsedItem gets an order.

Tests so far: records held by three ledgers reach the statement; a single ledger writes before it says held; two hosts with one key.

--- /dev/null
+++ b/crates/core/src/ledger/keys.rs
@@ -0,0 +1,75 @@
+//! Keys of the rows and names of the objects that billing writes.
+
+use super::hash::stable_hash;
+use super::shard::{ShardId, WindowId};
+use crate::ids::{HostId, Incarnation, Sequence};
+use serde::{Deserialize, Serialize};
+use std::fmt;
+
+/// One life of one ledger: the origin of batches.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct OriginId {
+    /// The ledger.
+    pub host: HostId,
+    /// Its incarnation.
+    pub incarnation: Incarnation,
+}
+
+impl fmt::Display for OriginId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}@{}", self.host, self.incarnation)
+    }
+}
+
+/// Prefix of the batch rows of a shard.
+#[must_use]
+pub fn shard_prefix(shard: ShardId) -> String {
+    format!("usage/{shard}/")
+}
+
+/// Prefix of the batch rows of a window of a shard.
+#[must_use]
+pub fn window_prefix(shard: ShardId, window: WindowId) -> String {
+    format!("usage/{shard}/{window}/")
+}
+
+/// The window in the key of a batch row.
+#[must_use]
+pub fn window_of_key(key: &str) -> Option<WindowId> {
+    let number = key.strip_prefix("usage/")?.split('/').nth(1)?;
+    u64::from_str_radix(number, 16).ok().map(WindowId::new)
+}
+
+/// Key of a batch row. It names the content, so that a row that exists is this batch: writing
+/// it again, by whomever, changes nothing.
+#[must_use]
+pub fn batch_key(
+    (shard, window): (ShardId, WindowId),
+    origin: &OriginId,
+    (first, last): (Sequence, Sequence),
+    packed: &[u8],
+) -> String {
+    let digest = stable_hash(&[packed]);
+    let (first, last) = (first.get(), last.get());
+    format!("usage/{shard}/{window}/{origin}/{first:016x}-{last:016x}-{digest:016x}")
+}
+
+/// Key of the row that holds the sums of a closed window.
+#[must_use]
+pub fn fold_key(shard: ShardId, window: WindowId) -> String {
+    format!("fold/{shard}/{window}")
+}
+
+/// The window in the key of a row of sums.
+#[must_use]
+pub fn window_of_fold(key: &str) -> Option<WindowId> {
+    let number = key.strip_prefix("fold/")?.split('/').nth(1)?;
+    u64::from_str_radix(number, 16).ok().map(WindowId::new)
+}
+
+/// Name of the object that holds the records of a closed window.
+#[must_use]
+pub fn detail_name(shard: ShardId, window: WindowId, packed: &[u8]) -> String {
+    let digest = stable_hash(&[packed]);
+    format!("usage-detail/{shard}/{window}/{digest:016x}-{:x}", packed.len())
+}
--- /dev/null
+++ b/crates/core/src/ledger/shard.rs
@@ -0,0 +1,87 @@
+//! Shards of client accounts and windows of time.
+
+use super::hash::stable_hash;
+use crate::ids::{AccountName, HostId, RequestId};
+use crate::units::Timestamp;
+use serde::{Deserialize, Serialize};
+use std::fmt;
+use std::time::Duration;
+
+/// Number of shards over all client accounts.
+pub const SHARD_COUNT: u16 = 16;
+/// Length of a window.
+pub const WINDOW_LENGTH: Duration = Duration::from_secs(60);
+
+/// A shard of the client accounts.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct ShardId(u16);
+
+impl ShardId {
+    /// The shard of a client account.
+    #[must_use]
+    pub fn of(account: &AccountName) -> Self {
+        let hash = stable_hash(&[account.as_str().as_bytes()]);
+        Self((hash % u64::from(SHARD_COUNT)) as u16)
+    }
+
+    /// Every shard.
+    pub fn all() -> impl Iterator<Item = Self> {
+        (0..SHARD_COUNT).map(Self)
+    }
+
+    /// Rendezvous score of a ledger for this shard; the highest ranks first.
+    #[must_use]
+    pub fn score(self, host: &HostId) -> u64 {
+        stable_hash(&[&self.0.to_be_bytes(), host.as_str().as_bytes()])
+    }
+}
+
+impl fmt::Display for ShardId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:03}", self.0)
+    }
+}
+
+/// A window of time, by number since the epoch.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct WindowId(u64);
+
+impl WindowId {
+    /// Wraps a number.
+    #[must_use]
+    pub const fn new(number: u64) -> Self {
+        Self(number)
+    }
+
+    /// The window of a time.
+    #[must_use]
+    pub const fn at(time: Timestamp) -> Self {
+        Self(time.as_millis() / WINDOW_LENGTH.as_millis() as u64)
+    }
+
+    /// The window in which a request was minted.
+    #[must_use]
+    pub const fn of(request: RequestId) -> Self {
+        Self::at(request.minted_at())
+    }
+
+    /// The first instant of the window.
+    #[must_use]
+    pub const fn start(self) -> Timestamp {
+        Timestamp::from_millis(self.0.saturating_mul(WINDOW_LENGTH.as_millis() as u64))
+    }
+
+    /// The first instant after the window.
+    #[must_use]
+    pub const fn end(self) -> Timestamp {
+        Self(self.0.saturating_add(1)).start()
+    }
+}
+
+impl fmt::Display for WindowId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}", self.0)
+    }
+}
--- /dev/null
+++ b/crates/core/src/ledger/shelf.rs
@@ -0,0 +1,178 @@
+//! What one ledger holds of one origin.
+
+use super::run::{HeldGroup, HeldRun, MAX_RUN_BYTES};
+use crate::ids::{HostId, Sequence};
+use crate::units::Timestamp;
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+struct ShelfGroup {
+    group: HeldGroup,
+    bytes: usize,
+    backup: Option<HostId>,
+    settled: bool,
+}
+
+struct ShelfRun {
+    run: Arc<HeldRun>,
+    bytes: usize,
+    backup: Option<HostId>,
+}
+
+/// Groups and runs of one origin.
+pub(super) struct OriginShelf {
+    groups: BTreeMap<Sequence, ShelfGroup>,
+    runs: BTreeMap<u64, ShelfRun>,
+    next_run: u64,
+    /// When the origin was heard last.
+    pub(super) heard_at: Timestamp,
+    /// Size of everything, in bytes.
+    pub(super) bytes: usize,
+}
+
+impl OriginShelf {
+    pub(super) fn new(heard_at: Timestamp) -> Self {
+        Self { groups: BTreeMap::new(), runs: BTreeMap::new(), next_run: 0, heard_at, bytes: 0 }
+    }
+
+    pub(super) fn is_empty(&self) -> bool {
+        self.groups.is_empty() && self.runs.is_empty()
+    }
+
+    /// Adds a group. One that is `settled` may be sealed.
+    pub(super) fn put_group(&mut self, group: HeldGroup, settled: bool) {
+        let bytes = group.bytes();
+        let sequence = group.sequence;
+        let added = ShelfGroup { group, bytes, backup: None, settled };
+        self.bytes += bytes;
+        if let Some(old) = self.groups.insert(sequence, added) {
+            self.bytes -= old.bytes;
+        }
+    }
+
+    /// Notes where a group's copy is, if anywhere, and lets it be sealed.
+    pub(super) fn settle_group(&mut self, sequence: Sequence, backup: Option<HostId>) {
+        if let Some(group) = self.groups.get_mut(&sequence) {
+            group.backup = backup;
+            group.settled = true;
+        }
+    }
+
+    pub(super) fn drop_group(&mut self, sequence: Sequence) {
+        if let Some(group) = self.groups.remove(&sequence) {
+            self.bytes -= group.bytes;
+        }
+    }
+
+    /// Adds a run, unless the same one is there.
+    pub(super) fn put_run(&mut self, run: Arc<HeldRun>, backup: Option<HostId>) {
+        if self.runs.values().any(|held| held.run == run) {
+            return;
+        }
+        let bytes = run.bytes();
+        self.bytes += bytes;
+        self.runs.insert(self.next_run, ShelfRun { run, bytes, backup });
+        self.next_run += 1;
+    }
+
+    pub(super) fn settle_run(&mut self, number: u64, backup: HostId) {
+        if let Some(run) = self.runs.get_mut(&number) {
+            run.backup = Some(backup);
+        }
+    }
+
+    pub(super) fn drop_run(&mut self, number: u64) {
+        if let Some(run) = self.runs.remove(&number) {
+            self.bytes -= run.bytes;
+        }
+    }
+
+    pub(super) fn oldest_run(&self) -> Option<(u64, Arc<HeldRun>)> {
+        let (number, held) = self.runs.iter().next()?;
+        Some((*number, Arc::clone(&held.run)))
+    }
+
+    /// Runs without a copy on a live ledger.
+    pub(super) fn unprotected<'a>(
+        &'a self,
+        live: &'a dyn Fn(&HostId) -> bool,
+    ) -> impl Iterator<Item = (u64, Arc<HeldRun>)> + 'a {
+        let bare = move |held: &ShelfRun| !held.backup.as_ref().is_some_and(live);
+        let runs = self.runs.iter().filter(move |(_, held)| bare(held));
+        runs.map(|(number, held)| (*number, Arc::clone(&held.run)))
+    }
+
+    pub(super) fn backups(&self) -> impl Iterator<Item = &HostId> {
+        let groups = self.groups.values().filter_map(|held| held.backup.as_ref());
+        groups.chain(self.runs.values().filter_map(|held| held.backup.as_ref()))
+    }
+
+    /// The lowest sequence that is still held.
+    pub(super) fn lowest(&self) -> Option<Sequence> {
+        let group = self.groups.keys().next().copied();
+        let run = self.runs.values().map(|held| held.run.first).min();
+        group.into_iter().chain(run).min()
+    }
+
+    /// The highest sequence of a run.
+    pub(super) fn sealed_to(&self) -> Option<Sequence> {
+        self.runs.values().map(|held| held.run.last).max()
+    }
+
+    /// Drops everything up to and including `sequence`.
+    pub(super) fn drop_to(&mut self, sequence: Sequence) {
+        while let Some(&first) = self.groups.keys().next().filter(|&&first| first <= sequence) {
+            self.drop_group(first);
+        }
+        let done: Vec<u64> = self
+            .runs
+            .iter()
+            .filter(|(_, held)| held.run.last <= sequence)
+            .map(|(&number, _)| number)
+            .collect();
+        done.into_iter().for_each(|number| self.drop_run(number));
+    }
+
+    /// Seals the settled groups up to and including `end` into runs.
+    pub(super) fn seal_to(&mut self, end: Sequence) {
+        let sealable = self.groups.range(..=end).filter(|(_, held)| held.settled);
+        let sequences: Vec<Sequence> = sealable.map(|(&sequence, _)| sequence).collect();
+        let mut part = SealPart::default();
+        for sequence in sequences {
+            let Some(held) = self.groups.remove(&sequence) else { continue };
+            self.bytes -= held.bytes;
+            part.add(held);
+            if part.bytes >= MAX_RUN_BYTES {
+                self.put_part(std::mem::take(&mut part));
+            }
+        }
+        self.put_part(part);
+    }
+
+    fn put_part(&mut self, part: SealPart) {
+        let backup = part.common_backup();
+        if let Some(run) = HeldRun::seal(&part.groups) {
+            self.put_run(Arc::new(run), backup);
+        }
+    }
+}
+
+#[derive(Default)]
+struct SealPart {
+    groups: Vec<HeldGroup>,
+    backups: Vec<Option<HostId>>,
+    bytes: usize,
+}
+
+impl SealPart {
+    fn add(&mut self, held: ShelfGroup) {
+        self.bytes += held.bytes;
+        self.groups.push(held.group);
+        self.backups.push(held.backup);
+    }
+
+    fn common_backup(&self) -> Option<HostId> {
+        let first = self.backups.first()?.clone();
+        if self.backups.iter().all(|backup| *backup == first) { first } else { None }
+    }
+}
--- a/crates/core/src/usage.rs
+++ b/crates/core/src/usage.rs
@@ -6,8 +6,12 @@
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
 
+/// Largest body of a [`StoredOutcome`], in bytes; a longer answer of a non-idempotent operation
+/// must not be accepted from its service.
+pub const MAX_OUTCOME_BYTES: usize = 128 * 1024;
+
 /// What was used: a version of a model, or an operation of a plain service.
-#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub enum UsedItem {
     /// The version whose answer the caller got.
     Version(VersionName),
--- /dev/null
+++ b/crates/ledger/src/claim_keeper.rs
@@ -0,0 +1,127 @@
+//! The actor that groups claims into transactions.
+
+use crate::claim_table::{ClaimTable, MAX_GROUP_CLAIMS};
+use crate::metrics::LedgerMetrics;
+use crate::wire::{ClaimCall, ClaimReply};
+use kameo::prelude::*;
+use oleander_core::claim::ClaimRequest;
+use oleander_ports::claims::ClaimError;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::oneshot;
+
+/// Time that a claim waits for others to share its transaction.
+pub const CLAIM_GROUPING: Duration = Duration::from_millis(4);
+/// Most claims that wait at once; more are refused.
+pub const MAX_WAITING_CLAIMS: usize = 4096;
+
+/// Groups claims and commits them.
+#[derive(Actor)]
+pub struct ClaimKeeper {
+    table: ClaimTable,
+    metrics: Arc<LedgerMetrics>,
+    waiting: Vec<WaitingClaim>,
+}
+
+struct WaitingClaim {
+    request: ClaimRequest,
+    reply: oneshot::Sender<ClaimReply>,
+}
+
+impl ClaimKeeper {
+    /// A keeper of claims in `table`.
+    #[must_use]
+    pub fn new(table: ClaimTable, metrics: Arc<LedgerMetrics>) -> Self {
+        Self { table, metrics, waiting: Vec::new() }
+    }
+
+    fn commit(&mut self) {
+        if self.waiting.is_empty() {
+            return;
+        }
+        let waiting = std::mem::take(&mut self.waiting);
+        let (table, metrics) = (self.table.clone(), Arc::clone(&self.metrics));
+        tokio::spawn(async move {
+            let requests: Vec<ClaimRequest> =
+                waiting.iter().map(|claim| claim.request.clone()).collect();
+            let results = table.claim_group(&requests).await;
+            for (claim, result) in waiting.into_iter().zip(results) {
+                metrics.count_claim(&result);
+                let reply = match result {
+                    Ok(outcome) => ClaimReply::Outcome(outcome),
+                    Err(error) => failed(&error),
+                };
+                // The caller may have given up; the row says who holds the claim.
+                let _ = claim.reply.send(reply);
+            }
+        });
+    }
+}
+
+fn failed(error: &ClaimError) -> ClaimReply {
+    ClaimReply::Failed(Arc::from(error.0.as_str()))
+}
+
+/// A call with the place for its answer.
+pub struct ClaimTicket {
+    /// The call.
+    pub call: ClaimCall,
+    /// Where the answer goes.
+    pub reply: oneshot::Sender<ClaimReply>,
+}
+
+impl Message<ClaimTicket> for ClaimKeeper {
+    type Reply = ();
+
+    async fn handle(&mut self, ticket: ClaimTicket, ctx: &mut Context<Self, ()>) {
+        let ClaimTicket { call, reply } = ticket;
+        let request = match call {
+            ClaimCall::Claim(request) => request,
+            other => return settle(self.table.clone(), other, reply),
+        };
+        if self.waiting.len() >= MAX_WAITING_CLAIMS {
+            let _ = reply.send(ClaimReply::Failed(Arc::from("too many claims are waiting")));
+            return;
+        }
+        self.waiting.push(WaitingClaim { request, reply });
+        if self.waiting.len() >= MAX_GROUP_CLAIMS {
+            self.commit();
+        } else if self.waiting.len() == 1 {
+            commit_later(ctx.actor_ref().clone());
+        }
+    }
+}
+
+fn commit_later(keeper: ActorRef<ClaimKeeper>) {
+    tokio::spawn(async move {
+        tokio::time::sleep(CLAIM_GROUPING).await;
+        let _ = keeper.tell(CommitClaims).await;
+    });
+}
+
+fn settle(table: ClaimTable, call: ClaimCall, reply: oneshot::Sender<ClaimReply>) {
+    tokio::spawn(async move {
+        let result = match call {
+            ClaimCall::Release(request) => table.release(&request).await,
+            ClaimCall::MarkUnknown(request) | ClaimCall::Claim(request) => {
+                table.mark_unknown(&request).await
+            }
+        };
+        let answer = match result {
+            Ok(()) => ClaimReply::Settled,
+            Err(error) => failed(&error),
+        };
+        let _ = reply.send(answer);
+    });
+}
+
+/// Commits the claims that wait.
+pub struct CommitClaims;
+
+impl Message<CommitClaims> for ClaimKeeper {
+    type Reply = ();
+
+    async fn handle(&mut self, _: CommitClaims, _: &mut Context<Self, ()>) {
+        self.commit();
+    }
+}
--- /dev/null
+++ b/crates/ledger/src/flush_loop.rs
@@ -0,0 +1,130 @@
+//! Writes what a ledger holds to the table, and keeps a copy of what waits.
+
+use crate::batch_keeper::{
+    BatchKeeper, IsOwnEmpty, ListProgress, ListUnprotected, NextRun, RunCopied, RunWritten,
+};
+use crate::group_holder::GroupHolder;
+use crate::metrics::LedgerMetrics;
+use crate::table_writer::TableWriter;
+use crate::wire::BatchCall;
+use kameo::prelude::*;
+use oleander_core::ids::HostId;
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Longest pause between attempts to write while the table is out.
+pub const MAX_FLUSH_PAUSE: Duration = Duration::from_secs(30);
+/// Most runs that are copied again in one round.
+pub const MAX_RECOPIES: usize = 16;
+
+const MAX_DOUBLINGS: u32 = 6;
+
+/// Writes runs in rounds.
+pub struct FlushLoop {
+    keeper: ActorRef<BatchKeeper>,
+    holder: GroupHolder,
+    writer: TableWriter,
+    metrics: Arc<LedgerMetrics>,
+    every: Duration,
+    failures: u32,
+    told: BTreeSet<HostId>,
+}
+
+impl FlushLoop {
+    /// A loop that writes every `every`.
+    #[must_use]
+    pub fn new(
+        keeper: ActorRef<BatchKeeper>,
+        holder: GroupHolder,
+        writer: TableWriter,
+        metrics: Arc<LedgerMetrics>,
+        every: Duration,
+    ) -> Self {
+        let told = BTreeSet::new();
+        Self { keeper, holder, writer, metrics, every, failures: 0, told }
+    }
+
+    /// Runs until the task is ended.
+    pub async fn run(mut self) {
+        let mut rounds = 0_u64;
+        let mut next_write = 0;
+        loop {
+            tokio::time::sleep(self.every).await;
+            rounds += 1;
+            if rounds >= next_write {
+                self.write_all().await;
+                next_write = rounds + self.pause_rounds();
+            }
+            self.copy_unprotected().await;
+            self.report().await;
+        }
+    }
+
+    fn pause_rounds(&self) -> u64 {
+        if self.failures == 0 {
+            return 1;
+        }
+        let pause = self.every * 2_u32.pow(self.failures.min(MAX_DOUBLINGS));
+        let pause = pause.min(MAX_FLUSH_PAUSE);
+        (pause.as_millis() / self.every.as_millis().max(1)).max(1) as u64
+    }
+
+    /// Writes every run until one fails. Returns whether all are written.
+    pub async fn write_all(&mut self) -> bool {
+        let mut seal = true;
+        while let Ok(Some(ticket)) = self.keeper.ask(NextRun { seal }).await {
+            seal = false;
+            match self.writer.write_run(&ticket.origin, &ticket.run).await {
+                Ok(transactions) => {
+                    self.failures = 0;
+                    self.metrics.flushes.inc();
+                    self.metrics.flush_transactions.inc_by(transactions);
+                    let (origin, number) = (ticket.origin, ticket.number);
+                    let _ = self.keeper.tell(RunWritten { origin, number }).await;
+                }
+                Err(error) => {
+                    self.failures += 1;
+                    self.metrics.flush_failures.inc();
+                    log::warn!("ledger_flush_failed error={error} failures={}", self.failures);
+                    return false;
+                }
+            }
+        }
+        true
+    }
+
+    async fn copy_unprotected(&self) {
+        let wanted = ListUnprotected { live: self.holder.live_ledgers(), limit: MAX_RECOPIES };
+        for ticket in self.keeper.ask(wanted).await.unwrap_or_default() {
+            let Some(backup) = self.holder.copy_run(&ticket).await else { return };
+            self.metrics.recopies.inc();
+            let (origin, number) = (ticket.origin, ticket.number);
+            let _ = self.keeper.tell(RunCopied { origin, number, backup }).await;
+        }
+    }
+
+    /// Tells the ledgers that hold copies. One that was told last time is told once more, so
+    /// that it drops the copies of what was written since.
+    pub async fn report(&mut self) {
+        let reports = self.keeper.ask(ListProgress).await.unwrap_or_default();
+        for (index, (backups, progress)) in reports.into_iter().enumerate() {
+            let mut audience = backups.clone();
+            if index == 0 {
+                audience.extend(std::mem::replace(&mut self.told, backups));
+            }
+            self.holder.report(&audience, &BatchCall::Progress(progress)).await;
+        }
+    }
+
+    /// Writes what is held before the process ends. False when the table did not take all of it;
+    /// then every run has been offered to another ledger once more.
+    pub async fn hand_over(mut self) -> bool {
+        let written = self.write_all().await;
+        if !written {
+            self.copy_unprotected().await;
+        }
+        self.report().await;
+        written && self.keeper.ask(IsOwnEmpty).await.unwrap_or(false)
+    }
+}
--- /dev/null
+++ b/crates/ledger/src/fold_keeper.rs
@@ -0,0 +1,157 @@
+//! Folds closed windows: sums in one row, records in one object, batches removed.
+
+use crate::metrics::LedgerMetrics;
+use crate::node::{LedgerPorts, NodeConfig};
+use crate::ranking::ledgers_for;
+use crate::statement::{SCAN_ROWS, StatementError};
+use crate::table_writer::in_time;
+use oleander_core::ids::HostId;
+use oleander_core::ledger::fold::{FoldRow, RecordSet};
+use oleander_core::ledger::keys::{
+    detail_name, fold_key, shard_prefix, window_of_key, window_prefix,
+};
+use oleander_core::ledger::packed::{pack, unpack};
+use oleander_core::ledger::shard::{ShardId, WindowId};
+use oleander_ports::table::{
+    RowCondition, TableRow, TableTransaction, TransactionOutcome, prefix_end,
+};
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Time after the end of a window at which it is folded; batches that come later are folded
+/// again.
+pub const FOLD_AFTER: Duration = Duration::from_secs(300);
+/// Time between looks for windows to fold.
+pub const FOLD_EVERY: Duration = Duration::from_secs(15);
+/// Most windows of a shard that are folded at one look.
+pub const MAX_FOLDS: usize = 64;
+
+/// Folds the windows of the shards for which this ledger ranks first.
+#[derive(Clone)]
+pub struct FoldKeeper {
+    host: HostId,
+    ports: LedgerPorts,
+    metrics: Arc<LedgerMetrics>,
+}
+
+impl FoldKeeper {
+    /// A keeper for the ledger of `config`.
+    #[must_use]
+    pub fn new(config: &NodeConfig, ports: &LedgerPorts, metrics: Arc<LedgerMetrics>) -> Self {
+        Self { host: config.place.host.clone(), ports: ports.clone(), metrics }
+    }
+
+    /// Runs until the task is ended.
+    pub async fn run(self) {
+        loop {
+            tokio::time::sleep(FOLD_EVERY).await;
+            for shard in ShardId::all().filter(|&shard| self.ranks_first(shard)) {
+                if let Err(error) = self.fold_shard(shard).await {
+                    log::warn!("ledger_fold_failed shard={shard} error={error}");
+                }
+            }
+        }
+    }
+
+    fn ranks_first(&self, shard: ShardId) -> bool {
+        let members = self.ports.members.members();
+        let first = ledgers_for(&members, shard, None).into_iter().next();
+        first.is_none_or(|ledger| ledger.id == self.host)
+    }
+
+    /// Folds the closed windows of a shard, oldest first. Returns how many folds were written.
+    ///
+    /// # Errors
+    ///
+    /// [`StatementError`] when a service does not answer, or something stored is damaged.
+    pub async fn fold_shard(&self, shard: ShardId) -> Result<usize, StatementError> {
+        let prefix = shard_prefix(shard);
+        for folds in 0..MAX_FOLDS {
+            let first = in_time(self.ports.table.scan(&prefix, &prefix_end(&prefix), 1)).await?;
+            let Some(row) = first.first() else { return Ok(folds) };
+            let place = || StatementError::Damaged { place: Arc::clone(&row.key) };
+            let window = window_of_key(&row.key).ok_or_else(place)?;
+            if self.ports.clock.now() < window.end() + FOLD_AFTER {
+                return Ok(folds);
+            }
+            self.fold_window(shard, window).await?;
+        }
+        Ok(MAX_FOLDS)
+    }
+
+    /// Folds some batches of a window. Whoever else folds it at the same time, one of them
+    /// wins and the other changes nothing.
+    ///
+    /// # Errors
+    ///
+    /// [`StatementError`] when a service does not answer, or something stored is damaged.
+    pub async fn fold_window(
+        &self,
+        shard: ShardId,
+        window: WindowId,
+    ) -> Result<bool, StatementError> {
+        let prefix = window_prefix(shard, window);
+        let end = prefix_end(&prefix);
+        let scan = self.ports.table.scan(&prefix, &end, SCAN_ROWS);
+        let batches = in_time(scan).await?;
+        if batches.is_empty() {
+            return Ok(false);
+        }
+        let key = fold_key(shard, window);
+        let old = in_time(self.ports.table.get(&key)).await?;
+        let mut records = RecordSet::new();
+        self.add_detail(old.as_ref(), &mut records).await?;
+        for batch in &batches {
+            add_packed(&batch.key, &batch.value, &mut records)?;
+        }
+        let condition = match old {
+            None => RowCondition::Absent(Arc::from(key.as_str())),
+            Some(row) => RowCondition::VersionIs(row.key, row.version),
+        };
+        let fold = self.store_detail(shard, window, records).await?;
+        let transaction =
+            TableTransaction::new().with_condition(condition).with_put(&key, fold.to_bytes());
+        let transaction =
+            batches.iter().fold(transaction, |all, batch| all.with_delete(&batch.key));
+        let outcome = in_time(self.ports.table.transact(transaction)).await?;
+        self.metrics.folds.inc();
+        Ok(outcome == TransactionOutcome::Applied)
+    }
+
+    async fn add_detail(
+        &self,
+        old: Option<&TableRow>,
+        records: &mut RecordSet,
+    ) -> Result<(), StatementError> {
+        let Some(row) = old else { return Ok(()) };
+        let damaged = |_| StatementError::Damaged { place: Arc::clone(&row.key) };
+        let fold = FoldRow::from_bytes(&row.value).map_err(damaged)?;
+        let detail = in_time(self.ports.objects.get(&fold.detail)).await?;
+        let missing = || StatementError::Missing { place: Arc::clone(&fold.detail) };
+        add_packed(&fold.detail, &detail.ok_or_else(missing)?, records)
+    }
+
+    async fn store_detail(
+        &self,
+        shard: ShardId,
+        window: WindowId,
+        records: RecordSet,
+    ) -> Result<FoldRow, StatementError> {
+        let packed = pack(&records.clone().into_records());
+        let name = detail_name(shard, window, &packed);
+        in_time(self.ports.objects.put_if_absent(&name, packed)).await?;
+        Ok(FoldRow::new(&records, &name))
+    }
+}
+
+fn add_packed(
+    place: &Arc<str>,
+    packed: &[u8],
+    records: &mut RecordSet,
+) -> Result<(), StatementError> {
+    let damaged = |_| StatementError::Damaged { place: Arc::clone(place) };
+    for record in unpack(packed).map_err(damaged)? {
+        records.insert(record);
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/ledger/src/metrics.rs
@@ -0,0 +1,85 @@
+//! What a ledger counts.
+
+use oleander_core::claim::ClaimOutcome;
+use oleander_ports::claims::ClaimError;
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::registry::Registry;
+
+/// Label of claims by what became of them.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct OutcomeLabel {
+    /// `granted`, `held`, `done`, `outcome_unknown`, `key_reused` or `failed`.
+    pub outcome: &'static str,
+}
+
+/// Counters and gauges of one ledger.
+#[derive(Clone, Debug, Default)]
+pub struct LedgerMetrics {
+    /// Bytes of records that are held and not in the table yet.
+    pub backlog_bytes: Gauge,
+    /// Records taken.
+    pub records: Counter,
+    /// Records refused because the backlog was at its bound.
+    pub records_full: Counter,
+    /// Records refused because no second failure domain and no table could be reached.
+    pub records_not_held: Counter,
+    /// Groups replicated to another failure domain.
+    pub groups: Counter,
+    /// Runs written to the table.
+    pub flushes: Counter,
+    /// Transactions that writing runs took.
+    pub flush_transactions: Counter,
+    /// Attempts to write a run that failed.
+    pub flush_failures: Counter,
+    /// Runs copied to another ledger because their copy was gone.
+    pub recopies: Counter,
+    /// Windows folded into sums.
+    pub folds: Counter,
+    /// Claims by outcome.
+    pub claims: Family<OutcomeLabel, Counter>,
+}
+
+impl LedgerMetrics {
+    /// Zeroes.
+    #[must_use]
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Registers every metric.
+    pub fn register(&self, registry: &mut Registry) {
+        let gauge = self.backlog_bytes.clone();
+        registry.register("ledger_backlog_bytes", "Bytes held and not in the table", gauge);
+        let counters = [
+            ("ledger_records", "Records taken", &self.records),
+            ("ledger_records_full", "Records refused at the bound", &self.records_full),
+            ("ledger_records_not_held", "Records refused as not held", &self.records_not_held),
+            ("ledger_groups", "Groups replicated", &self.groups),
+            ("ledger_flushes", "Runs written", &self.flushes),
+            ("ledger_flush_transactions", "Transactions of runs", &self.flush_transactions),
+            ("ledger_flush_failures", "Failed writes of runs", &self.flush_failures),
+            ("ledger_recopies", "Runs copied again", &self.recopies),
+            ("ledger_folds", "Windows folded", &self.folds),
+        ];
+        for (name, help, counter) in counters {
+            registry.register(name, help, counter.clone());
+        }
+        registry.register("ledger_claims", "Claims by outcome", self.claims.clone());
+    }
+
+    /// Counts a claim.
+    pub fn count_claim(&self, result: &Result<ClaimOutcome, ClaimError>) {
+        let outcome = match result {
+            Ok(ClaimOutcome::Granted) => "granted",
+            Ok(ClaimOutcome::Held { .. }) => "held",
+            Ok(ClaimOutcome::Done(_)) => "done",
+            Ok(ClaimOutcome::OutcomeUnknown) => "outcome_unknown",
+            Ok(ClaimOutcome::KeyReused) => "key_reused",
+            Err(_) => "failed",
+        };
+        self.claims.get_or_create(&OutcomeLabel { outcome }).inc();
+    }
+}
--- /dev/null
+++ b/crates/ledger/src/statement.rs
@@ -0,0 +1,233 @@
+//! Statements of client accounts, read from the table.
+//!
+//! A statement is exact at any time: it takes the sums of closed windows and the batches of the
+//! others. Batches are read before sums, so that a window that is folded in between is seen
+//! twice and not missed; a window with both is counted record by record.
+
+use crate::table_writer::in_time;
+use oleander_core::ids::{AccountName, RequestId};
+use oleander_core::ledger::fold::{FoldRow, ItemSums, RecordSet, Statement};
+use oleander_core::ledger::keys::{fold_key, shard_prefix, window_of_fold, window_of_key};
+use oleander_core::ledger::packed::unpack;
+use oleander_core::ledger::shard::{ShardId, WindowId};
+use oleander_core::units::Timestamp;
+use oleander_core::usage::UsageRecord;
+use oleander_ports::PlatformError;
+use oleander_ports::objects::ObjectPort;
+use oleander_ports::table::{TablePort, TableRow};
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+/// Rows that are read at once.
+pub const SCAN_ROWS: usize = 16;
+
+/// Why a statement cannot be made.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum StatementError {
+    /// A service of the platform did not answer.
+    #[error(transparent)]
+    Platform(#[from] PlatformError),
+    /// A row or object does not decode.
+    #[error("{place} is damaged; the statement would not be exact")]
+    Damaged {
+        /// The key or name.
+        place: Arc<str>,
+    },
+    /// The object of a closed window is missing.
+    #[error("{place} is missing; the statement would not be exact")]
+    Missing {
+        /// The name.
+        place: Arc<str>,
+    },
+}
+
+/// Reads statements.
+#[derive(Clone)]
+pub struct StatementReader {
+    table: Arc<dyn TablePort>,
+    objects: Arc<dyn ObjectPort>,
+}
+
+struct Period {
+    account: AccountName,
+    shard: ShardId,
+    from: Timestamp,
+    to: Timestamp,
+}
+
+impl Period {
+    fn has(&self, record: &UsageRecord) -> bool {
+        let minted_at = record.request.minted_at();
+        record.account == self.account && minted_at >= self.from && minted_at < self.to
+    }
+
+    fn covers(&self, window: WindowId) -> bool {
+        self.from <= window.start() && window.end() <= self.to
+    }
+
+    fn windows(&self) -> (WindowId, WindowId) {
+        let last = Timestamp::from_millis(self.to.as_millis().saturating_sub(1));
+        (WindowId::at(self.from), WindowId::at(last))
+    }
+}
+
+impl StatementReader {
+    /// Reads from these services.
+    #[must_use]
+    pub fn new(table: Arc<dyn TablePort>, objects: Arc<dyn ObjectPort>) -> Self {
+        Self { table, objects }
+    }
+
+    /// The statement of `account` for the requests minted from `from` to before `to`.
+    ///
+    /// # Errors
+    ///
+    /// [`StatementError`] when a service does not answer, or something stored is damaged.
+    pub async fn statement(
+        &self,
+        account: &AccountName,
+        from: Timestamp,
+        to: Timestamp,
+    ) -> Result<Statement, StatementError> {
+        let period = self.period(account, from, to);
+        let mut open = self.open_windows(&period).await?;
+        let mut sums = ItemSums::new();
+        for (window, fold) in self.folds(&period).await? {
+            if period.covers(window) && !open.contains_key(&window) {
+                add_items(&mut sums, fold.sums.get(account));
+                continue;
+            }
+            let records = open.entry(window).or_default();
+            self.add_detail(&period, &fold, records).await?;
+        }
+        for record in open.values().flat_map(RecordSet::iter) {
+            sums.entry(record.item.clone()).or_default().add_record(record);
+        }
+        Ok(Statement::new(account.clone(), (from, to), sums))
+    }
+
+    /// The records behind a statement, in order of request.
+    ///
+    /// # Errors
+    ///
+    /// [`StatementError`] when a service does not answer, or something stored is damaged.
+    pub async fn records(
+        &self,
+        account: &AccountName,
+        from: Timestamp,
+        to: Timestamp,
+    ) -> Result<Vec<UsageRecord>, StatementError> {
+        let period = self.period(account, from, to);
+        let mut open = self.open_windows(&period).await?;
+        for (window, fold) in self.folds(&period).await? {
+            let records = open.entry(window).or_default();
+            self.add_detail(&period, &fold, records).await?;
+        }
+        Ok(open.into_values().flat_map(RecordSet::into_records).collect())
+    }
+
+    /// The record of one request, if it is in the table.
+    ///
+    /// # Errors
+    ///
+    /// [`StatementError`] when a service does not answer, or something stored is damaged.
+    pub async fn record(
+        &self,
+        account: &AccountName,
+        request: RequestId,
+    ) -> Result<Option<UsageRecord>, StatementError> {
+        let minted_at = request.minted_at();
+        let to = Timestamp::from_millis(minted_at.as_millis() + 1);
+        let records = self.records(account, minted_at, to).await?;
+        Ok(records.into_iter().find(|record| record.request == request))
+    }
+
+    fn period(&self, account: &AccountName, from: Timestamp, to: Timestamp) -> Period {
+        Period { account: account.clone(), shard: ShardId::of(account), from, to }
+    }
+
+    async fn open_windows(
+        &self,
+        period: &Period,
+    ) -> Result<BTreeMap<WindowId, RecordSet>, StatementError> {
+        let (first, last) = period.windows();
+        let prefix = shard_prefix(period.shard);
+        let (start, end) = (format!("{prefix}{first}/"), format!("{prefix}{last}0"));
+        let mut windows: BTreeMap<WindowId, RecordSet> = BTreeMap::new();
+        let mut cursor = start;
+        loop {
+            let rows = in_time(self.table.scan(&cursor, &end, SCAN_ROWS)).await?;
+            for row in &rows {
+                let window = window_of_key(&row.key).ok_or_else(|| damaged(&row.key))?;
+                let records = windows.entry(window).or_default();
+                add_records(period, &row.key, &row.value, records)?;
+            }
+            match next_cursor(&rows) {
+                Some(next) => cursor = next,
+                None => return Ok(windows),
+            }
+        }
+    }
+
+    async fn folds(&self, period: &Period) -> Result<Vec<(WindowId, FoldRow)>, StatementError> {
+        let (first, last) = period.windows();
+        let mut cursor = fold_key(period.shard, first);
+        let end = format!("{}0", fold_key(period.shard, last));
+        let mut folds = Vec::new();
+        loop {
+            let rows = in_time(self.table.scan(&cursor, &end, SCAN_ROWS)).await?;
+            for row in &rows {
+                let window = window_of_fold(&row.key).ok_or_else(|| damaged(&row.key))?;
+                let fold = FoldRow::from_bytes(&row.value).map_err(|_| damaged(&row.key))?;
+                folds.push((window, fold));
+            }
+            match next_cursor(&rows) {
+                Some(next) => cursor = next,
+                None => return Ok(folds),
+            }
+        }
+    }
+
+    async fn add_detail(
+        &self,
+        period: &Period,
+        fold: &FoldRow,
+        records: &mut RecordSet,
+    ) -> Result<(), StatementError> {
+        let detail = in_time(self.objects.get(&fold.detail)).await?;
+        let missing = || StatementError::Missing { place: Arc::clone(&fold.detail) };
+        add_records(period, &fold.detail, &detail.ok_or_else(missing)?, records)
+    }
+}
+
+fn add_records(
+    period: &Period,
+    place: &Arc<str>,
+    packed: &[u8],
+    records: &mut RecordSet,
+) -> Result<(), StatementError> {
+    for record in unpack(packed).map_err(|_| damaged(place))? {
+        if period.has(&record) {
+            records.insert(record);
+        }
+    }
+    Ok(())
+}
+
+fn add_items(sums: &mut ItemSums, items: Option<&ItemSums>) {
+    for (item, sum) in items.into_iter().flatten() {
+        sums.entry(item.clone()).or_default().add_sum(sum);
+    }
+}
+
+fn damaged(place: &Arc<str>) -> StatementError {
+    StatementError::Damaged { place: Arc::clone(place) }
+}
+
+/// Where the next scan starts, unless this was the last one.
+pub(crate) fn next_cursor(rows: &[TableRow]) -> Option<String> {
+    if rows.len() < SCAN_ROWS {
+        return None;
+    }
+    rows.last().map(|row| format!("{}\0", row.key))
+}
--- /dev/null
+++ b/crates/ledger/tests/support/mod.rs
@@ -0,0 +1,165 @@
+//! Several ledgers in one process, with the platform and the network in memory.
+#![allow(dead_code, reason = "every test file uses a part")]
+
+use oleander_core::claim::ClaimRequest;
+use oleander_core::ids::{AccountName, Incarnation, RequestId, Revision};
+use oleander_core::ledger::fold::Statement;
+use oleander_core::reason::RunState;
+use oleander_core::units::{Money, Timestamp, TokenCount};
+use oleander_core::usage::{StoredOutcome, UsageRecord, UsedItem};
+use oleander_ledger::{LedgerClient, LedgerNode, LedgerPorts, NodeConfig, StatementReader};
+use oleander_ports::clock::{ClockPort, RuntimeClock};
+use oleander_ports::members::{Member, MemberRole, MemberState};
+use oleander_standin::fakes::{FakeMembers, FakePeers};
+use oleander_standin::memory::{MemoryObjects, MemoryTable};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Time at which every test begins.
+pub const START: Timestamp = Timestamp::from_millis(1_700_000_000_000);
+
+/// Ledgers `ledger-0`, `ledger-1`, … each in a failure domain of its own.
+pub struct Fleet {
+    pub table: MemoryTable,
+    pub objects: MemoryObjects,
+    pub peers: FakePeers,
+    pub members: FakeMembers,
+    pub clock: Arc<RuntimeClock>,
+    pub nodes: Vec<Arc<LedgerNode>>,
+    pub seen: Vec<Member>,
+}
+
+impl Fleet {
+    pub fn new(ledgers: usize) -> Self {
+        Self::with_config(ledgers, |config| config)
+    }
+
+    pub fn with_config(ledgers: usize, change: impl Fn(NodeConfig) -> NodeConfig) -> Self {
+        let mut fleet = Self {
+            table: MemoryTable::new(),
+            objects: MemoryObjects::new(),
+            peers: FakePeers::new(),
+            members: FakeMembers::new(),
+            clock: Arc::new(RuntimeClock::new(START)),
+            nodes: Vec::new(),
+            seen: Vec::new(),
+        };
+        for index in 0..ledgers {
+            let member = member(index);
+            let config = NodeConfig::new(
+                member.id.clone(),
+                member.region.clone(),
+                member.domain.clone(),
+                member.incarnation,
+            );
+            fleet.seen.push(member);
+            fleet.members.set_members(fleet.seen.clone());
+            fleet.add_node(index, change(config));
+        }
+        fleet
+    }
+
+    fn add_node(&mut self, index: usize, config: NodeConfig) {
+        let node = LedgerNode::new(config, self.ports());
+        for (channel, handler) in node.handlers() {
+            self.peers.handle(address(index), channel, handler);
+        }
+        self.nodes.push(node);
+    }
+
+    pub fn ports(&self) -> LedgerPorts {
+        LedgerPorts {
+            table: Arc::new(self.table.clone()),
+            objects: Arc::new(self.objects.clone()),
+            peers: Arc::new(self.peers.clone()),
+            members: Arc::new(self.members.clone()),
+            clock: self.clock.clone(),
+        }
+    }
+
+    pub fn client(&self) -> LedgerClient {
+        let (peers, members) = (Arc::new(self.peers.clone()), Arc::new(self.members.clone()));
+        LedgerClient::new(peers, members, self.clock.clone(), 1)
+    }
+
+    /// Loses the host of a ledger, with all that it held.
+    pub fn kill(&mut self, index: usize) {
+        self.nodes[index].kill();
+        self.peers.set_cut(address(index), true);
+        self.seen.retain(|member| member.address != address(index));
+        self.members.set_members(self.seen.clone());
+    }
+
+    /// The ledger that is asked first about `account`.
+    pub fn first_for(&self, account: &AccountName) -> usize {
+        let shard = oleander_core::ledger::shard::ShardId::of(account);
+        let ledgers = oleander_ledger::ranking::ledgers_for(&self.seen, shard, None);
+        usize::from(ledgers[0].address.port()) - 1
+    }
+
+    pub async fn statement(&self, account: &AccountName) -> Statement {
+        let (table, objects) = (Arc::new(self.table.clone()), Arc::new(self.objects.clone()));
+        let reader = StatementReader::new(table, objects);
+        let to = self.clock.now() + Duration::from_secs(3600);
+        reader.statement(account, Timestamp::default(), to).await.unwrap()
+    }
+}
+
+pub fn address(index: usize) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], index as u16 + 1))
+}
+
+pub fn member(index: usize) -> Member {
+    Member {
+        id: format!("ledger-{index}").parse().unwrap(),
+        incarnation: Incarnation::new(1),
+        role: MemberRole::Ledger,
+        region: "puget".parse().unwrap(),
+        domain: format!("domain-{index}").parse().unwrap(),
+        address: address(index),
+        state: MemberState::Alive,
+        revision: Revision::new(1),
+    }
+}
+
+pub fn account(name: &str) -> AccountName {
+    name.parse().unwrap()
+}
+
+pub fn record(account: &AccountName, request: RequestId) -> UsageRecord {
+    UsageRecord {
+        account: account.clone(),
+        request,
+        item: UsedItem::Version("menu-small-3".parse().unwrap()),
+        run: RunState::Done,
+        tokens_in: TokenCount::new(100),
+        tokens_out: TokenCount::new(40),
+        billed: Money::from_micros(700),
+        upstream_cost: Money::from_micros(500),
+        ended_at: request.minted_at() + Duration::from_millis(900),
+        outcome: None,
+    }
+}
+
+pub fn request(number: u128) -> RequestId {
+    RequestId::new(START, number)
+}
+
+pub fn claim(key: &str, body: u8, number: u128) -> ClaimRequest {
+    ClaimRequest {
+        account: account("north-van"),
+        key: key.parse().unwrap(),
+        body_digest: [body; 32],
+        request: request(number),
+    }
+}
+
+pub fn outcome(key: &str) -> StoredOutcome {
+    StoredOutcome {
+        key: key.parse().unwrap(),
+        status: 201,
+        content_type: Arc::from("application/json"),
+        body: b"{\"order\":7}".to_vec(),
+    }
+}
