Add membership and authenticated calls between processes

A process needs to know the others, to spread facts among them and to call them. The membership is a pure machine in core (probes, suspicion, refutation, rumors, comparison of tables by digests); the peers crate carries it over UDP and TCP on one port. Datagrams and frames carry a key id and a truncated HMAC-SHA256; datagrams are bound to the receiver's address, a time and a counter window, connections to a nonce of each end.

The types Member and Rumor move from ports to core and are re-exported; the channel Members is added.

cargo test -p oleander-peers -p oleander-core: passes.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod ledger;
 pub mod placement;
 pub mod prefix_hints;
+pub mod membership;
 pub mod quality;
 pub mod quality_estimate;
 pub mod reason;
--- /dev/null
+++ b/crates/core/src/membership/sync.rs
@@ -0,0 +1,73 @@
+//! Comparison of two tables by digests, so that only what differs is sent.
+
+use crate::membership::message::{News, RevisionReport, SyncDigest};
+use crate::membership::record::{MemberRecord, fold, mix, stable_hash};
+use crate::membership::rumors::RumorBoard;
+use crate::membership::table::{MemberEntry, MemberTable};
+
+/// Number of buckets that the members are spread over by their id.
+pub const SYNC_BUCKETS: usize = 32;
+
+fn bucket_of(record: &MemberRecord) -> usize {
+    (stable_hash(record.id.as_str().as_bytes()) % SYNC_BUCKETS as u64) as usize
+}
+
+/// Digest of everything that is compared. The dead are left out: who has forgotten them has
+/// nothing to learn.
+#[must_use]
+pub fn digest(me: &MemberEntry, table: &MemberTable, rumors: &RumorBoard) -> SyncDigest {
+    let mut buckets = vec![0u64; SYNC_BUCKETS];
+    let mut revisions = 0u64;
+    for entry in table.present().chain([me]) {
+        let bucket = &mut buckets[bucket_of(&entry.record)];
+        *bucket = bucket.wrapping_add(record_hash(&entry.record));
+        revisions = revisions.wrapping_add(revision_hash(entry));
+    }
+    SyncDigest {
+        buckets: buckets.into_iter().map(fold).collect(),
+        rumors: rumors.digest(),
+        revisions: fold(revisions),
+    }
+}
+
+fn record_hash(record: &MemberRecord) -> u64 {
+    let version = &record.version;
+    let named = mix(stable_hash(record.id.as_str().as_bytes()), version.incarnation.get());
+    mix(mix(named, u64::from(version.refutation)), version.standing as u64)
+}
+
+fn revision_hash(entry: &MemberEntry) -> u64 {
+    let named = stable_hash(entry.record.id.as_str().as_bytes());
+    mix(mix(named, entry.record.version.incarnation.get()), entry.revision.get())
+}
+
+/// What this process has where its digest differs from `theirs`.
+#[must_use]
+pub fn difference(
+    me: &MemberEntry,
+    table: &MemberTable,
+    rumors: &RumorBoard,
+    theirs: &SyncDigest,
+) -> News {
+    let mine = digest(me, table, rumors);
+    let differs = |record: &MemberRecord| {
+        let bucket = bucket_of(record);
+        theirs.buckets.get(bucket) != mine.buckets.get(bucket)
+    };
+    let entries = || table.entries().chain([me]);
+    let mut news = News::default();
+    let records = entries().map(|entry| &entry.record).filter(|record| differs(record));
+    news.records = records.cloned().collect();
+    if theirs.rumors != mine.rumors {
+        news.rumors = rumors.known();
+    }
+    if theirs.revisions != mine.revisions {
+        let present = entries().filter(|entry| entry.record.is_present());
+        news.revisions = present.map(report).collect();
+    }
+    news
+}
+
+fn report(entry: &MemberEntry) -> RevisionReport {
+    RevisionReport { tag: entry.record.tag(), revision: entry.revision }
+}
--- /dev/null
+++ b/crates/peers/src/calls.rs
@@ -0,0 +1,182 @@
+//! Calls to other processes over pooled connections.
+
+use crate::connection::{Exchange, PeerConnection};
+use crate::counters::SharedCounters;
+use crate::keys::KeyRing;
+use crate::limits::PeerLimits;
+use oleander_ports::PortFuture;
+use oleander_ports::peers::{MAX_PEER_BODY, PeerChannel, PeerError, PeerPort};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+use tokio::sync::Semaphore;
+use tokio::time::{Instant, timeout_at};
+
+/// Whether a call on a channel may be sent twice: it reads, or replaces soft state.
+#[must_use]
+pub const fn is_idempotent(channel: PeerChannel) -> bool {
+    match channel {
+        PeerChannel::Catalog | PeerChannel::Shares | PeerChannel::Status | PeerChannel::Members => {
+            true
+        }
+        PeerChannel::Usage
+        | PeerChannel::Batches
+        | PeerChannel::Claims
+        | PeerChannel::Statistics => false,
+    }
+}
+
+type Slot = Arc<tokio::sync::Mutex<Option<Arc<PeerConnection>>>>;
+
+/// Calls other processes, over one connection to each.
+#[derive(Debug)]
+pub struct PeerCaller {
+    ring: KeyRing,
+    limits: PeerLimits,
+    slots: Mutex<HashMap<SocketAddr, Slot>>,
+    running: Semaphore,
+    counters: SharedCounters,
+}
+
+impl PeerCaller {
+    /// A caller without connections.
+    #[must_use]
+    pub fn new(ring: KeyRing, limits: PeerLimits, counters: SharedCounters) -> Self {
+        let running = Semaphore::new(limits.calls);
+        Self { ring, limits, slots: Mutex::default(), running, counters }
+    }
+
+    /// Closes every connection as soon as its calls have ended.
+    pub async fn close(&self) {
+        let slots: Vec<Slot> = self.lock().drain().map(|(_, slot)| slot).collect();
+        for slot in slots {
+            if let Some(connection) = slot.lock().await.take() {
+                connection.retire();
+            }
+        }
+    }
+
+    async fn run(
+        &self,
+        peer: SocketAddr,
+        channel: PeerChannel,
+        body: Vec<u8>,
+        deadline: Duration,
+    ) -> Result<Vec<u8>, PeerError> {
+        if body.len() > MAX_PEER_BODY {
+            return Err(PeerError::Unreachable("the call's body is too large".into()));
+        }
+        let begun = Instant::now();
+        let end = begun + deadline;
+        let Ok(Ok(_permit)) = timeout_at(end, self.running.acquire()).await else {
+            return Err(PeerError::Unreachable("too many calls are running".into()));
+        };
+        match self.try_once(peer, channel, body.clone(), end, begun + deadline / 2).await? {
+            Exchange::Replied(result) => result,
+            Exchange::NotSent(_) => self.retry(peer, channel, body, end).await,
+            Exchange::Lost(why) if !is_idempotent(channel) => Err(PeerError::Unknown(why.into())),
+            Exchange::Silent if !is_idempotent(channel) => Err(silent()),
+            Exchange::Lost(_) | Exchange::Silent => {
+                self.retry(peer, channel, body, end).await.map_err(sent_before)
+            }
+        }
+    }
+
+    /// The second and last try, on another connection.
+    async fn retry(
+        &self,
+        peer: SocketAddr,
+        channel: PeerChannel,
+        body: Vec<u8>,
+        end: Instant,
+    ) -> Result<Vec<u8>, PeerError> {
+        self.counters.calls_retried.increment();
+        match self.try_once(peer, channel, body, end, end).await? {
+            Exchange::Replied(result) => result,
+            Exchange::NotSent(why) => Err(PeerError::Unreachable(why.into())),
+            Exchange::Lost(why) => Err(PeerError::Unknown(why.into())),
+            Exchange::Silent => Err(silent()),
+        }
+    }
+
+    async fn try_once(
+        &self,
+        peer: SocketAddr,
+        channel: PeerChannel,
+        body: Vec<u8>,
+        end: Instant,
+        patience: Instant,
+    ) -> Result<Exchange, PeerError> {
+        let patience = if is_idempotent(channel) { patience } else { end };
+        let connection =
+            timeout_at(end, self.connection(peer)).await.unwrap_or_else(|_| Err(late_connect()))?;
+        Ok(connection.exchange(channel, body, end, patience).await)
+    }
+
+    /// The usable connection to a peer, made if there is none.
+    async fn connection(&self, peer: SocketAddr) -> Result<Arc<PeerConnection>, PeerError> {
+        let slot = self.slot(peer);
+        let mut held = slot.lock().await;
+        if let Some(connection) = held.as_ref().filter(|connection| connection.is_usable()) {
+            return Ok(Arc::clone(connection));
+        }
+        if let Some(old) = held.take() {
+            old.retire();
+        }
+        let counters = Arc::clone(&self.counters);
+        let opening = PeerConnection::open(peer, &self.ring, self.limits, counters);
+        let by = Instant::now() + self.limits.connect_timeout;
+        let opened =
+            timeout_at(by, opening).await.unwrap_or_else(|_| Err("it does not answer".into()));
+        let connection = opened.map_err(PeerError::Unreachable)?;
+        *held = Some(Arc::clone(&connection));
+        Ok(connection)
+    }
+
+    fn slot(&self, peer: SocketAddr) -> Slot {
+        let mut slots = self.lock();
+        if let Some(slot) = slots.get(&peer) {
+            return Arc::clone(slot);
+        }
+        slots.retain(|_, slot| is_used(slot));
+        Arc::clone(slots.entry(peer).or_default())
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, HashMap<SocketAddr, Slot>> {
+        self.slots.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+fn is_used(slot: &Slot) -> bool {
+    let Ok(held) = slot.try_lock() else { return true };
+    Arc::strong_count(slot) > 1 || held.as_ref().is_some_and(|connection| connection.is_usable())
+}
+
+/// The failure of a second try of a call whose first try was sent.
+fn sent_before(error: PeerError) -> PeerError {
+    match error {
+        PeerError::Unreachable(text) | PeerError::Refused(text) => PeerError::Unknown(text),
+        PeerError::Unknown(_) => error,
+    }
+}
+
+fn silent() -> PeerError {
+    PeerError::Unknown("nothing was heard on the connection since the call was sent".into())
+}
+
+fn late_connect() -> PeerError {
+    PeerError::Unreachable("no connection within the deadline".into())
+}
+
+impl PeerPort for PeerCaller {
+    fn call(
+        &self,
+        peer: SocketAddr,
+        channel: PeerChannel,
+        body: Vec<u8>,
+        deadline: Duration,
+    ) -> PortFuture<'_, Result<Vec<u8>, PeerError>> {
+        Box::pin(self.run(peer, channel, body, deadline))
+    }
+}
--- /dev/null
+++ b/crates/peers/src/handlers.rs
@@ -0,0 +1,83 @@
+//! The handlers of this process's channels.
+
+use crate::counters::SharedCounters;
+use crate::frame::ReplyOutcome;
+use crate::limits::PeerLimits;
+use arc_swap::ArcSwap;
+use oleander_ports::peers::{MAX_PEER_BODY, PeerChannel, PeerError, PeerHandler};
+use std::collections::BTreeMap;
+use std::fmt;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::Semaphore;
+
+/// The handlers of this process's channels. At most [`PeerLimits::handlers`] run at once.
+pub struct HandlerTable {
+    handlers: ArcSwap<BTreeMap<PeerChannel, PeerHandler>>,
+    running: Semaphore,
+    timeout: Duration,
+    counters: SharedCounters,
+}
+
+impl fmt::Debug for HandlerTable {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("HandlerTable").finish_non_exhaustive()
+    }
+}
+
+impl HandlerTable {
+    /// A table without handlers.
+    #[must_use]
+    pub fn new(limits: &PeerLimits, counters: SharedCounters) -> Self {
+        Self {
+            handlers: ArcSwap::default(),
+            running: Semaphore::new(limits.handlers),
+            timeout: limits.handler_timeout,
+            counters,
+        }
+    }
+
+    /// Sets the handler of a channel, in place of an earlier one.
+    pub fn set(&self, channel: PeerChannel, handler: PeerHandler) {
+        self.handlers.rcu(|known| {
+            let mut handlers = BTreeMap::clone(known);
+            handlers.insert(channel, Arc::clone(&handler));
+            handlers
+        });
+    }
+
+    /// Runs the handler of a channel for at most `wait`.
+    pub async fn run(
+        &self,
+        channel: PeerChannel,
+        body: Vec<u8>,
+        wait: Duration,
+    ) -> (ReplyOutcome, Vec<u8>) {
+        let Ok(_permit) = self.running.try_acquire() else {
+            self.counters.calls_shed.increment();
+            return (ReplyOutcome::refused("too many calls are running"), Vec::new());
+        };
+        let Some(handler) = self.handlers.load().get(&channel).cloned() else {
+            return (ReplyOutcome::refused("this process does not serve the channel"), Vec::new());
+        };
+        // A task of its own, so that a panic in a handler ends only its call.
+        let task = tokio::spawn(tokio::time::timeout(wait.min(self.timeout), handler(body)));
+        match task.await {
+            Ok(Ok(Ok(reply))) if reply.len() > MAX_PEER_BODY => {
+                (ReplyOutcome::unknown("the reply is too large"), Vec::new())
+            }
+            Ok(Ok(Ok(reply))) => (ReplyOutcome::Done, reply),
+            Ok(Ok(Err(error))) => (outcome_of(&error), Vec::new()),
+            Ok(Err(_)) => (ReplyOutcome::unknown("the handler took too long"), Vec::new()),
+            Err(_) => (ReplyOutcome::unknown("the handler failed"), Vec::new()),
+        }
+    }
+}
+
+/// What a handler's failure means to the caller: only a refusal says that nothing changed.
+fn outcome_of(error: &PeerError) -> ReplyOutcome {
+    match error {
+        PeerError::Refused(text) => ReplyOutcome::refused(text),
+        PeerError::Unreachable(text) | PeerError::Unknown(text) => ReplyOutcome::unknown(text),
+    }
+}
--- a/crates/peers/src/lib.rs
+++ b/crates/peers/src/lib.rs
@@ -1,1 +1,23 @@
 //! Authenticated protocols between the system's processes: membership, gossip and calls.
+//!
+//! [`PeerNode`] binds UDP and TCP on one port and gives the ports that the other crates use.
+
+pub mod calls;
+pub mod connection;
+pub mod counters;
+pub mod datagram;
+pub mod frame;
+pub mod handlers;
+pub mod handshake;
+pub mod keeper;
+pub mod keys;
+pub mod limits;
+pub mod members;
+pub mod node;
+pub mod replay;
+pub mod server;
+
+pub use counters::PeerCounters;
+pub use keys::PeerKey;
+pub use limits::PeerLimits;
+pub use node::{PeerNode, PeerSettings, PeerStartError};
--- a/crates/ports/src/peers.rs
+++ b/crates/ports/src/peers.rs
@@ -23,6 +23,8 @@
     Statistics,
     /// What a process says of itself, for `status` and `explain`.
     Status,
+    /// Comparison of the membership with one peer's.
+    Members,
 }
 
 /// Largest body of one call or reply, in bytes.
