Write request ids as text in JSON

JSON has no 128-bit integers: serde refuses them inside tagged enums, and other readers round them. Where people read it, an id is now its text (req-…); postcard still writes the number. The history's round trip over JSON lines failed with "u128 is not supported" before and passes now.

--- a/crates/core/src/ids.rs
+++ b/crates/core/src/ids.rs
@@ -261,8 +261,7 @@
 /// assert_eq!(id.minted_at(), Timestamp::from_millis(1_000));
 /// assert_eq!(id.to_string().parse::<RequestId>().unwrap(), id);
 /// ```
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
-#[serde(transparent)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct RequestId(u128);
 
 const REQUEST_RANDOM_BITS: u32 = 80;
@@ -307,6 +306,26 @@
     }
 }
 
+impl Serialize for RequestId {
+    /// As text where people read it (JSON), as a number elsewhere.
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        if serializer.is_human_readable() {
+            return serializer.collect_str(self);
+        }
+        serializer.serialize_u128(self.0)
+    }
+}
+
+impl<'de> Deserialize<'de> for RequestId {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        if deserializer.is_human_readable() {
+            let text = <std::borrow::Cow<'_, str>>::deserialize(deserializer)?;
+            return text.parse().map_err(de::Error::custom);
+        }
+        u128::deserialize(deserializer).map(Self)
+    }
+}
+
 /// Identity of one attempt of a request; sent to the upstream and checked in its answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct AttemptId {
