Add histories, a named check per promise, and oleander-check

The promises are proved by reading what callers, upstreams, hosts and operators saw in one run. HistoryRecorder records typed events in memory or as JSON lines; check_history has ten checks, one per promise; the command prints one line each, with the first violating trace.

--- /dev/null
+++ b/crates/history/src/checks/whole_answer.rs
@@ -0,0 +1,36 @@
+//! A caller gets the whole answer to its own request.
+
+use super::CheckReport;
+use crate::event::{HistoryEvent, SeenEvent, TextDigest};
+use crate::history::History;
+use oleander_core::ids::RequestId;
+use std::collections::BTreeMap;
+
+/// An answer is what the caller expects, if it can tell, and the whole text of an attempt of
+/// the same request, if upstreams recorded any.
+pub(super) fn check(history: &History, report: &mut CheckReport) {
+    let mut texts: BTreeMap<RequestId, Vec<(&TextDigest, &HistoryEvent)>> = BTreeMap::new();
+    for event in &history.events {
+        if let SeenEvent::AttemptEnded { attempt, answer, .. } = &event.seen {
+            texts.entry(attempt.request).or_default().push((answer, event));
+        }
+    }
+    let recorded = !texts.is_empty();
+    for event in &history.events {
+        let SeenEvent::Answered { request, answer, expected, repeat, .. } = &event.seen else {
+            continue;
+        };
+        report.events += 1;
+        if expected.as_ref().is_some_and(|expected| expected != answer) {
+            let message = format!("the caller of {request} expected another text");
+            report.violate(message, &[event]);
+            continue;
+        }
+        let own = texts.get(request).map(Vec::as_slice).unwrap_or_default();
+        if recorded && !repeat && own.iter().all(|(text, _)| *text != answer) {
+            let trace: Vec<&HistoryEvent> =
+                own.iter().map(|(_, ended)| *ended).chain([event]).collect();
+            report.violate(format!("no attempt of {request} gave this text"), &trace);
+        }
+    }
+}
