Add the pure rules of the data path

Session tokens signed by HMAC with rotating keys, the order of a stream's chunks, leaving upstreams by incarnation, what follows a failed attempt, the guard between claim and dispatch, patience with silent connections, prices and the traceparent header. The HTTP client can retire its connections after one went silent in the middle of an answer; a retry budget can start with retries.

--- a/crates/adapters/src/http_client.rs
+++ b/crates/adapters/src/http_client.rs
@@ -105,6 +105,12 @@
         })
     }
 
+    /// Drops every pooled connection, as after one of them went silent in the middle of an
+    /// answer. Calls in flight go on.
+    pub fn retire_connections(&self) {
+        self.pool.store(Arc::new(new_pool()));
+    }
+
     /// Drops every pooled connection, unless another call did so already.
     fn retire(&self, seen: &Arc<PooledClient>) {
         self.pool.compare_and_swap(seen, Arc::new(new_pool()));
--- /dev/null
+++ b/crates/core/src/attempt_retry.rs
@@ -0,0 +1,81 @@
+//! What to do after a failed attempt of idempotent work.
+
+/// How an attempt failed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum FaultKind {
+    /// No connection could be made; nothing was sent.
+    Connect,
+    /// The connection broke before the answer's head.
+    Lost,
+    /// The connection was silent for too long.
+    Silent,
+    /// The upstream refused without running anything.
+    NotRun,
+    /// The upstream refused the request as such; any other one would too.
+    Rejected,
+    /// The upstream failed.
+    Failed,
+    /// The answer is not that of the attempt, or is out of order.
+    Wrong,
+    /// The stream ended before its end marker.
+    Cut,
+}
+
+impl FaultKind {
+    /// The stable name, for logs and metrics.
+    #[must_use]
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::Connect => "connect",
+            Self::Lost => "lost",
+            Self::Silent => "silent",
+            Self::NotRun => "not_run",
+            Self::Rejected => "rejected",
+            Self::Failed => "failed",
+            Self::Wrong => "wrong",
+            Self::Cut => "cut",
+        }
+    }
+
+    /// Whether the connection rather than the upstream may be at fault.
+    #[must_use]
+    pub const fn may_be_connection(self) -> bool {
+        matches!(self, Self::Lost | Self::Silent)
+    }
+
+    /// Whether the upstream is blamed for it. A full upstream is not.
+    #[must_use]
+    pub const fn blames_upstream(self) -> bool {
+        !matches!(self, Self::NotRun | Self::Rejected)
+    }
+}
+
+/// The next attempt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RetryMove {
+    /// The same upstream on a new connection; it is not blamed yet.
+    SameUpstream,
+    /// Another upstream.
+    OtherUpstream,
+    /// None; the request fails.
+    Stop,
+}
+
+/// Decides after a fault. `renewed` says that this upstream was already tried again on a new
+/// connection.
+///
+/// ```
+/// use oleander_core::attempt_retry::{FaultKind, RetryMove, next_move};
+///
+/// assert_eq!(next_move(FaultKind::Silent, false), RetryMove::SameUpstream);
+/// assert_eq!(next_move(FaultKind::Silent, true), RetryMove::OtherUpstream);
+/// assert_eq!(next_move(FaultKind::Rejected, false), RetryMove::Stop);
+/// ```
+#[must_use]
+pub const fn next_move(fault: FaultKind, renewed: bool) -> RetryMove {
+    match fault {
+        FaultKind::Rejected => RetryMove::Stop,
+        FaultKind::Lost | FaultKind::Silent if !renewed => RetryMove::SameUpstream,
+        _ => RetryMove::OtherUpstream,
+    }
+}
--- a/crates/core/src/choice_mode.rs
+++ b/crates/core/src/choice_mode.rs
@@ -21,7 +21,7 @@
     ModelAware,
     /// Always the last step of the cascade.
     AlwaysCostly,
-    /// Always the first step, then the next one after every answer but the last step's.
+    /// Always the first step, then the next one after every weak answer.
     CheapThenEscalate,
     /// The router's own chain, on an upstream drawn uniformly.
     UniformRandom,
--- a/crates/core/src/ids.rs
+++ b/crates/core/src/ids.rs
@@ -158,6 +158,10 @@
     /// Name of a cascade; also the task class that callers name as their `model`.
     CascadeName, "cascade name"
 );
+text_id!(
+    /// What a caller names as `model`: a cascade, a model or a version.
+    TargetName, "model name"
+);
 text_id!(
     /// Name of a roll-out.
     RolloutName, "roll-out name"
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -5,6 +5,7 @@
 //! the binaries carry inputs in and outputs out.
 
 pub mod admission;
+pub mod attempt_retry;
 pub mod backoff;
 pub mod catalog;
 pub mod chain;
@@ -15,22 +16,29 @@
 pub mod confidence;
 pub mod deadline;
 pub mod detect;
+pub mod dispatch_guard;
 pub mod ejection;
 pub mod hedge;
 pub mod ids;
+pub mod leaving;
 pub mod ledger;
 pub mod membership;
+pub mod patience;
 pub mod placement;
 pub mod prefix_hints;
+pub mod price;
 pub mod quality;
 pub mod quality_estimate;
 pub mod reason;
 pub mod retry_budget;
 pub mod rollout;
+pub mod session;
 pub mod slow_start;
 pub mod stable_hash;
+pub mod stream_order;
 pub mod subset;
 pub mod token_bucket;
+pub mod trace_context;
 pub mod units;
 pub mod upstream_choice;
 pub mod usage;
--- /dev/null
+++ b/crates/core/src/patience.rs
@@ -0,0 +1,49 @@
+//! How long an attempt may be silent before its connection counts as lost.
+
+use crate::units::Millis;
+use std::time::Duration;
+
+/// First-token times of an idle upstream after which the first byte is overdue.
+const FIRST_BYTE_FACTOR: u64 = 20;
+/// Token gaps after which the next chunk is overdue.
+const GAP_FACTOR: u64 = 50;
+/// Shortest patience for the first byte.
+pub const MIN_FIRST_BYTE: Duration = Duration::from_millis(500);
+/// Shortest patience for the next chunk.
+pub const MIN_GAP: Duration = Duration::from_millis(500);
+/// Longest patience for either.
+pub const MAX_SILENCE: Duration = Duration::from_secs(10);
+
+/// Longest silences of one attempt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct AttemptPatience {
+    /// Until the head of the answer.
+    pub first_byte: Duration,
+    /// Between two chunks.
+    pub gap: Duration,
+}
+
+impl AttemptPatience {
+    /// Patience for a version that takes `first_token` and `token_gap` on an idle upstream,
+    /// with `left` until the deadline. Half of what is left is kept for another attempt.
+    ///
+    /// ```
+    /// use oleander_core::patience::AttemptPatience;
+    /// use oleander_core::units::Millis;
+    /// use std::time::Duration;
+    ///
+    /// let left = Duration::from_secs(30);
+    /// let patience = AttemptPatience::new(Millis::new(200), Millis::new(20), left);
+    /// assert_eq!(patience.first_byte, Duration::from_secs(4));
+    /// assert_eq!(patience.gap, Duration::from_secs(1));
+    /// ```
+    #[must_use]
+    pub fn new(first_token: Millis, token_gap: Millis, left: Duration) -> Self {
+        let first_byte = Duration::from_millis(first_token.get().saturating_mul(FIRST_BYTE_FACTOR));
+        let gap = Duration::from_millis(token_gap.get().saturating_mul(GAP_FACTOR));
+        Self {
+            first_byte: first_byte.clamp(MIN_FIRST_BYTE, MAX_SILENCE).min(left / 2),
+            gap: gap.clamp(MIN_GAP, MAX_SILENCE).min(left),
+        }
+    }
+}
--- a/crates/core/src/retry_budget.rs
+++ b/crates/core/src/retry_budget.rs
@@ -37,6 +37,14 @@
         self
     }
 
+    /// Sets how many retries are saved up at the start, so that the first requests of a fresh
+    /// host can be retried too.
+    #[must_use]
+    pub const fn with_balance(mut self, balance: f64) -> Self {
+        self.balance = balance.min(self.reserve);
+        self
+    }
+
     /// Changes the share, as when the catalog changes.
     pub const fn set_share(&mut self, share: f64) {
         self.share = share;
