--- /dev/null
+++ b/crates/entry/src/billing.rs
@@ -0,0 +1,57 @@
+//! Records usage before the caller sees the end of an answer.
+
+use crate::refusal::Refusal;
+use crate::state::EntryState;
+use oleander_core::reason::{Reason, RunState};
+use oleander_core::usage::UsageRecord;
+use oleander_ports::usage::UsageError;
+use std::time::Duration;
+use tracing::Instrument;
+
+/// Tries to get one record held.
+const RECORD_TRIES: u32 = 4;
+/// Wait between two tries.
+const RECORD_WAIT: Duration = Duration::from_millis(150);
+/// When a caller may come back after usage could not be recorded.
+const LEDGER_RETRY_AFTER: Duration = Duration::from_secs(5);
+
+/// Refuses new work when its usage could not be recorded.
+///
+/// # Errors
+///
+/// A refusal with [`Reason::LedgerUnavailable`].
+pub fn check_room(state: &EntryState) -> Result<(), Refusal> {
+    if state.parts.usage.has_room() {
+        return Ok(());
+    }
+    let message = "usage cannot be recorded safely now";
+    Err(Refusal::new(Reason::LedgerUnavailable, message).with_retry_after(LEDGER_RETRY_AFTER))
+}
+
+/// Returns when the record is held safely. Recording it again counts once.
+///
+/// # Errors
+///
+/// A refusal with [`Reason::LedgerUnavailable`] and run state `done`.
+pub async fn record_usage(state: &EntryState, record: UsageRecord) -> Result<(), Refusal> {
+    let span = tracing::info_span!("ledger", request = %record.request);
+    let held = async {
+        let mut last = UsageError::Full;
+        for attempt in 0..RECORD_TRIES {
+            if attempt > 0 {
+                tokio::time::sleep(RECORD_WAIT).await;
+            }
+            match state.parts.usage.record(record.clone()).await {
+                Ok(()) => return Ok(()),
+                Err(error) => last = error,
+            }
+        }
+        Err(last)
+    };
+    held.instrument(span).await.map_err(|error| {
+        log::error!("usage_not_held request={} {error}", record.request);
+        Refusal::new(Reason::LedgerUnavailable, error.to_string())
+            .with_run(RunState::Done)
+            .with_retry_after(LEDGER_RETRY_AFTER)
+    })
+}
--- /dev/null
+++ b/crates/entry/src/chat_plan.rs
@@ -0,0 +1,89 @@
+//! Which versions a chat request is tried on.
+
+use crate::chat_context::ChatContext;
+use crate::refusal::Refusal;
+use crate::target::{ChatTarget, model_version, withdrawn};
+use oleander_core::chain::ChainGoal;
+use oleander_core::chain::{ChainError, ChainPlan, ChainPlanner, ChainRule, ChainStep};
+use oleander_core::chain_input::{CandidateHints, candidates};
+use oleander_core::ids::VersionName;
+use oleander_core::reason::Reason;
+use oleander_core::stable_hash::{hash_parts, unit_point};
+use oleander_core::units::Money;
+use std::time::Duration;
+
+/// When a caller may come back that found no version in time.
+const PLAN_RETRY_AFTER: Duration = Duration::from_secs(2);
+
+/// Plans a request that has no session yet.
+///
+/// # Errors
+///
+/// A refusal when no version can serve it.
+pub fn plan_chat(ctx: &ChatContext, target: &ChatTarget) -> Result<ChainPlan, Refusal> {
+    let point = unit_point(hash_parts(&[ctx.session.as_str()]));
+    match target {
+        ChatTarget::Cascade(_) => plan_cascade(ctx, point),
+        ChatTarget::Model(model) => {
+            let version = model_version(&ctx.account, model, point);
+            version.map(|version| single_plan(ctx, &version)).unwrap_or_else(|| {
+                let message = format!("no version of model {model} is open to you");
+                Err(Refusal::new(Reason::NotAllowed, message).with_place("model"))
+            })
+        }
+        ChatTarget::Version(version) => single_plan(ctx, version),
+    }
+}
+
+/// The plan of one version alone.
+///
+/// # Errors
+///
+/// A refusal when the version was withdrawn or is not allowed.
+pub fn single_plan(ctx: &ChatContext, version: &VersionName) -> Result<ChainPlan, Refusal> {
+    if ctx.account.snapshot.is_withdrawn(version) {
+        return Err(withdrawn(version));
+    }
+    let object = ctx.account.snapshot.version(version);
+    let object = object.filter(|_| ctx.account.allows(version)).ok_or_else(|| {
+        let message = format!("client account {} may not use {version}", ctx.account.name);
+        Refusal::new(Reason::NotAllowed, message).with_place("model")
+    })?;
+    let step = ChainStep { version: version.clone(), model: object.model.clone(), keep_from: 0.0 };
+    Ok(ChainPlan {
+        steps: vec![step],
+        cost: Money::ZERO,
+        quality: 0.0,
+        latency: Duration::ZERO,
+        explored: false,
+    })
+}
+
+fn plan_cascade(ctx: &ChatContext, point: f64) -> Result<ChainPlan, Refusal> {
+    let (state, snapshot) = (&ctx.state, &ctx.account.snapshot);
+    let (Some(cascade), Some(account)) = (&ctx.cascade, ctx.account.object()) else {
+        return Err(Refusal::new(Reason::NotFound, "the cascade is gone").with_place("model"));
+    };
+    let ratings = state.parts.quality.estimates();
+    let wait = |version: &VersionName| state.expected_wait(snapshot, version);
+    let confidence = |version: &VersionName| state.confidence_of(cascade, version);
+    let hints = CandidateHints { ratings: &ratings, wait: &wait, confidence: &confidence };
+    let found = candidates(snapshot, account, cascade, ctx.size(), point, &hints);
+    let planner = ChainPlanner::new(ChainRule::from(state.parts.mode))
+        .with_exploration(snapshot.catalog().policy.exploration);
+    let goal = ChainGoal { quality: ctx.quality, left: ctx.deadline.left(ctx.now()) };
+    planner.plan(&found, &goal, state.words.next()).map_err(|error| plan_refusal(ctx, &error))
+}
+
+fn plan_refusal(ctx: &ChatContext, error: &ChainError) -> Refusal {
+    match error {
+        ChainError::NoVersion => {
+            let message = format!("no version of {} is open to this request", ctx.body.target);
+            Refusal::new(Reason::NotAllowed, message).with_place("model")
+        }
+        ChainError::DeadlineTooShort { .. } => {
+            Refusal::new(Reason::DeadlineTooShort, error.to_string())
+                .with_retry_after(PLAN_RETRY_AFTER)
+        }
+    }
+}
--- /dev/null
+++ b/crates/entry/src/chat_run.rs
@@ -0,0 +1,236 @@
+//! Runs one chat request through its plan, on a task of its own.
+
+use crate::answer_sink::{AnswerEnd, AnswerHead, AnswerSink};
+use crate::attempt::AnswerClose;
+use crate::billing::record_usage;
+use crate::chat_context::ChatContext;
+use crate::refusal::Refusal;
+use crate::request_trace::{RequestTrace, TraceEvent};
+use crate::upstream_pool::PoolPlace;
+use crate::version_run::{RunProgress, VersionEnd, VersionRun};
+use oleander_core::admission::{AdmissionDecision, AdmissionRequest};
+use oleander_core::catalog::objects::Version;
+use oleander_core::chain::{ChainPlan, ChainStep};
+use oleander_core::chain_input::idle_latency;
+use oleander_core::price::{TokenUse, version_price};
+use oleander_core::reason::{Reason, RunState};
+use oleander_core::units::{Money, TokenCount};
+use oleander_core::usage::{UsageRecord, UsedItem};
+use serde_json::{Map, Value};
+
+/// A chat request that runs.
+pub struct ChatRun {
+    ctx: ChatContext,
+    plan: ChainPlan,
+    trace: RequestTrace,
+    sink: AnswerSink,
+    progress: RunProgress,
+}
+
+/// A weak answer that is kept in case no better one can be had.
+struct WeakAnswer {
+    step: u32,
+    pieces: Vec<Map<String, Value>>,
+    close: AnswerClose,
+}
+
+enum RunEnd {
+    Answered { step: u32, close: AnswerClose },
+    CallerGone { step: u32 },
+}
+
+impl ChatRun {
+    /// A run of a plan.
+    pub fn new(ctx: ChatContext, plan: ChainPlan, trace: RequestTrace, sink: AnswerSink) -> Self {
+        Self { ctx, plan, trace, sink, progress: RunProgress::default() }
+    }
+
+    /// Runs to the end; what happens comes out of the sink.
+    pub async fn run(mut self) {
+        let ended = self.run_chain().await;
+        let finished = match ended {
+            Ok(RunEnd::Answered { step, close }) => self.finish(step, close).await,
+            Ok(RunEnd::CallerGone { step }) => {
+                self.finish_gone(step).await;
+                Ok(())
+            }
+            Err(refusal) => Err(refusal),
+        };
+        if let Err(refusal) = finished {
+            self.fail(refusal).await;
+        }
+        let Self { ctx, trace, .. } = self;
+        ctx.state.traces.keep(trace);
+    }
+
+    async fn run_chain(&mut self) -> Result<RunEnd, Refusal> {
+        let steps = self.plan.steps.clone();
+        let mut weak: Option<WeakAnswer> = None;
+        for (index, step) in steps.iter().enumerate() {
+            let index = index as u32;
+            match self.run_step(index, step).await {
+                Ok(VersionEnd::Answered(close)) => {
+                    return Ok(RunEnd::Answered { step: index, close });
+                }
+                Ok(VersionEnd::CallerGone) => return Ok(RunEnd::CallerGone { step: index }),
+                Ok(VersionEnd::Weak { confidence, close }) => {
+                    let from = step.version.clone();
+                    self.trace.add(self.ctx.now(), TraceEvent::Escalated { from, confidence });
+                    let pieces = self.sink.take_held();
+                    weak = close.map(|close| WeakAnswer { step: index, pieces, close }).or(weak);
+                }
+                Err(refusal) if !self.sink.has_passed() && weak.is_some() => {
+                    log::info!("weak_answer_kept request={} {refusal}", self.ctx.ids.run);
+                    break;
+                }
+                Err(refusal) => return Err(refusal),
+            }
+        }
+        self.give_weak(weak).await
+    }
+
+    /// Passes on the weak answer after no better one could be had.
+    async fn give_weak(&mut self, weak: Option<WeakAnswer>) -> Result<RunEnd, Refusal> {
+        let Some(WeakAnswer { step, pieces, close }) = weak else {
+            let message = "no step of the cascade gave an answer";
+            let run = if self.progress.ran { RunState::Partial } else { RunState::NotRun };
+            return Err(Refusal::new(Reason::UpstreamFault, message).with_run(run));
+        };
+        self.sink.prepare(self.head(step), false);
+        for piece in pieces {
+            if self.sink.push(piece).await.is_err() {
+                return Ok(RunEnd::CallerGone { step });
+            }
+        }
+        Ok(RunEnd::Answered { step, close })
+    }
+
+    async fn run_step(&mut self, index: u32, step: &ChainStep) -> Result<VersionEnd, Refusal> {
+        let snapshot = std::sync::Arc::clone(&self.ctx.account.snapshot);
+        let missing = || Refusal::new(Reason::NotFound, format!("{} is gone", step.version));
+        let object = snapshot.version(&step.version).ok_or_else(missing)?;
+        let pool = self.ctx.state.book.pool(&snapshot, &object.pool);
+        let pool = pool.ok_or_else(missing)?;
+        let mut place = self.enter(&pool, object)?;
+        self.trace.add(self.ctx.now(), TraceEvent::Admitted { pool: pool.name.clone() });
+        self.sink.prepare(self.head(index), step.keep_from > 0.0);
+        let started = self.ctx.now();
+        let mut run = VersionRun::new(&self.ctx, &step.version, object, pool, step.keep_from);
+        let end = run.run(&mut self.progress, &mut self.trace, &mut self.sink).await;
+        if let Ok(VersionEnd::Answered(_) | VersionEnd::Weak { close: Some(_), .. }) = &end {
+            place.note_service(self.ctx.now().since(started));
+        }
+        end
+    }
+
+    /// Asks the pool for a place.
+    fn enter(
+        &self,
+        pool: &crate::upstream_pool::UpstreamPool,
+        object: &Version,
+    ) -> Result<PoolPlace, Refusal> {
+        let _span = tracing::info_span!("admission", pool = %pool.name).entered();
+        let ctx = &self.ctx;
+        let request = AdmissionRequest {
+            account: ctx.account.name.clone(),
+            weight: ctx.account.object().map_or(1, |account| account.weight),
+            priority: ctx.priority,
+            left: ctx.deadline.left(ctx.now()),
+            needed: idle_latency(object, TokenCount::new(1)),
+        };
+        pool.admit(&request).map_err(|denied| self.denial(denied))
+    }
+
+    fn denial(&self, denied: AdmissionDecision) -> Refusal {
+        let run = if self.progress.ran { RunState::Partial } else { RunState::NotRun };
+        let refusal = match denied {
+            AdmissionDecision::TooShort { needed } => {
+                let message = format!("the deadline leaves less than the {needed:?} needed");
+                Refusal::new(Reason::DeadlineTooShort, message).with_retry_after(needed)
+            }
+            AdmissionDecision::OverShare { retry_after } => {
+                let message = "the pool is short and the account is above its share of it";
+                Refusal::new(Reason::Overloaded, message).with_retry_after(retry_after)
+            }
+            AdmissionDecision::Overloaded { retry_after } => {
+                let message = "the pool has no room for the request before its deadline";
+                Refusal::new(Reason::Overloaded, message).with_retry_after(retry_after)
+            }
+            AdmissionDecision::Admit { .. } => Refusal::new(Reason::Overloaded, "not admitted"),
+        };
+        refusal.with_run(run)
+    }
+
+    fn head(&self, step: u32) -> AnswerHead {
+        let version = self.plan.steps[step as usize].version.clone();
+        let session = self.ctx.state.session_token(&self.ctx, &version);
+        AnswerHead { version, step, session }
+    }
+
+    /// Bills a whole answer, then lets the caller see its end.
+    async fn finish(&mut self, step: u32, close: AnswerClose) -> Result<(), Refusal> {
+        let version = self.plan.steps[step as usize].version.clone();
+        let used = TokenUse {
+            prompt: TokenCount::new(close.usage.prompt_tokens),
+            answer: TokenCount::new(close.usage.completion_tokens),
+        };
+        let record = self.record(step, used, RunState::Done);
+        let cost = record.billed;
+        let tokens = used.answer.get();
+        self.trace.add(self.ctx.now(), TraceEvent::Answered { version: version.clone(), tokens });
+        record_usage(&self.ctx.state, record).await?;
+        self.note_billed(cost);
+        self.ctx.state.metrics.note_answer(&version, cost, self.progress.upstream_cost);
+        let end = AnswerEnd { finish_reason: close.finish_reason, used, cost };
+        if self.sink.finish(end).await.is_err() {
+            self.trace.add(self.ctx.now(), TraceEvent::CallerGone);
+        }
+        Ok(())
+    }
+
+    /// Bills what was generated for a caller that went away.
+    async fn finish_gone(&mut self, step: u32) {
+        self.trace.add(self.ctx.now(), TraceEvent::CallerGone);
+        self.ctx.state.metrics.note_gone();
+        if !self.progress.ran {
+            return;
+        }
+        let answer = TokenCount::new(self.progress.position);
+        let used = TokenUse { prompt: self.ctx.prompt_tokens, answer };
+        let record = self.record(step, used, RunState::Partial);
+        let cost = record.billed;
+        if record_usage(&self.ctx.state, record).await.is_ok() {
+            self.note_billed(cost);
+        }
+    }
+
+    fn note_billed(&mut self, billed: Money) {
+        let upstream_cost = self.progress.upstream_cost;
+        self.trace.add(self.ctx.now(), TraceEvent::Billed { billed, upstream_cost });
+    }
+
+    fn record(&self, step: u32, used: TokenUse, run: RunState) -> UsageRecord {
+        let version = self.plan.steps[step as usize].version.clone();
+        let object = self.ctx.account.snapshot.version(&version);
+        UsageRecord {
+            account: self.ctx.account.name.clone(),
+            request: self.ctx.ids.billed,
+            item: UsedItem::Version(version),
+            run,
+            tokens_in: used.prompt,
+            tokens_out: used.answer,
+            billed: object.map_or(Money::ZERO, |object| version_price(object, used)),
+            upstream_cost: self.progress.upstream_cost,
+            ended_at: self.ctx.now(),
+            outcome: None,
+        }
+    }
+
+    async fn fail(&mut self, refusal: Refusal) {
+        let Refusal { reason, run, message, .. } = refusal.clone();
+        log::info!("request_refused request={} reason={reason} run={run}", self.ctx.ids.run);
+        self.ctx.state.metrics.note_refusal(reason);
+        self.trace.add(self.ctx.now(), TraceEvent::Refused { reason, run, message });
+        self.sink.fail(refusal).await;
+    }
+}
--- a/crates/entry/src/handler.rs
+++ b/crates/entry/src/handler.rs
@@ -1,27 +1,45 @@
 //! Paths of the callers' port.
 
 use crate::account::{AccountView, find_account};
+use crate::chat::answer_chat;
+use crate::headers::{REQUEST_HEADER, set_header};
 use crate::model_list::list_models;
 use crate::refusal::Refusal;
+use crate::request_body::read_request_body;
+use crate::service_call::answer_service;
+use crate::service_request::{CallParts, MAX_SERVICE_BODY, SERVICE_PATH};
 use crate::state::EntryState;
 use http::{Method, Request, Response, StatusCode};
 use hyper::body::Incoming;
 use oleander_adapters::http_server::{ResponseBody, json_response};
+use oleander_adapters::traces::set_parent;
+use oleander_core::ids::RequestId;
 use oleander_core::reason::Reason;
 use oleander_ports::catalog::CatalogStanding;
 use std::sync::Arc;
 use std::time::Duration;
+use tracing::Instrument;
 
 /// When a caller may come back to a host that is not in contact.
 const STANDING_RETRY: Duration = Duration::from_secs(2);
 
 /// Answers one request of a caller.
 pub async fn answer(state: Arc<EntryState>, request: Request<Incoming>) -> Response<ResponseBody> {
-    route(&state, request).await.unwrap_or_else(|refusal| refusal.response())
+    let run = state.words.mint(state.parts.clock.now());
+    let span = tracing::info_span!("caller", request = %run, path = request.uri().path());
+    set_parent(&span, request.headers());
+    let answered = route(&state, run, request).instrument(span).await;
+    answered.unwrap_or_else(|refusal| {
+        state.metrics.note_refusal(refusal.reason);
+        let mut response = refusal.response();
+        set_header(response.headers_mut(), REQUEST_HEADER, &run.to_string());
+        response
+    })
 }
 
 async fn route(
     state: &Arc<EntryState>,
+    run: RequestId,
     request: Request<Incoming>,
 ) -> Result<Response<ResponseBody>, Refusal> {
     let path = request.uri().path().to_owned();
@@ -30,7 +48,23 @@
             let account = admit_account(state, &request)?;
             Ok(json_response(StatusCode::OK, &list_models(&account)))
         }
-        _ => Err(Refusal::new(Reason::NotFound, format!("no such path: {path}"))),
+        (&Method::POST, "/v1/chat/completions") => {
+            let account = admit_account(state, &request)?;
+            let (head, body) = request.into_parts();
+            answer_chat(state, account, run, &head.headers, body).await
+        }
+        (&Method::GET | &Method::POST, path) if path.starts_with(SERVICE_PATH) => {
+            let account = admit_account(state, &request)?;
+            let (head, body) = request.into_parts();
+            let body = read_request_body(body, MAX_SERVICE_BODY).await?;
+            let query = head.uri.query();
+            let parts = CallParts { path, query, headers: &head.headers, body };
+            answer_service(state, account, run, parts).await
+        }
+        (method, path) => {
+            let message = format!("nothing is served at {method} {path}");
+            Err(Refusal::new(Reason::NotFound, message))
+        }
     }
 }
 
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -4,13 +4,46 @@
 //! carries inputs to them and their outputs out.
 
 mod account;
+mod account_limits;
+mod admin;
+mod answer_sink;
+mod attempt;
+mod billing;
+mod chat;
+mod chat_body;
+mod chat_context;
+mod chat_plan;
+mod chat_reply;
+mod chat_run;
+mod engine_chunk;
+mod findings;
 mod handler;
+mod headers;
+mod identity;
+mod in_flight;
+mod load_watch;
+mod message_merge;
+mod metrics;
 mod model_list;
+mod options;
 mod parts;
 mod refusal;
+mod request_body;
+mod request_trace;
 mod server;
+mod service_call;
+mod service_order;
+mod service_request;
+mod service_send;
+mod session_pin;
+mod sse;
 mod state;
+mod target;
+mod upstream_book;
+mod upstream_cell;
+mod upstream_pool;
+mod version_run;
 
 pub use parts::EntryParts;
 pub use refusal::Refusal;
-pub use server::EntryServer;
+pub use server::{EntryServer, EntryView};
--- /dev/null
+++ b/crates/entry/src/load_watch.rs
@@ -0,0 +1,150 @@
+//! Watches the upstreams that this host uses: their load, and whether they leave.
+
+use crate::state::EntryState;
+use crate::upstream_cell::UpstreamCell;
+use bytes::Bytes;
+use http::Request;
+use http_body_util::Full;
+use kameo::Actor;
+use kameo::actor::{ActorRef, Spawn};
+use kameo::message::{Context, Message};
+use oleander_core::ids::UpstreamName;
+use oleander_ports::members::{MemberRole, MemberState, Rumor};
+use oleander_ports::upstream::LoadReport;
+use std::collections::HashSet;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Time between two polls of one upstream. Answers carry its load too.
+const POLL_INTERVAL: Duration = Duration::from_millis(2_000);
+/// Longest time for one poll.
+const POLL_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Largest report that is read, in bytes.
+const MAX_REPORT_BYTES: usize = 64 * 1024;
+
+/// Polls the upstreams that are due.
+struct PollTick;
+
+/// An upstream's report, or nothing when it gave none.
+struct PollEnded {
+    cell: Arc<UpstreamCell>,
+    report: Option<LoadReport>,
+}
+
+/// Polls each upstream of this host's subsets, one call at a time per upstream.
+#[derive(Actor)]
+pub struct LoadWatcher {
+    state: Arc<EntryState>,
+    polled: HashSet<UpstreamName>,
+}
+
+/// Starts the watcher. It ends with the task that is returned.
+pub fn start_load_watch(state: &Arc<EntryState>) -> tokio::task::JoinHandle<()> {
+    let watcher = LoadWatcher { state: Arc::clone(state), polled: HashSet::new() };
+    let actor = LoadWatcher::spawn(watcher);
+    tokio::spawn(async move {
+        let mut ticks = tokio::time::interval(POLL_INTERVAL);
+        ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Skip);
+        loop {
+            ticks.tick().await;
+            if actor.tell(PollTick).await.is_err() {
+                return;
+            }
+        }
+    })
+}
+
+/// Follows what other hosts saw of upstreams that leave or come back.
+pub fn listen_for_leaving(state: &Arc<EntryState>) {
+    let listening = Arc::downgrade(state);
+    state.parts.members.listen(Arc::new(move |rumor| {
+        let Some(state) = listening.upgrade() else { return };
+        match rumor {
+            Rumor::Leaving { upstream, incarnation } => {
+                state.book.note_leaving(upstream, *incarnation);
+            }
+            Rumor::Joined { upstream, incarnation } => {
+                state.book.note_present(upstream, *incarnation);
+            }
+            Rumor::Head { .. } => {}
+        }
+    }));
+}
+
+impl LoadWatcher {
+    fn cells(&self) -> Vec<Arc<UpstreamCell>> {
+        let snapshot = self.state.parts.catalog.snapshot();
+        let pools = self.state.book.pools(&snapshot);
+        let members = pools.iter().flat_map(|pool| &pool.members);
+        members.map(|member| Arc::clone(&member.cell)).collect()
+    }
+
+    fn update_slots(&self) {
+        let snapshot = self.state.parts.catalog.snapshot();
+        let members = self.state.parts.members.members();
+        let serving = |state| matches!(state, MemberState::Alive | MemberState::Suspect);
+        let entries = members.iter().filter(|m| m.role == MemberRole::Entry && serving(m.state));
+        let entries = entries.count().max(1);
+        for pool in self.state.book.pools(&snapshot) {
+            pool.update_slots(entries, |name| self.state.book.is_leaving(name));
+        }
+    }
+
+    fn take_report(&self, cell: &UpstreamCell, report: &LoadReport) {
+        let now = self.state.parts.clock.now();
+        cell.note_load(report.running, report.queued, now);
+        if cell.note_incarnation(report.incarnation, now) {
+            self.state.forget_prefixes(&cell.name);
+        }
+        let (book, incarnation) = (&self.state.book, report.incarnation);
+        if !report.leaving {
+            book.note_present(&cell.name, incarnation);
+            return;
+        }
+        if book.note_leaving(&cell.name, incarnation) {
+            log::info!("upstream_leaving upstream={} incarnation={incarnation}", cell.name);
+            let upstream = cell.name.clone();
+            self.state.parts.members.announce(Rumor::Leaving { upstream, incarnation });
+        }
+    }
+}
+
+impl Message<PollTick> for LoadWatcher {
+    type Reply = ();
+
+    async fn handle(&mut self, _: PollTick, ctx: &mut Context<Self, Self::Reply>) {
+        self.update_slots();
+        let Some(actor) = ctx.actor_ref().downgrade().upgrade() else { return };
+        for cell in self.cells() {
+            if self.polled.insert(cell.name.clone()) {
+                tokio::spawn(poll(cell, actor.clone()));
+            }
+        }
+    }
+}
+
+impl Message<PollEnded> for LoadWatcher {
+    type Reply = ();
+
+    async fn handle(&mut self, ended: PollEnded, _: &mut Context<Self, Self::Reply>) {
+        self.polled.remove(&ended.cell.name);
+        if let Some(report) = &ended.report {
+            self.take_report(&ended.cell, report);
+        }
+    }
+}
+
+async fn poll(cell: Arc<UpstreamCell>, actor: ActorRef<LoadWatcher>) {
+    let report = read_report(&cell).await;
+    let _ = actor.tell(PollEnded { cell, report }).await;
+}
+
+async fn read_report(cell: &UpstreamCell) -> Option<LoadReport> {
+    let uri = format!("http://{}/load", cell.address);
+    let request = Request::get(uri).body(Full::new(Bytes::new())).ok()?;
+    let sent = cell.client.send_whole(request, POLL_TIMEOUT, MAX_REPORT_BYTES).await;
+    let response = sent.inspect_err(|error| {
+        log::debug!("load_poll_failed upstream={} {error}", cell.name);
+    });
+    serde_json::from_slice(response.ok()?.body()).ok()
+}
--- /dev/null
+++ b/crates/entry/src/metrics.rs
@@ -0,0 +1,176 @@
+//! Metrics of an entry, with bounded label sets.
+
+use oleander_core::attempt_retry::FaultKind;
+use oleander_core::ids::VersionName;
+use oleander_core::reason::Reason;
+use oleander_core::units::Money;
+use prometheus_client::collector::Collector;
+use prometheus_client::encoding::{DescriptorEncoder, EncodeLabelSet, EncodeMetric};
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::ConstGauge;
+use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
+use prometheus_client::registry::{Registry, Unit};
+use std::fmt;
+use std::time::Duration;
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct OutcomeLabel {
+    outcome: &'static str,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct FaultLabel {
+    kind: &'static str,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct VersionLabel {
+    version: String,
+}
+
+/// Tells figures of the entry when the metrics are read.
+pub struct StandingFigures {
+    /// Requests in flight.
+    pub in_flight: usize,
+    /// The catalog revision in force.
+    pub revision: u64,
+    /// Whether the entry is stopping.
+    pub draining: bool,
+}
+
+/// Reads [`StandingFigures`].
+pub struct StandingCollector {
+    read: Box<dyn Fn() -> StandingFigures + Send + Sync>,
+}
+
+impl StandingCollector {
+    /// A collector of what `read` tells.
+    pub fn new(read: impl Fn() -> StandingFigures + Send + Sync + 'static) -> Self {
+        Self { read: Box::new(read) }
+    }
+}
+
+impl fmt::Debug for StandingCollector {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("StandingCollector")
+    }
+}
+
+impl Collector for StandingCollector {
+    fn encode(&self, mut encoder: DescriptorEncoder<'_>) -> Result<(), fmt::Error> {
+        let figures = (self.read)();
+        let gauges = [
+            ("oleander_entry_in_flight", "Requests in flight", figures.in_flight as i64),
+            ("oleander_entry_revision", "Catalog revision in force", figures.revision as i64),
+            ("oleander_entry_draining", "1 while stopping", i64::from(figures.draining)),
+        ];
+        for (name, help, value) in gauges {
+            let gauge = ConstGauge::new(value);
+            let metric = encoder.encode_descriptor(name, help, None, gauge.metric_type())?;
+            gauge.encode(metric)?;
+        }
+        Ok(())
+    }
+}
+
+/// The metrics.
+pub struct EntryMetrics {
+    requests: Family<OutcomeLabel, Counter>,
+    faults: Family<FaultLabel, Counter>,
+    answers: Family<VersionLabel, Counter>,
+    billed: Counter,
+    upstream_cost: Counter,
+    first_token: Histogram,
+    duration: Histogram,
+}
+
+const FIRST_TOKEN_START: f64 = 0.005;
+const DURATION_START: f64 = 0.02;
+const BUCKET_FACTOR: f64 = 1.6;
+const BUCKETS: u16 = 18;
+
+impl EntryMetrics {
+    /// Metrics that start at zero.
+    pub fn new() -> Self {
+        Self {
+            requests: Family::default(),
+            faults: Family::default(),
+            answers: Family::default(),
+            billed: Counter::default(),
+            upstream_cost: Counter::default(),
+            first_token: histogram(FIRST_TOKEN_START),
+            duration: histogram(DURATION_START),
+        }
+    }
+
+    /// A registry with these metrics and the figures of `standing`.
+    pub fn registry(&self, standing: StandingCollector) -> Registry {
+        let mut registry = Registry::with_prefix("oleander_entry");
+        registry.register("requests", "Requests by outcome or reason", self.requests.clone());
+        registry.register("attempt_faults", "Failed attempts by kind", self.faults.clone());
+        registry.register("answers", "Whole answers by version", self.answers.clone());
+        registry.register("billed_micros", "Millionths billed", self.billed.clone());
+        let help = "Millionths that attempts cost";
+        registry.register("upstream_cost_micros", help, self.upstream_cost.clone());
+        let help = "Time to the first piece that the caller got";
+        let unit = Unit::Seconds;
+        registry.register_with_unit("first_token", help, unit.clone(), self.first_token.clone());
+        let help = "Time to the end of the answer";
+        registry.register_with_unit("duration", help, unit, self.duration.clone());
+        registry.register_collector(Box::new(standing));
+        registry
+    }
+
+    fn note_outcome(&self, outcome: &'static str) {
+        self.requests.get_or_create(&OutcomeLabel { outcome }).inc();
+    }
+
+    /// A whole answer that was billed.
+    pub fn note_answer(&self, version: &VersionName, billed: Money, upstream_cost: Money) {
+        self.note_outcome("answered");
+        self.answers.get_or_create(&VersionLabel { version: version.to_string() }).inc();
+        self.billed.inc_by(billed.as_micros());
+        self.upstream_cost.inc_by(upstream_cost.as_micros());
+    }
+
+    /// A call of a plain service that was answered.
+    pub fn note_service(&self, billed: Money) {
+        self.note_outcome("service_answered");
+        self.billed.inc_by(billed.as_micros());
+    }
+
+    /// A stored answer that was given again.
+    pub fn note_replayed(&self) {
+        self.note_outcome("replayed");
+    }
+
+    /// A caller that went away.
+    pub fn note_gone(&self) {
+        self.note_outcome("caller_gone");
+    }
+
+    /// A refusal or failure.
+    pub fn note_refusal(&self, reason: Reason) {
+        self.note_outcome(reason.code());
+    }
+
+    /// A failed attempt.
+    pub fn note_fault(&self, kind: FaultKind) {
+        self.faults.get_or_create(&FaultLabel { kind: kind.name() }).inc();
+    }
+
+    /// The time to the first piece.
+    pub fn note_first_token(&self, time: Duration) {
+        self.first_token.observe(time.as_secs_f64());
+    }
+
+    /// The time to the end of an answer.
+    pub fn note_duration(&self, time: Duration) {
+        self.duration.observe(time.as_secs_f64());
+    }
+}
+
+fn histogram(start: f64) -> Histogram {
+    Histogram::new(exponential_buckets(start, BUCKET_FACTOR, BUCKETS))
+}
--- /dev/null
+++ b/crates/entry/src/options.rs
@@ -0,0 +1,130 @@
+//! Options of a request, from its headers or from `oleander` in its body.
+
+use crate::findings::RequestFindings;
+use crate::headers::{
+    DEADLINE_HEADER, KEY_HEADER, PRIORITY_HEADER, QUALITY_HEADER, SESSION_HEADER,
+};
+use http::HeaderMap;
+use oleander_core::catalog::objects::Priority;
+use oleander_core::ids::{IdempotencyKey, SessionId};
+use oleander_core::session::TOKEN_PREFIX;
+use oleander_core::units::{Millis, Quality};
+use serde_json::{Map, Value};
+use std::sync::Arc;
+
+/// Longest deadline that a caller may ask for, in milliseconds.
+pub const MAX_DEADLINE_MILLIS: u64 = 600_000;
+
+/// How a caller names a session.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum SessionOption {
+    /// By the token that an earlier answer carried.
+    Token(Arc<str>),
+    /// By a name of its own.
+    Named(SessionId),
+}
+
+/// What a caller may ask for beside the work.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct RequestOptions {
+    /// Least expected quality.
+    pub quality_target: Option<Quality>,
+    /// Time for the whole answer.
+    pub deadline: Option<Millis>,
+    /// Priority.
+    pub priority: Option<Priority>,
+    /// Session.
+    pub session: Option<SessionOption>,
+    /// Key for repeats.
+    pub key: Option<IdempotencyKey>,
+}
+
+/// Reads the options. A header wins over the body.
+pub fn read_options(
+    headers: &HeaderMap,
+    body: Option<&Map<String, Value>>,
+    findings: &mut RequestFindings,
+) -> RequestOptions {
+    let source = OptionSource { headers, body };
+    if let Some(body) = body {
+        check_names(body, findings);
+    }
+    let read = |header, field, findings: &mut _| source.text(header, field, findings);
+    let quality = read(QUALITY_HEADER, "quality_target", findings);
+    let deadline = read(DEADLINE_HEADER, "deadline_ms", findings);
+    let priority = read(PRIORITY_HEADER, "priority", findings);
+    let session = read(SESSION_HEADER, "session", findings);
+    let key = read(KEY_HEADER, "idempotency_key", findings);
+    RequestOptions {
+        quality_target: quality.and_then(|o| findings.check(&o.place, o.text.parse::<Quality>())),
+        deadline: deadline.and_then(|o| findings.check(&o.place, parse_deadline(&o.text))),
+        priority: priority.and_then(|o| findings.check(&o.place, parse_priority(&o.text))),
+        session: session.and_then(|o| findings.check(&o.place, parse_session(&o.text))),
+        key: key.and_then(|o| findings.check(&o.place, IdempotencyKey::new(&o.text))),
+    }
+}
+
+const BODY_FIELDS: [&str; 5] =
+    ["quality_target", "deadline_ms", "priority", "session", "idempotency_key"];
+
+fn check_names(body: &Map<String, Value>, findings: &mut RequestFindings) {
+    for name in body.keys().filter(|name| !BODY_FIELDS.contains(&name.as_str())) {
+        findings.add(format!("oleander.{name}"), "is no option");
+    }
+}
+
+struct OptionText {
+    place: String,
+    text: String,
+}
+
+struct OptionSource<'a> {
+    headers: &'a HeaderMap,
+    body: Option<&'a Map<String, Value>>,
+}
+
+impl OptionSource<'_> {
+    fn text(
+        &self,
+        header: &str,
+        field: &str,
+        findings: &mut RequestFindings,
+    ) -> Option<OptionText> {
+        if let Some(value) = self.headers.get(header) {
+            let text = findings.check(header, value.to_str().map_err(|_| "is not plain text"))?;
+            return Some(OptionText { place: header.to_owned(), text: text.to_owned() });
+        }
+        let place = format!("oleander.{field}");
+        match self.body?.get(field)? {
+            Value::Null => None,
+            Value::String(text) => Some(OptionText { place, text: text.clone() }),
+            Value::Number(number) => Some(OptionText { place, text: number.to_string() }),
+            _ => {
+                findings.add(place, "must be a string or a number");
+                None
+            }
+        }
+    }
+}
+
+fn parse_deadline(text: &str) -> Result<Millis, String> {
+    let wrong = || format!("must be whole milliseconds from 1 to {MAX_DEADLINE_MILLIS}");
+    let millis: u64 = text.parse().map_err(|_| wrong())?;
+    if (1..=MAX_DEADLINE_MILLIS).contains(&millis) { Ok(Millis::new(millis)) } else { Err(wrong()) }
+}
+
+fn parse_priority(text: &str) -> Result<Priority, &'static str> {
+    match text {
+        "low" => Ok(Priority::Low),
+        "normal" => Ok(Priority::Normal),
+        "high" => Ok(Priority::High),
+        _ => Err("must be low, normal or high"),
+    }
+}
+
+fn parse_session(text: &str) -> Result<SessionOption, String> {
+    if text.starts_with(TOKEN_PREFIX) {
+        return Ok(SessionOption::Token(Arc::from(text)));
+    }
+    SessionId::new(text).map(SessionOption::Named).map_err(|error| error.to_string())
+}
--- a/crates/entry/src/refusal.rs
+++ b/crates/entry/src/refusal.rs
@@ -1,16 +1,12 @@
 //! Refusals and failures, in the usual JSON shape of errors.
 
-use http::{HeaderMap, HeaderName, HeaderValue, Response, StatusCode};
+use crate::headers::{REASON_HEADER, RUN_STATE_HEADER, set_header};
+use http::{HeaderMap, HeaderValue, Response, StatusCode};
 use oleander_adapters::http_server::{ResponseBody, json_response};
 use oleander_core::reason::{Reason, RunState};
 use serde::Serialize;
 use std::time::Duration;
 
-/// Carries the reason code of a refusal.
-pub const REASON_HEADER: &str = "x-oleander-reason";
-/// Carries whether anything ran.
-pub const RUN_STATE_HEADER: &str = "x-oleander-run-state";
-
 /// Why a request gets no answer, and whether anything ran.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 #[error("{reason}: {message}")]
@@ -88,13 +84,6 @@
     }
 }
 
-/// Sets a header unless the value has forbidden characters.
-pub fn set_header(headers: &mut HeaderMap, name: &'static str, value: &str) {
-    if let Ok(value) = HeaderValue::from_str(value) {
-        headers.insert(HeaderName::from_static(name), value);
-    }
-}
-
 /// The usual JSON shape of errors.
 #[derive(Debug, Serialize)]
 pub struct ErrorBody<'a> {
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -1,8 +1,12 @@
 //! The callers' server and its stop.
 
+use crate::admin::admin_port;
 use crate::handler;
+use crate::in_flight::FlightEntry;
+use crate::load_watch::{listen_for_leaving, start_load_watch};
 use crate::parts::EntryParts;
 use crate::state::EntryState;
+use oleander_adapters::admin::AdminPort;
 use oleander_adapters::http_server::{HttpHandler, HttpServer};
 use std::future::Future;
 use std::net::SocketAddr;
@@ -16,6 +20,36 @@
     drain: Duration,
 }
 
+/// Looks into an entry while it serves. Clones look into the same entry.
+#[derive(Clone)]
+pub struct EntryView {
+    state: Arc<EntryState>,
+}
+
+impl EntryView {
+    /// Whether the entry is stopping.
+    #[must_use]
+    pub fn is_draining(&self) -> bool {
+        self.state.is_draining()
+    }
+
+    /// Number of requests in flight.
+    #[must_use]
+    pub fn in_flight(&self) -> usize {
+        self.state.flights.len()
+    }
+
+    /// Logs each request in flight, as when the process ends without waiting for them.
+    pub fn log_cut(&self) {
+        for FlightEntry { request, account, target, started_at } in self.state.flights.entries() {
+            let age = self.state.parts.clock.now().since(started_at);
+            log::error!(
+                "request_cut request={request} account={account} target={target} age={age:?}"
+            );
+        }
+    }
+}
+
 impl EntryServer {
     /// Binds the callers' port; port 0 takes a free one.
     ///
@@ -25,6 +59,7 @@
     pub async fn bind(parts: EntryParts, caller_address: SocketAddr) -> anyhow::Result<Self> {
         let state = Arc::new(EntryState::new(parts));
         let server = HttpServer::bind(caller_address, caller_handler(&state)).await?;
+        listen_for_leaving(&state);
         Ok(Self { state, server, drain: Duration::ZERO })
     }
 
@@ -44,29 +79,39 @@
         self.server.address()
     }
 
-    /// Tells whether the entry is stopping; for health checks.
-    #[must_use]
-    pub fn drain_watch(&self) -> Arc<dyn Fn() -> bool + Send + Sync> {
-        let state = Arc::clone(&self.state);
-        Arc::new(move || state.is_draining())
-    }
-
     /// The handler of the callers' port.
     #[must_use]
     pub fn handler(&self) -> HttpHandler {
         caller_handler(&self.state)
     }
 
+    /// The admin port: health, metrics, and records of requests.
+    #[must_use]
+    pub fn admin_port(&self) -> AdminPort {
+        admin_port(&self.state)
+    }
+
+    /// A view that outlives the server.
+    #[must_use]
+    pub fn view(&self) -> EntryView {
+        EntryView { state: Arc::clone(&self.state) }
+    }
+
     /// Serves until `stop` ends, then for the drain time, then finishes what is in flight.
     pub async fn serve(self, stop: impl Future<Output = ()>) {
         let Self { state, server, drain } = self;
+        let watch = start_load_watch(&state);
         let drained = async {
             stop.await;
+            log::info!("entry_draining in_flight={}", state.flights.len());
             state.start_drain();
             state.parts.members.leave();
             tokio::time::sleep(drain).await;
         };
         server.serve(drained).await;
+        state.flights.wait_empty().await;
+        watch.abort();
+        log::info!("entry_stopped");
     }
 }
 
--- /dev/null
+++ b/crates/entry/src/service_request.rs
@@ -0,0 +1,174 @@
+//! A call of a plain service, checked.
+
+use crate::account::AccountView;
+use crate::findings::RequestFindings;
+use crate::identity::{RequestIdentity, body_digest};
+use crate::options::{RequestOptions, read_options};
+use crate::refusal::Refusal;
+use crate::state::EntryState;
+use bytes::Bytes;
+use http::HeaderMap;
+use oleander_core::catalog::objects::{Operation, Priority};
+use oleander_core::deadline::Deadline;
+use oleander_core::ids::{IdempotencyKey, OperationName, PoolName, RequestId, ServiceName};
+use oleander_core::reason::{Reason, RunState};
+use oleander_core::trace_context::{TRACEPARENT_HEADER, TraceContext};
+use oleander_core::units::{Money, Timestamp};
+use oleander_core::usage::{StoredOutcome, UsageRecord, UsedItem};
+use std::sync::Arc;
+
+/// Largest body of a service call, in bytes.
+pub const MAX_SERVICE_BODY: usize = 1024 * 1024;
+/// Where the paths of service calls start.
+pub const SERVICE_PATH: &str = "/v1/services/";
+
+/// A call of a plain service.
+#[derive(Clone, Debug)]
+pub struct ServiceRequest {
+    /// The client account.
+    pub account: AccountView,
+    /// `service/operation`.
+    pub item: Arc<str>,
+    /// The pool of the service's instances.
+    pub pool: PoolName,
+    /// The operation.
+    pub operation: Operation,
+    /// Identities.
+    pub ids: RequestIdentity,
+    /// The caller's key.
+    pub key: Option<IdempotencyKey>,
+    /// SHA-256 of operation, query and body.
+    pub digest: [u8; 32],
+    /// When the answer is of no more use.
+    pub deadline: Deadline,
+    /// When the request came.
+    pub started_at: Timestamp,
+    /// The priority.
+    pub priority: Priority,
+    /// The query, passed on.
+    pub query: Option<Arc<str>>,
+    /// Content type of the body.
+    pub content_type: Arc<str>,
+    /// The body, passed on.
+    pub body: Bytes,
+    /// The trace.
+    pub trace_context: TraceContext,
+}
+
+/// The parts of a caller's call.
+pub struct CallParts<'a> {
+    /// The path.
+    pub path: &'a str,
+    /// The query.
+    pub query: Option<&'a str>,
+    /// The headers.
+    pub headers: &'a HeaderMap,
+    /// The body.
+    pub body: Bytes,
+}
+
+impl ServiceRequest {
+    /// Checks a call.
+    ///
+    /// # Errors
+    ///
+    /// A refusal when the call is malformed, names nothing, or is not allowed.
+    pub fn new(
+        state: &EntryState,
+        account: AccountView,
+        run: RequestId,
+        parts: CallParts<'_>,
+    ) -> Result<Self, Refusal> {
+        let mut findings = RequestFindings::new();
+        let options = read_options(parts.headers, None, &mut findings);
+        findings.finish()?;
+        let (pool, operation, item) = find_operation(&account, parts.path)?;
+        let now = state.parts.clock.now();
+        let deadline = Deadline::new(now, operation.timeout);
+        let deadline = options.deadline.map_or(deadline, |budget| deadline.with_limit(now, budget));
+        let named = format!("{item}?{}", parts.query.unwrap_or_default());
+        let digest = body_digest(&named, &parts.body);
+        let ids = request_ids(run, &account, &operation, &options, &digest);
+        let highest = account.object().map(|account| account.priority).unwrap_or_default();
+        let text = |name: &str| parts.headers.get(name).and_then(|value| value.to_str().ok());
+        let parent = text(TRACEPARENT_HEADER).and_then(|text| text.parse().ok());
+        Ok(Self {
+            item,
+            pool,
+            operation,
+            ids,
+            key: options.key,
+            digest,
+            deadline,
+            started_at: now,
+            priority: options.priority.unwrap_or(Priority::Normal).min(highest),
+            query: parts.query.map(Arc::from),
+            content_type: Arc::from(text("content-type").unwrap_or("application/json")),
+            body: parts.body,
+            trace_context: parent
+                .unwrap_or_else(|| TraceContext::new(run.get(), state.words.next())),
+            account,
+        })
+    }
+
+    /// The usage record of the call.
+    pub fn record(
+        &self,
+        run: RunState,
+        billed: Money,
+        ended_at: Timestamp,
+        outcome: Option<StoredOutcome>,
+    ) -> UsageRecord {
+        UsageRecord {
+            account: self.account.name.clone(),
+            request: self.ids.billed,
+            item: UsedItem::Operation(Arc::clone(&self.item)),
+            run,
+            tokens_in: Default::default(),
+            tokens_out: Default::default(),
+            billed,
+            upstream_cost: billed,
+            ended_at,
+            outcome,
+        }
+    }
+}
+
+/// A call that may be repeated shares the identity that is billed with its repeats. One that
+/// may not runs once under its claim, so the identity of that run is the one that is billed.
+fn request_ids(
+    run: RequestId,
+    account: &AccountView,
+    operation: &Operation,
+    options: &RequestOptions,
+    digest: &[u8; 32],
+) -> RequestIdentity {
+    let ids = RequestIdentity::new(run);
+    match &options.key {
+        Some(key) if operation.idempotent => ids.with_key(&account.name, key, digest),
+        _ => ids,
+    }
+}
+
+fn find_operation(
+    account: &AccountView,
+    path: &str,
+) -> Result<(PoolName, Operation, Arc<str>), Refusal> {
+    let unknown = || {
+        let message = format!("no such operation: {path}; use {SERVICE_PATH}SERVICE/OPERATION");
+        Refusal::new(Reason::NotFound, message)
+    };
+    let rest = path.strip_prefix(SERVICE_PATH).ok_or_else(unknown)?;
+    let (service, operation) = rest.split_once('/').ok_or_else(unknown)?;
+    let service_name = ServiceName::new(service).map_err(|_| unknown())?;
+    let operation_name = OperationName::new(operation).map_err(|_| unknown())?;
+    let service = account.snapshot.service(&service_name).ok_or_else(unknown)?;
+    let allowed = account.object().is_some_and(|object| object.services.contains(&service_name));
+    if !allowed {
+        let message = format!("client account {} may not use {service_name}", account.name);
+        return Err(Refusal::new(Reason::NotAllowed, message));
+    }
+    let operation = service.operations.get(&operation_name).ok_or_else(unknown)?;
+    let item = Arc::from(format!("{service_name}/{operation_name}"));
+    Ok((service.pool.clone(), operation.clone(), item))
+}
--- /dev/null
+++ b/crates/entry/src/session_pin.rs
@@ -0,0 +1,143 @@
+//! Which version a session keeps.
+
+use crate::refusal::Refusal;
+use crate::state::EntryState;
+use oleander_core::ids::{AccountName, SessionId, TargetName, VersionName};
+use oleander_core::reason::Reason;
+use oleander_core::session::{SessionClaims, SessionError};
+use oleander_ports::PlatformError;
+use oleander_ports::table::{RowCondition, TableTransaction, TransactionOutcome};
+use serde::{Deserialize, Serialize};
+use std::collections::{HashMap, VecDeque};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+/// Life of a session token after its latest answer.
+pub const SESSION_LIFETIME: Duration = Duration::from_secs(24 * 60 * 60);
+/// Named sessions that are remembered.
+const REMEMBERED_SESSIONS: usize = 4_096;
+const TABLE_RETRY_AFTER: Duration = Duration::from_secs(5);
+
+/// What a session is bound to.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SessionPin {
+    /// What the caller named as `model`.
+    pub target: TargetName,
+    /// The version that the session keeps.
+    pub version: VersionName,
+}
+
+impl SessionPin {
+    /// Checks that a request of the session names the same `model` as its first one.
+    pub fn check_target(&self, target: &TargetName) -> Result<(), Refusal> {
+        if self.target == *target {
+            return Ok(());
+        }
+        let message = format!("the session is of {}; start a new one for {target}", self.target);
+        Err(Refusal::new(Reason::BadSession, message).with_place("model"))
+    }
+}
+
+/// Reads a token of an account.
+pub fn read_token(
+    state: &EntryState,
+    token: &str,
+    account: &AccountName,
+) -> Result<SessionClaims, Refusal> {
+    let read = state.signer.verify(token, account, state.parts.clock.now());
+    read.map_err(|error: SessionError| {
+        Refusal::new(Reason::BadSession, error.to_string()).with_place("x-oleander-session")
+    })
+}
+
+/// Pins of named sessions, which never change once they are written. Bounded.
+#[derive(Default)]
+pub struct NamedSessions {
+    known: Mutex<KnownPins>,
+}
+
+#[derive(Default)]
+struct KnownPins {
+    pins: HashMap<Arc<str>, SessionPin>,
+    order: VecDeque<Arc<str>>,
+}
+
+impl NamedSessions {
+    fn get(&self, key: &str) -> Option<SessionPin> {
+        self.known.lock().unwrap_or_else(PoisonError::into_inner).pins.get(key).cloned()
+    }
+
+    fn remember(&self, key: &str, pin: &SessionPin) {
+        let mut known = self.known.lock().unwrap_or_else(PoisonError::into_inner);
+        let key: Arc<str> = Arc::from(key);
+        if known.pins.insert(Arc::clone(&key), pin.clone()).is_none() {
+            known.order.push_back(key);
+        }
+        if known.order.len() > REMEMBERED_SESSIONS
+            && let Some(oldest) = known.order.pop_front()
+        {
+            known.pins.remove(&oldest);
+        }
+    }
+}
+
+fn session_key(account: &AccountName, session: &SessionId) -> String {
+    format!("session/{account}/{session}")
+}
+
+/// The pin of a session that the caller named itself, if it has one.
+pub async fn find_named(
+    state: &EntryState,
+    account: &AccountName,
+    session: &SessionId,
+) -> Result<Option<SessionPin>, Refusal> {
+    let key = session_key(account, session);
+    if let Some(pin) = state.named_sessions.get(&key) {
+        return Ok(Some(pin));
+    }
+    let row = state.parts.table.get(&key).await.map_err(|error| table_refusal(&error))?;
+    let Some(row) = row else { return Ok(None) };
+    let pin = parse_pin(&row.value)?;
+    state.named_sessions.remember(&key, &pin);
+    Ok(Some(pin))
+}
+
+/// Binds a session that the caller named itself. When another request was first, its pin counts.
+pub async fn bind_named(
+    state: &EntryState,
+    account: &AccountName,
+    session: &SessionId,
+    pin: SessionPin,
+) -> Result<SessionPin, Refusal> {
+    let key = session_key(account, session);
+    let value = serde_json::to_vec(&pin).map_err(|error| unreadable(&error.to_string()))?;
+    let insert = TableTransaction::new()
+        .with_condition(RowCondition::Absent(Arc::from(key.as_str())))
+        .with_put(&key, value);
+    let outcome = state.parts.table.transact(insert).await;
+    match outcome {
+        Ok(TransactionOutcome::Applied) => {
+            state.named_sessions.remember(&key, &pin);
+            Ok(pin)
+        }
+        // A lost reply is settled by reading: whatever is there now is the session's pin.
+        Ok(TransactionOutcome::Conflict(_)) | Err(PlatformError::Unknown(_)) => {
+            let found = find_named(state, account, session).await?;
+            found.ok_or_else(|| unreadable("the session could not be bound"))
+        }
+        Err(error) => Err(table_refusal(&error)),
+    }
+}
+
+fn parse_pin(value: &[u8]) -> Result<SessionPin, Refusal> {
+    serde_json::from_slice(value).map_err(|error| unreadable(&error.to_string()))
+}
+
+fn unreadable(message: &str) -> Refusal {
+    Refusal::new(Reason::PlatformDown, message).with_retry_after(TABLE_RETRY_AFTER)
+}
+
+fn table_refusal(error: &PlatformError) -> Refusal {
+    let message = format!("the session cannot be looked up: {error}");
+    Refusal::new(Reason::PlatformDown, message).with_retry_after(TABLE_RETRY_AFTER)
+}
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -1,19 +1,75 @@
 //! What every request of an entry shares.
 
+use crate::account_limits::AccountLimits;
+use crate::chat_context::ChatContext;
+use crate::identity::SeededWords;
+use crate::in_flight::FlightBook;
+use crate::metrics::{EntryMetrics, StandingFigures};
 use crate::parts::EntryParts;
+use crate::request_trace::TraceRing;
+use crate::session_pin::{NamedSessions, SESSION_LIFETIME};
+use crate::upstream_book::UpstreamBook;
+use oleander_core::catalog::Snapshot;
+use oleander_core::confidence::ConfidenceTable;
+use oleander_core::ids::{CascadeName, UpstreamName, VersionName};
+use oleander_core::prefix_hints::PrefixHints;
+use oleander_core::session::{SessionClaims, SessionKey, SessionSigner};
+use oleander_core::units::TokenCount;
+use std::collections::HashMap;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+/// Prompt prefixes of which hints are kept, over all upstreams.
+const PREFIX_HINTS: usize = 4_096;
+
+type ConfidenceByTask = HashMap<(CascadeName, VersionName), ConfidenceTable>;
 
 /// State shared by every request.
 pub struct EntryState {
     /// The ports and settings.
     pub parts: EntryParts,
+    /// Pools and leaving upstreams.
+    pub book: UpstreamBook,
+    /// Random words.
+    pub words: SeededWords,
+    /// Signs session tokens.
+    pub signer: SessionSigner,
+    /// Rates of client accounts.
+    pub limits: AccountLimits,
+    /// Named sessions.
+    pub named_sessions: NamedSessions,
+    /// Requests in flight.
+    pub flights: FlightBook,
+    /// Records of the latest requests.
+    pub traces: TraceRing,
+    /// Metrics.
+    pub metrics: EntryMetrics,
+    hints: Mutex<PrefixHints>,
+    confidence: Mutex<ConfidenceByTask>,
     draining: AtomicBool,
 }
 
 impl EntryState {
     /// State of an entry that has served nothing yet.
     pub fn new(parts: EntryParts) -> Self {
-        Self { parts, draining: AtomicBool::new(false) }
+        let key = |key: &oleander_adapters::settings::SecretKey| {
+            SessionKey::new(key.id.clone(), key.secret.as_bytes())
+        };
+        Self {
+            book: UpstreamBook::new(parts.id.clone(), parts.region.clone()),
+            words: SeededWords::new(parts.seed, parts.id.as_str()),
+            signer: SessionSigner::new(parts.session_keys.iter().map(key).collect()),
+            limits: AccountLimits::default(),
+            named_sessions: NamedSessions::default(),
+            flights: FlightBook::default(),
+            traces: TraceRing::default(),
+            metrics: EntryMetrics::new(),
+            hints: Mutex::new(PrefixHints::new(PREFIX_HINTS)),
+            confidence: Mutex::default(),
+            draining: AtomicBool::new(false),
+            parts,
+        }
     }
 
     /// Lets the health check fail from now on.
@@ -25,4 +81,62 @@
     pub fn is_draining(&self) -> bool {
         self.draining.load(Ordering::Acquire)
     }
+
+    /// Figures for the metrics.
+    pub fn standing(&self) -> StandingFigures {
+        StandingFigures {
+            in_flight: self.flights.len(),
+            revision: self.parts.catalog.snapshot().revision().get(),
+            draining: self.is_draining(),
+        }
+    }
+
+    /// Time that a request is expected to wait for a slot of a version's pool.
+    pub fn expected_wait(&self, snapshot: &Snapshot, version: &VersionName) -> Duration {
+        let object = snapshot.version(version);
+        let pool = object.and_then(|object| self.book.pool(snapshot, &object.pool));
+        pool.map_or(Duration::ZERO, |pool| pool.expected_wait())
+    }
+
+    /// Prompt tokens that an upstream's prefix cache is expected to save.
+    pub fn expected_saving(&self, upstream: &UpstreamName, ctx: &ChatContext) -> TokenCount {
+        let hints = self.hints.lock().unwrap_or_else(PoisonError::into_inner);
+        hints.expected_saving(upstream, ctx.prefix, ctx.prompt_tokens, ctx.now())
+    }
+
+    /// Notes that a prompt was sent to an upstream.
+    pub fn note_dispatch(&self, upstream: &UpstreamName, ctx: &ChatContext) {
+        let mut hints = self.hints.lock().unwrap_or_else(PoisonError::into_inner);
+        hints.note_dispatch(upstream, ctx.prefix, ctx.prompt_tokens, ctx.now());
+    }
+
+    /// Forgets what an upstream may have cached.
+    pub fn forget_prefixes(&self, upstream: &UpstreamName) {
+        self.hints.lock().unwrap_or_else(PoisonError::into_inner).forget(upstream);
+    }
+
+    /// What a version's confidence is worth on a task class.
+    pub fn confidence_of(&self, cascade: &CascadeName, version: &VersionName) -> ConfidenceTable {
+        let tables = self.confidence.lock().unwrap_or_else(PoisonError::into_inner);
+        tables.get(&(cascade.clone(), version.clone())).cloned().unwrap_or_default()
+    }
+
+    /// Notes the confidence of an answer.
+    pub fn note_confidence(&self, ctx: &ChatContext, version: &VersionName, confidence: f64) {
+        let Some(cascade) = &ctx.cascade else { return };
+        let mut tables = self.confidence.lock().unwrap_or_else(PoisonError::into_inner);
+        tables.entry((cascade.clone(), version.clone())).or_default().note_answer(confidence);
+    }
+
+    /// The token of a request's session, once a version answers it.
+    pub fn session_token(&self, ctx: &ChatContext, version: &VersionName) -> Option<Arc<str>> {
+        let claims = SessionClaims {
+            account: ctx.account.name.clone(),
+            target: ctx.body.target.clone(),
+            version: version.clone(),
+            session: ctx.session.clone(),
+            expires_at: ctx.now() + SESSION_LIFETIME,
+        };
+        self.signer.sign(&claims).ok().map(Arc::from)
+    }
 }
--- /dev/null
+++ b/crates/entry/src/upstream_book.rs
@@ -0,0 +1,124 @@
+//! Every pool under the catalog in force, and which upstreams are leaving.
+
+use crate::upstream_cell::UpstreamCell;
+use crate::upstream_pool::{PoolMember, UpstreamPool};
+use arc_swap::ArcSwap;
+use oleander_core::catalog::Snapshot;
+use oleander_core::catalog::objects::Upstream;
+use oleander_core::ids::{HostId, Incarnation, PoolName, RegionName, Revision, UpstreamName};
+use oleander_core::leaving::LeavingSet;
+use oleander_core::subset::SubsetChooser;
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex, PoisonError, RwLock};
+
+#[derive(Default)]
+struct BookPage {
+    revision: Revision,
+    pools: HashMap<PoolName, Arc<UpstreamPool>>,
+}
+
+/// Pools by name. Read without waiting; written when the catalog changes.
+pub struct UpstreamBook {
+    host: HostId,
+    region: RegionName,
+    page: ArcSwap<BookPage>,
+    turning: Mutex<()>,
+    leaving: RwLock<LeavingSet>,
+}
+
+impl UpstreamBook {
+    /// A book without pools, for a host in a region.
+    pub fn new(host: HostId, region: RegionName) -> Self {
+        Self {
+            host,
+            region,
+            page: ArcSwap::default(),
+            turning: Mutex::new(()),
+            leaving: RwLock::default(),
+        }
+    }
+
+    /// A pool under the revision of `snapshot` or a newer one.
+    pub fn pool(&self, snapshot: &Snapshot, name: &PoolName) -> Option<Arc<UpstreamPool>> {
+        self.turn_to(snapshot);
+        self.page.load().pools.get(name).cloned()
+    }
+
+    /// Every pool under the revision of `snapshot` or a newer one.
+    pub fn pools(&self, snapshot: &Snapshot) -> Vec<Arc<UpstreamPool>> {
+        self.turn_to(snapshot);
+        self.page.load().pools.values().cloned().collect()
+    }
+
+    fn turn_to(&self, snapshot: &Snapshot) {
+        if self.page.load().revision >= snapshot.revision() {
+            return;
+        }
+        let _turning = self.turning.lock().unwrap_or_else(PoisonError::into_inner);
+        let old = self.page.load_full();
+        if old.revision >= snapshot.revision() {
+            return;
+        }
+        let names = snapshot.catalog().pools.keys();
+        let pools = names.filter_map(|name| {
+            let pool = self.make_pool(snapshot, name, old.pools.get(name).map(Arc::as_ref))?;
+            Some((name.clone(), Arc::new(pool)))
+        });
+        let pools = pools.collect();
+        self.page.store(Arc::new(BookPage { revision: snapshot.revision(), pools }));
+    }
+
+    fn make_pool(
+        &self,
+        snapshot: &Snapshot,
+        name: &PoolName,
+        old: Option<&UpstreamPool>,
+    ) -> Option<UpstreamPool> {
+        let catalog = snapshot.catalog();
+        let object = snapshot.pool(name)?;
+        let open: HashMap<&UpstreamName, &Upstream> = snapshot.upstreams(name).collect();
+        let places = open.iter().map(|(name, upstream)| (*name, &upstream.region));
+        let subset = SubsetChooser::default().choose(&self.host, &self.region, places);
+        let members = subset.iter().filter_map(|name| {
+            let upstream = open.get(name)?;
+            let cell = old_cell(old, name, upstream).unwrap_or_else(|| {
+                Arc::new(UpstreamCell::new(name.clone(), upstream.address, upstream.slots))
+            });
+            Some(PoolMember::new(cell, upstream, &self.region, &catalog.regions))
+        });
+        let members = members.collect();
+        let share = catalog.policy.ejection_share;
+        let pool = UpstreamPool::new(name.clone(), object, members, share, old);
+        pool.update_slots(1, |name| self.is_leaving(name));
+        Some(pool)
+    }
+
+    /// Whether an upstream is leaving.
+    pub fn is_leaving(&self, upstream: &UpstreamName) -> bool {
+        self.leaving.read().unwrap_or_else(PoisonError::into_inner).is_leaving(upstream)
+    }
+
+    /// Notes that an upstream leaves; tells whether that is news.
+    pub fn note_leaving(&self, upstream: &UpstreamName, incarnation: Incarnation) -> bool {
+        let mut leaving = self.leaving.write().unwrap_or_else(PoisonError::into_inner);
+        leaving.note_leaving(upstream, incarnation)
+    }
+
+    /// Notes that an incarnation of an upstream is there.
+    pub fn note_present(&self, upstream: &UpstreamName, incarnation: Incarnation) {
+        let mut leaving = self.leaving.write().unwrap_or_else(PoisonError::into_inner);
+        leaving.note_present(upstream, incarnation);
+    }
+}
+
+fn old_cell(
+    old: Option<&UpstreamPool>,
+    name: &UpstreamName,
+    upstream: &Upstream,
+) -> Option<Arc<UpstreamCell>> {
+    let mut cells = old?.members.iter().map(|member| &member.cell);
+    let same = |cell: &&Arc<UpstreamCell>| {
+        cell.name == *name && cell.address == upstream.address && cell.slots() == upstream.slots
+    };
+    cells.find(same).cloned()
+}
--- /dev/null
+++ b/crates/entry/src/version_run.rs
@@ -0,0 +1,382 @@
+//! Runs a request on one version: attempts, retries, resumption of cut streams.
+
+use crate::answer_sink::{AnswerSink, CallerGone};
+use crate::attempt::{
+    AnswerClose, AnswerPiece, AttemptCall, AttemptFault, cancel_attempt, open_attempt,
+};
+use crate::chat_context::ChatContext;
+use crate::refusal::Refusal;
+use crate::request_trace::{RequestTrace, TraceEvent};
+use crate::upstream_cell::{UpstreamCell, UpstreamPermit};
+use crate::upstream_pool::{UpstreamDraw, UpstreamPool};
+use oleander_core::attempt_retry::{FaultKind, RetryMove, next_move};
+use oleander_core::backoff::RetryBackoff;
+use oleander_core::catalog::objects::Version;
+use oleander_core::ids::{AttemptId, UpstreamName, VersionName};
+use oleander_core::patience::AttemptPatience;
+use oleander_core::price::{TokenUse, version_price};
+use oleander_core::reason::{Reason, RunState};
+use oleander_core::units::{Millis, Money, TokenCount};
+use oleander_core::upstream_choice::AttemptWork;
+use std::collections::HashSet;
+use std::sync::Arc;
+use std::time::Duration;
+use tracing::Instrument;
+
+/// Confidence of an answer whose engine says nothing of it.
+const UNKNOWN_CONFIDENCE: f64 = 0.5;
+/// Most attempts of one request on one version.
+const MAX_ATTEMPTS: u32 = 6;
+const BACKOFF: RetryBackoff =
+    RetryBackoff::new(Duration::from_millis(20), Duration::from_millis(500));
+/// When a caller may come back to a pool that refused.
+const FULL_RETRY_AFTER: Duration = Duration::from_secs(1);
+/// Kept of the time left for the way back.
+const RETURN_RESERVE: Duration = Duration::from_millis(1);
+
+/// How a run on one version ended.
+pub enum VersionEnd {
+    /// The answer is whole and was passed on.
+    Answered(AnswerClose),
+    /// The answer, if it is there at all, is too weak and was not passed on.
+    Weak {
+        /// The engine's confidence.
+        confidence: f64,
+        /// The answer's end, when it is whole; its pieces are still held by the sink.
+        close: Option<AnswerClose>,
+    },
+    /// The caller went away.
+    CallerGone,
+}
+
+enum AttemptEnd {
+    Version(VersionEnd),
+    Fault(AttemptFault),
+}
+
+/// What a run used so far.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct RunProgress {
+    /// Attempts that were sent.
+    pub attempts: u16,
+    /// Whether any byte was sent that an engine may have run.
+    pub ran: bool,
+    /// Tokens that came from the version that runs now.
+    pub position: u32,
+    /// What all attempts cost.
+    pub upstream_cost: Money,
+}
+
+/// A run on one version.
+pub struct VersionRun<'a> {
+    ctx: &'a ChatContext,
+    version: &'a VersionName,
+    object: &'a Version,
+    pool: Arc<UpstreamPool>,
+    keep_from: f64,
+    tried: HashSet<UpstreamName>,
+    renewed: bool,
+    retries: u32,
+}
+
+impl<'a> VersionRun<'a> {
+    /// A run whose answer is kept from a confidence on.
+    pub fn new(
+        ctx: &'a ChatContext,
+        version: &'a VersionName,
+        object: &'a Version,
+        pool: Arc<UpstreamPool>,
+        keep_from: f64,
+    ) -> Self {
+        let tried = HashSet::new();
+        Self { ctx, version, object, pool, keep_from, tried, renewed: false, retries: 0 }
+    }
+
+    /// Runs to an end.
+    ///
+    /// # Errors
+    ///
+    /// A refusal when no further attempt can be made.
+    pub async fn run(
+        &mut self,
+        progress: &mut RunProgress,
+        trace: &mut RequestTrace,
+        sink: &mut AnswerSink,
+    ) -> Result<VersionEnd, Refusal> {
+        progress.position = 0;
+        self.pool.note_attempt();
+        let mut same: Option<Arc<UpstreamCell>> = None;
+        let mut last_fault: Option<AttemptFault> = None;
+        loop {
+            self.check_withdrawn(progress)?;
+            let permit = match same.take() {
+                Some(cell) => UpstreamPermit::new(cell),
+                None => self.choose(progress, last_fault.as_ref())?,
+            };
+            let cell = Arc::clone(permit.cell());
+            match self.attempt(permit, progress, trace, sink).await? {
+                AttemptEnd::Version(end) => return Ok(end),
+                AttemptEnd::Fault(fault) => {
+                    let event = TraceEvent::fault(cell.name.clone(), fault.kind, &fault.message);
+                    trace.add(self.ctx.now(), event);
+                    same = self.after_fault(&cell, &fault, progress).await?;
+                    last_fault = Some(fault);
+                }
+            }
+        }
+    }
+
+    /// A version that was withdrawn since gets no further attempt.
+    fn check_withdrawn(&self, progress: &RunProgress) -> Result<(), Refusal> {
+        if self.ctx.state.parts.catalog.snapshot().is_withdrawn(self.version) {
+            let message = format!("version {} was withdrawn", self.version);
+            return Err(
+                Refusal::new(Reason::VersionWithdrawn, message).with_run(run_state(progress))
+            );
+        }
+        Ok(())
+    }
+
+    fn work(&self) -> AttemptWork {
+        AttemptWork {
+            prompt: self.ctx.prompt_tokens,
+            answer: self.ctx.answer_tokens,
+            first_token: self.object.first_token,
+            token_gap: self.object.token_gap,
+            price_per_second: self.ctx.account.snapshot.catalog().policy.price_per_second,
+        }
+    }
+
+    fn choose(
+        &self,
+        progress: &RunProgress,
+        last: Option<&AttemptFault>,
+    ) -> Result<UpstreamPermit, Refusal> {
+        let state = &self.ctx.state;
+        let cached = |name: &UpstreamName| state.expected_saving(name, self.ctx);
+        let is_leaving = |name: &UpstreamName| state.book.is_leaving(name);
+        let draw = UpstreamDraw {
+            now: self.ctx.now(),
+            random: state.words.next(),
+            cached: &cached,
+            is_leaving: &is_leaving,
+        };
+        let chosen = self.pool.choose(self.ctx.upstream_rule(), &self.work(), &self.tried, &draw);
+        chosen.ok_or_else(|| self.no_upstream(progress, last))
+    }
+
+    fn no_upstream(&self, progress: &RunProgress, last: Option<&AttemptFault>) -> Refusal {
+        let pool = &self.pool.name;
+        match last {
+            Some(fault) => stop_refusal(fault, progress),
+            None => Refusal::new(
+                Reason::NoUpstream,
+                format!("no upstream of pool {pool} can take the request now"),
+            )
+            .with_run(run_state(progress))
+            .with_retry_after(FULL_RETRY_AFTER),
+        }
+    }
+
+    async fn attempt(
+        &mut self,
+        permit: UpstreamPermit,
+        progress: &mut RunProgress,
+        trace: &mut RequestTrace,
+        sink: &mut AnswerSink,
+    ) -> Result<AttemptEnd, Refusal> {
+        let cell = Arc::clone(permit.cell());
+        let deadline = self.ctx.deadline;
+        let left = deadline.hop(self.ctx.now(), RETURN_RESERVE);
+        let left = left.ok_or_else(|| deadline_refusal(progress))?;
+        let attempt = AttemptId { request: self.ctx.ids.run, number: progress.attempts };
+        progress.attempts += 1;
+        let resume_from = progress.position;
+        let upstream = cell.name.clone();
+        trace.add(self.ctx.now(), TraceEvent::Attempt { attempt, upstream, resume_from });
+        let span = tracing::info_span!(
+            "attempt", %attempt, upstream = %cell.name, version = %self.version, resume_from
+        );
+        let call = self.call(attempt, left, resume_from);
+        let (gone, timer) = (sink.gone(), tokio::time::sleep(left.as_duration()));
+        let (end, counted) = {
+            let mut counted = AttemptCount::default();
+            let work = self.converse(permit, &call, progress, &mut counted, sink);
+            let end = tokio::select! {
+                biased;
+                end = work.instrument(span) => Some(end),
+                () = gone => Some(AttemptEnd::Version(VersionEnd::CallerGone)),
+                () = timer => None,
+            };
+            (end, counted)
+        };
+        self.account_attempt(&counted, progress);
+        let whole = matches!(&end, Some(AttemptEnd::Version(VersionEnd::Answered(_))))
+            || matches!(&end, Some(AttemptEnd::Version(VersionEnd::Weak { close: Some(_), .. })));
+        if !whole && counted.sent {
+            cancel_attempt(&cell, attempt);
+        }
+        end.ok_or_else(|| deadline_refusal(progress))
+    }
+
+    fn call(&self, attempt: AttemptId, left: Millis, resume_from: u32) -> AttemptCall<'a> {
+        let (ctx, object) = (self.ctx, self.object);
+        AttemptCall {
+            attempt,
+            version: self.version,
+            body: ctx.body.upstream_body(self.version, ctx.answer_tokens),
+            priority: ctx.priority,
+            resume_from,
+            patience: AttemptPatience::new(
+                object.first_token,
+                object.token_gap,
+                left.as_duration(),
+            ),
+            left,
+            trace: ctx.trace_context.with_span(ctx.state.words.next()),
+        }
+    }
+
+    /// Sends the attempt and passes its pieces on.
+    async fn converse(
+        &self,
+        permit: UpstreamPermit,
+        call: &AttemptCall<'_>,
+        progress: &mut RunProgress,
+        counted: &mut AttemptCount,
+        sink: &mut AnswerSink,
+    ) -> AttemptEnd {
+        let cell = Arc::clone(permit.cell());
+        let started = self.ctx.now();
+        counted.sent = true;
+        let mut answer = match open_attempt(permit, call, started).await {
+            Ok(answer) => answer,
+            Err(fault) => {
+                counted.sent = !matches!(
+                    fault.kind,
+                    FaultKind::Connect | FaultKind::NotRun | FaultKind::Rejected
+                );
+                return AttemptEnd::Fault(fault);
+            }
+        };
+        cell.note_answer(self.ctx.now().since(started), self.ctx.now());
+        self.ctx.state.note_dispatch(&cell.name, self.ctx);
+        if self.keep_from > 0.0
+            && let Some(confidence) = answer.confidence
+        {
+            if confidence < self.keep_from {
+                return AttemptEnd::Version(VersionEnd::Weak { confidence, close: None });
+            }
+            if sink.release().await == Err(CallerGone) {
+                return AttemptEnd::Version(VersionEnd::CallerGone);
+            }
+        }
+        loop {
+            match answer.next().await {
+                Ok(AnswerPiece::Delta(delta)) => {
+                    progress.position += 1;
+                    counted.tokens += 1;
+                    if sink.push(delta).await == Err(CallerGone) {
+                        return AttemptEnd::Version(VersionEnd::CallerGone);
+                    }
+                }
+                Ok(AnswerPiece::Whole(close)) => {
+                    self.pool.note_success(&cell.name);
+                    counted.prompt = Some(TokenCount::new(close.usage.prompt_tokens));
+                    return AttemptEnd::Version(self.judge(close, answer.confidence, sink).await);
+                }
+                Err(fault) => return AttemptEnd::Fault(fault),
+            }
+        }
+    }
+
+    /// Keeps a whole answer or finds it too weak.
+    async fn judge(
+        &self,
+        close: AnswerClose,
+        early: Option<f64>,
+        sink: &mut AnswerSink,
+    ) -> VersionEnd {
+        let confidence = early.or(close.usage.confidence).unwrap_or(UNKNOWN_CONFIDENCE);
+        self.ctx.state.note_confidence(self.ctx, self.version, confidence);
+        if early.is_none() && confidence < self.keep_from {
+            return VersionEnd::Weak { confidence, close: Some(close) };
+        }
+        match sink.release().await {
+            Ok(()) => VersionEnd::Answered(close),
+            Err(CallerGone) => VersionEnd::CallerGone,
+        }
+    }
+
+    fn account_attempt(&self, counted: &AttemptCount, progress: &mut RunProgress) {
+        if !counted.sent {
+            return;
+        }
+        progress.ran = true;
+        let prompt = counted.prompt.unwrap_or(self.ctx.prompt_tokens);
+        let used = TokenUse { prompt, answer: TokenCount::new(counted.tokens) };
+        progress.upstream_cost += version_price(self.object, used);
+    }
+
+    /// Decides what follows a fault: the same upstream again, or another one, or none.
+    async fn after_fault(
+        &mut self,
+        cell: &Arc<UpstreamCell>,
+        fault: &AttemptFault,
+        progress: &RunProgress,
+    ) -> Result<Option<Arc<UpstreamCell>>, Refusal> {
+        let (ctx, now) = (self.ctx, self.ctx.now());
+        ctx.state.metrics.note_fault(fault.kind);
+        if fault.kind == FaultKind::NotRun {
+            cell.note_refusal(now);
+        }
+        let next = next_move(fault.kind, self.renewed);
+        self.retries += 1;
+        let spent = next != RetryMove::Stop && self.retries < MAX_ATTEMPTS && self.pool.try_retry();
+        if next != RetryMove::SameUpstream && fault.kind.blames_upstream() {
+            let ejected = self.pool.note_failure(&cell.name, now);
+            if ejected {
+                log::warn!("upstream_ejected upstream={} fault={}", cell.name, fault.kind.name());
+            }
+        }
+        if !spent {
+            return Err(stop_refusal(fault, progress));
+        }
+        if next == RetryMove::SameUpstream && !ctx.state.book.is_leaving(&cell.name) {
+            self.renewed = true;
+            return Ok(Some(Arc::clone(cell)));
+        }
+        self.renewed = false;
+        self.tried.insert(cell.name.clone());
+        let wait = BACKOFF.wait(self.retries, ctx.state.words.next());
+        tokio::time::sleep(wait.min(ctx.deadline.left(now))).await;
+        Ok(None)
+    }
+}
+
+#[derive(Debug, Default)]
+struct AttemptCount {
+    sent: bool,
+    tokens: u32,
+    prompt: Option<TokenCount>,
+}
+
+const fn run_state(progress: &RunProgress) -> RunState {
+    if progress.ran { RunState::Partial } else { RunState::NotRun }
+}
+
+fn deadline_refusal(progress: &RunProgress) -> Refusal {
+    let message = "the deadline passed before the answer was complete";
+    Refusal::new(Reason::DeadlineExceeded, message).with_run(run_state(progress))
+}
+
+fn stop_refusal(fault: &AttemptFault, progress: &RunProgress) -> Refusal {
+    let (reason, again) = match fault.kind {
+        FaultKind::Rejected => (Reason::BadRequest, false),
+        FaultKind::NotRun => (Reason::Overloaded, true),
+        FaultKind::Connect => (Reason::NoUpstream, true),
+        _ => (Reason::UpstreamFault, true),
+    };
+    let refusal = Refusal::new(reason, fault.to_string()).with_run(run_state(progress));
+    if again { refusal.with_retry_after(FULL_RETRY_AFTER) } else { refusal }
+}
