Parse, check, publish and follow the catalog

Cause: nothing read a catalog, published one or kept a host on the newest.

Files are parsed by jsonc-parser and decoded from its tree, so that every finding has file, line, column, object and advice, and several findings of one object come at once. The whole is checked before anything is written. A withdrawal may leave a client account without a version only when it names the account (stranded_accounts, a new field of Withdrawal), so that a bad version can always be withdrawn and nobody loses one unnoticed.

A publication writes its body by content, then moves the head by one conditional transaction. A lost reply is settled by sending the same conditional transaction again and reading back one's own publish id. The second of two operators is told what the first changed.

Two readers per failure domain poll the head; the others hear it by rumor, by the members' revisions and every 30 s from the table, and fetch the body along a tree of fan-out 2. The standing is judged against the clock at each call, so that a host that was paused is cut off before it admits.

Conclusion: the promises of the catalog hold in one process with fakes of stores and peers.

--- /dev/null
+++ b/crates/catalog/src/fixed.rs
@@ -0,0 +1,38 @@
+//! A catalog that never changes, for embedded use and for tests.
+
+use oleander_core::catalog::{Catalog, Snapshot};
+use oleander_core::ids::Revision;
+use oleander_ports::catalog::{CatalogPort, CatalogStanding};
+use std::sync::Arc;
+
+/// One catalog, in force for good as revision 1.
+///
+/// ```
+/// use oleander_catalog::FixedCatalog;
+/// use oleander_ports::catalog::{CatalogPort, CatalogStanding};
+///
+/// let catalog = FixedCatalog::new(Default::default());
+/// assert_eq!(catalog.snapshot().revision().get(), 1);
+/// assert_eq!(catalog.standing(), CatalogStanding::InForce);
+/// ```
+pub struct FixedCatalog {
+    snapshot: Arc<Snapshot>,
+}
+
+impl FixedCatalog {
+    /// Puts `catalog` into force.
+    #[must_use]
+    pub fn new(catalog: Catalog) -> Self {
+        Self { snapshot: Arc::new(Snapshot::new(Revision::new(1), catalog)) }
+    }
+}
+
+impl CatalogPort for FixedCatalog {
+    fn snapshot(&self) -> Arc<Snapshot> {
+        Arc::clone(&self.snapshot)
+    }
+
+    fn standing(&self) -> CatalogStanding {
+        CatalogStanding::InForce
+    }
+}
--- /dev/null
+++ b/crates/catalog/tests/follow.rs
@@ -0,0 +1,264 @@
+//! Following: never lower, from whom it can be heard, and what happens when nobody is heard.
+
+mod support;
+
+use oleander_catalog::records::{CatalogCall, CatalogReply};
+use oleander_catalog::{CatalogFollower, FollowerPorts};
+use oleander_core::ids::Revision;
+use oleander_ports::catalog::{CatalogPort, CatalogStanding};
+use oleander_ports::clock::ClockPort;
+use oleander_ports::members::{Member, MemberRole, MembershipPort, Rumor};
+use oleander_ports::peers::PeerChannel;
+use oleander_standin::fakes::{FakeMembers, FakePeers};
+use std::sync::Arc;
+use std::time::Duration;
+use support::{Stores, address, clock, domain, drained, host, member, small_catalog};
+
+/// Processes that share stores and peers; each sees the same members.
+struct Fleet {
+    stores: Stores,
+    peers: FakePeers,
+    clock: Arc<dyn ClockPort>,
+    hosts: Vec<(FakeMembers, CatalogFollower)>,
+}
+
+impl Fleet {
+    fn new(hosts: u16) -> Self {
+        let mut fleet = Self {
+            stores: Stores::default(),
+            peers: FakePeers::new(),
+            clock: clock(),
+            hosts: Vec::new(),
+        };
+        for number in 0..hosts {
+            fleet.start(number, hosts);
+        }
+        fleet
+    }
+
+    fn start(&mut self, number: u16, members: u16) {
+        let seen = FakeMembers::new();
+        seen.set_members(self.members(members));
+        let ports = FollowerPorts {
+            table: Arc::new(self.stores.table.clone()),
+            objects: Arc::new(self.stores.objects.clone()),
+            peers: Arc::new(self.peers.clone()),
+            members: Arc::new(seen.clone()),
+            clock: Arc::clone(&self.clock),
+        };
+        let follower = CatalogFollower::new(ports, host(number), domain(), u64::from(number));
+        self.peers.handle(address(number), PeerChannel::Catalog, follower.peer_handler());
+        self.hosts.push((seen, follower));
+    }
+
+    fn members(&self, count: u16) -> Vec<Member> {
+        (0..count).map(|number| member(number, MemberRole::Entry)).collect()
+    }
+
+    fn revision(&self, index: usize) -> u64 {
+        self.hosts[index].1.snapshot().revision().get()
+    }
+
+    fn standing(&self, index: usize) -> CatalogStanding {
+        self.hosts[index].1.standing()
+    }
+
+    /// Hands every head that one host announced to all others, as gossip does.
+    fn gossip(&self) {
+        let heard: Vec<Rumor> = self.hosts.iter().flat_map(|(seen, _)| seen.rumors()).collect();
+        for (seen, _) in &self.hosts {
+            for rumor in heard.iter().filter(|rumor| !seen.rumors().contains(rumor)) {
+                seen.announce(rumor.clone());
+            }
+        }
+    }
+
+    fn set_stores_down(&self, down: bool) {
+        self.stores.table.set_down(down);
+        self.stores.objects.set_down(down);
+    }
+}
+
+async fn pass(seconds: f64) {
+    tokio::time::sleep(Duration::from_secs_f64(seconds)).await;
+}
+
+#[tokio::test(start_paused = true)]
+async fn nothing_is_admitted_before_a_catalog_is_known() {
+    let fleet = Fleet::new(1);
+    assert_eq!(fleet.standing(0), CatalogStanding::Missing);
+    pass(3.0).await;
+    assert_eq!(fleet.standing(0), CatalogStanding::Missing);
+    fleet.stores.publish(&small_catalog(), 0).await.unwrap();
+    pass(2.0).await;
+    assert_eq!((fleet.revision(0), fleet.standing(0)), (1, CatalogStanding::InForce));
+    assert_eq!(fleet.hosts[0].0.revision(), Revision::new(1));
+}
+
+#[tokio::test(start_paused = true)]
+async fn change_is_in_force_everywhere_within_five_seconds_by_rumor_and_tree() {
+    let fleet = Fleet::new(20);
+    fleet.stores.publish(&small_catalog(), 0).await.unwrap();
+    pass(3.0).await;
+    let reads_before = fleet.stores.table.counts().reads;
+    fleet.stores.publish(&drained("engine-1", "heat"), 1).await.unwrap();
+    for _ in 0..40 {
+        pass(0.1).await;
+        fleet.gossip();
+    }
+    assert!((0..20).all(|index| fleet.revision(index) == 2));
+    // Two readers a second, the publication's own reads and a few backstop polls.
+    let reads = fleet.stores.table.counts().reads - reads_before;
+    assert!(reads < 30, "{reads} reads");
+}
+
+/// Every rumor is lost; a member's own word about its revision leads there.
+#[tokio::test(start_paused = true)]
+async fn lost_rumors_are_made_up_for_by_the_members_revisions() {
+    let fleet = Fleet::new(8);
+    fleet.stores.publish(&small_catalog(), 0).await.unwrap();
+    pass(3.0).await;
+    fleet.stores.publish(&drained("engine-1", "heat"), 1).await.unwrap();
+    pass(1.5).await;
+    let ahead = (0..8).filter(|&index| fleet.revision(index) == 2).count();
+    assert!(ahead < 8, "the rumor must be needed for the test to mean anything");
+    let mut members = fleet.members(8);
+    for (member, (_, follower)) in members.iter_mut().zip(&fleet.hosts) {
+        member.revision = follower.snapshot().revision();
+    }
+    fleet.hosts.iter().for_each(|(seen, _)| seen.set_members(members.clone()));
+    pass(2.0).await;
+    assert!((0..8).all(|index| fleet.revision(index) == 2));
+}
+
+/// The store is restored to an older state, a late rumor comes and a peer lags: nothing sinks.
+#[tokio::test(start_paused = true)]
+async fn stale_store_late_rumor_and_lagging_peer_lower_nothing() {
+    let fleet = Fleet::new(3);
+    fleet.stores.publish(&small_catalog(), 0).await.unwrap();
+    fleet.stores.publish(&drained("engine-1", "heat"), 1).await.unwrap();
+    pass(2.0).await;
+    fleet.gossip();
+    pass(2.0).await;
+    assert_eq!(fleet.revision(0), 2);
+    let old = fleet.stores.publisher().store().record(Revision::new(1)).await.unwrap().unwrap();
+    fleet.stores.set_head_row(serde_json::to_vec(&old).unwrap()).await;
+    let late = Rumor::Head { revision: old.revision, digest: old.digest };
+    fleet.hosts.iter().for_each(|(seen, _)| seen.announce(late.clone()));
+    for _ in 0..50 {
+        pass(0.1).await;
+        assert!((0..3).all(|index| fleet.revision(index) == 2));
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn restarted_host_learns_the_head_from_several_peers_while_the_store_is_out() {
+    let mut fleet = Fleet::new(4);
+    fleet.stores.publish(&small_catalog(), 0).await.unwrap();
+    pass(2.0).await;
+    fleet.gossip();
+    pass(2.0).await;
+    fleet.set_stores_down(true);
+    fleet.start(4, 5);
+    assert_eq!(fleet.standing(4), CatalogStanding::Missing);
+    pass(3.0).await;
+    assert_eq!((fleet.revision(4), fleet.standing(4)), (1, CatalogStanding::InForce));
+}
+
+#[tokio::test(start_paused = true)]
+async fn one_peer_of_many_is_not_enough_to_start_on() {
+    let mut fleet = Fleet::new(4);
+    fleet.stores.publish(&small_catalog(), 0).await.unwrap();
+    pass(2.0).await;
+    fleet.set_stores_down(true);
+    (1..4).for_each(|number| fleet.peers.set_cut(address(number), true));
+    fleet.start(4, 5);
+    pass(10.0).await;
+    assert_eq!(fleet.standing(4), CatalogStanding::Missing);
+    (1..4).for_each(|number| fleet.peers.set_cut(address(number), false));
+    pass(3.0).await;
+    assert_eq!(fleet.standing(4), CatalogStanding::InForce);
+}
+
+#[tokio::test(start_paused = true)]
+async fn store_out_for_all_stops_nobody_who_hears_peers() {
+    let fleet = Fleet::new(3);
+    fleet.stores.publish(&small_catalog(), 0).await.unwrap();
+    pass(3.0).await;
+    fleet.set_stores_down(true);
+    pass(3_600.0).await;
+    assert_eq!(fleet.standing(0), CatalogStanding::InForce);
+}
+
+#[tokio::test(start_paused = true)]
+async fn host_cut_off_from_peers_serves_while_the_store_answers() {
+    let fleet = Fleet::new(3);
+    fleet.stores.publish(&small_catalog(), 0).await.unwrap();
+    pass(3.0).await;
+    fleet.hosts.iter().for_each(|(seen, _)| seen.set_cut_off(true));
+    for _ in 0..600 {
+        pass(0.1).await;
+        assert!((0..3).all(|index| fleet.standing(index) == CatalogStanding::InForce));
+    }
+    fleet.stores.publish(&drained("engine-1", "heat"), 1).await.unwrap();
+    pass(3.0).await;
+    assert!((0..3).all(|index| fleet.revision(index) == 2));
+}
+
+#[tokio::test(start_paused = true)]
+async fn host_cut_off_from_both_stops_admitting_and_comes_back() {
+    let fleet = Fleet::new(3);
+    fleet.stores.publish(&small_catalog(), 0).await.unwrap();
+    pass(3.0).await;
+    fleet.set_stores_down(true);
+    fleet.hosts[0].0.set_cut_off(true);
+    pass(3.0).await;
+    assert_eq!(fleet.standing(0), CatalogStanding::InForce);
+    pass(3.0).await;
+    assert_eq!(fleet.standing(0), CatalogStanding::CutOff);
+    assert_eq!(fleet.standing(1), CatalogStanding::InForce);
+    fleet.hosts[0].0.set_cut_off(false);
+    pass(0.5).await;
+    assert_eq!(fleet.standing(0), CatalogStanding::InForce);
+}
+
+/// The process is paused: no actor runs, and at its first look the clock has moved on.
+#[tokio::test(start_paused = true)]
+async fn paused_host_finds_itself_cut_off_before_it_admits() {
+    let fleet = Fleet::new(2);
+    fleet.stores.publish(&small_catalog(), 0).await.unwrap();
+    pass(3.0).await;
+    let follower = &fleet.hosts[0].1;
+    follower.stop();
+    tokio::time::advance(Duration::from_secs(60)).await;
+    assert_eq!(follower.standing(), CatalogStanding::CutOff);
+}
+
+#[tokio::test(start_paused = true)]
+async fn forged_body_of_a_peer_is_not_taken() {
+    let fleet = Fleet::new(6);
+    fleet.stores.publish(&small_catalog(), 0).await.unwrap();
+    let forged = postcard::to_stdvec(&CatalogReply::Body(Some(b"{}".to_vec()))).unwrap();
+    for number in 0..6 {
+        let reply = forged.clone();
+        let handler = move |call: Vec<u8>| {
+            let call: CatalogCall = postcard::from_bytes(&call).unwrap();
+            let head = postcard::to_stdvec(&CatalogReply::Head(None)).unwrap();
+            let reply = if call == CatalogCall::Head { head } else { reply.clone() };
+            Box::pin(async move { Ok(reply) }) as oleander_ports::PortFuture<'static, _>
+        };
+        fleet.peers.handle(address(number), PeerChannel::Catalog, Arc::new(handler));
+    }
+    pass(5.0).await;
+    fleet.gossip();
+    pass(3.0).await;
+    assert!((0..6).all(|index| fleet.revision(index) == 1));
+    assert!(fleet.hosts[5].1.snapshot().catalog().versions.len() == 3);
+}
+
+#[tokio::test]
+async fn hostile_call_is_refused() {
+    let fleet = Fleet::new(1);
+    let handler = fleet.hosts[0].1.peer_handler();
+    assert!(handler(vec![255; 40]).await.is_err());
+}
--- /dev/null
+++ b/crates/core/src/catalog/check.rs
@@ -0,0 +1,65 @@
+//! Checks a catalog as a whole. Nothing is published while there is a finding.
+//!
+//! [`accounts`] looks at client accounts, [`serving`] at models, versions, cascades, roll-outs
+//! and withdrawals, [`upstreams`] at regions, pools and services.
+
+mod accounts;
+mod serving;
+mod upstreams;
+
+pub(super) use accounts::accounts_stranded_by;
+
+use crate::catalog::objects::Catalog;
+use crate::catalog::place::{CatalogFinding, FindingCollector, PlaceIndex};
+
+/// Checks every rule that holds between objects, and every range.
+///
+/// ```
+/// use oleander_core::catalog::check::check_catalog;
+/// use oleander_core::catalog::objects::Catalog;
+///
+/// assert!(check_catalog(&Catalog::default(), &Default::default()).is_empty());
+/// ```
+#[must_use]
+pub fn check_catalog(catalog: &Catalog, places: &PlaceIndex) -> Vec<CatalogFinding> {
+    let mut collector = FindingCollector::new(places);
+    upstreams::check_regions(catalog, &mut collector);
+    upstreams::check_pools(catalog, &mut collector);
+    upstreams::check_services(catalog, &mut collector);
+    upstreams::check_drains(catalog, &mut collector);
+    serving::check_models(catalog, &mut collector);
+    serving::check_versions(catalog, &mut collector);
+    serving::check_cascades(catalog, &mut collector);
+    serving::check_rollouts(catalog, &mut collector);
+    serving::check_withdrawals(catalog, &mut collector);
+    accounts::check_accounts(catalog, &mut collector);
+    check_policy(catalog, &mut collector);
+    collector.finish()
+}
+
+/// Reports a share outside 0 to 1.
+fn check_share(collector: &mut FindingCollector<'_>, path: &str, share: f64) {
+    if !(0.0..=1.0).contains(&share) {
+        collector.add(path, format!("{share} is no share"), "use a number from 0 to 1");
+    }
+}
+
+fn check_policy(catalog: &Catalog, collector: &mut FindingCollector<'_>) {
+    let policy = &catalog.policy;
+    check_share(collector, "policy/exploration", policy.exploration);
+    check_share(collector, "policy/unrated_share", policy.unrated_share);
+    check_share(collector, "policy/rating_drop", policy.rating_drop);
+    check_share(collector, "policy/ejection_share", policy.ejection_share);
+    if policy.rating_drop == 0.0 {
+        let problem = "a drop of 0 is found in any ratings";
+        collector.add("policy/rating_drop", problem, "use a number above 0");
+    }
+    if policy.false_alarm_ratings == 0 {
+        let problem = "0 ratings between false alarms would withdraw every version";
+        collector.add("policy/false_alarm_ratings", problem, "use at least 1");
+    }
+    if policy.cut_off_after.get() == 0 {
+        let problem = "a host would count as cut off at once";
+        collector.add("policy/cut_off_after", problem, "use at least 1000 milliseconds");
+    }
+}
--- /dev/null
+++ b/crates/core/src/catalog/check/serving.rs
@@ -0,0 +1,227 @@
+//! Checks of models, versions, cascades, roll-outs and withdrawals.
+
+use crate::catalog::check::check_share;
+use crate::catalog::objects::{Cascade, Catalog, Rollout, RolloutPhase};
+use crate::catalog::place::FindingCollector;
+use crate::ids::{ModelName, RolloutName, VersionName};
+use std::collections::{HashMap, HashSet};
+
+/// A model's current version is one of its own and is not withdrawn.
+pub(super) fn check_models(catalog: &Catalog, collector: &mut FindingCollector<'_>) {
+    for (name, model) in &catalog.models {
+        let path = format!("models/{name}/current");
+        check_version_of(catalog, &model.current, name, &path, collector);
+        if catalog.withdrawals.contains_key(&model.current) {
+            let problem = format!("the current version {} is withdrawn", model.current);
+            collector.add(&path, problem, "make another version current");
+        }
+    }
+}
+
+/// Reports a version that does not exist or belongs to another model.
+pub(super) fn check_version_of(
+    catalog: &Catalog,
+    version: &VersionName,
+    model: &ModelName,
+    path: &str,
+    collector: &mut FindingCollector<'_>,
+) {
+    let problem = match catalog.versions.get(version) {
+        Some(object) if object.model == *model => return,
+        Some(object) => format!("{version} is a version of {}", object.model),
+        None => return collector.add_missing(path, "versions", "version", version),
+    };
+    collector.add(path, problem, format!("name a version of {model}"));
+}
+
+/// A version's model, pool and task classes exist.
+pub(super) fn check_versions(catalog: &Catalog, collector: &mut FindingCollector<'_>) {
+    for (name, version) in &catalog.versions {
+        let path = format!("versions/{name}");
+        if !catalog.models.contains_key(&version.model) {
+            let field = format!("{path}/model");
+            collector.add_missing(&field, "models", "model", &version.model);
+        }
+        if !catalog.pools.contains_key(&version.pool) {
+            let field = format!("{path}/pool");
+            collector.add_missing(&field, "pools", "pool", &version.pool);
+        }
+        for cascade in version.quality.keys() {
+            if !catalog.cascades.contains_key(cascade) {
+                let field = format!("{path}/quality/{cascade}");
+                collector.add_missing(&field, "cascades", "cascade", cascade);
+            }
+        }
+        if version.context.get() == 0 {
+            let field = format!("{path}/context");
+            collector.add(&field, "no prompt fits into 0 tokens", "use at least 1");
+        }
+    }
+}
+
+/// Steps of a cascade exist, differ, go from cheap to costly and have a version that serves.
+pub(super) fn check_cascades(catalog: &Catalog, collector: &mut FindingCollector<'_>) {
+    for (name, cascade) in &catalog.cascades {
+        let path = format!("cascades/{name}");
+        if cascade.steps.is_empty() {
+            collector.add(&path, "the cascade has no step", "name at least one model in steps");
+        }
+        if cascade.deadline.get() == 0 {
+            let field = format!("{path}/deadline");
+            collector.add(&field, "no answer comes within 0 ms", "use at least 1");
+        }
+        if cascade.answer_tokens.get() == 0 {
+            let field = format!("{path}/answer_tokens");
+            collector.add(&field, "an answer of 0 tokens is empty", "use at least 1");
+        }
+        check_steps(catalog, cascade, &path, collector);
+    }
+}
+
+fn check_steps(
+    catalog: &Catalog,
+    cascade: &Cascade,
+    path: &str,
+    collector: &mut FindingCollector<'_>,
+) {
+    let mut seen = HashSet::new();
+    let mut cheaper: Option<(&ModelName, u64)> = None;
+    for (index, model) in cascade.steps.iter().enumerate() {
+        let field = format!("{path}/steps/{index}");
+        if !catalog.models.contains_key(model) {
+            collector.add_missing(&field, "models", "model", model);
+            continue;
+        }
+        if !seen.insert(model) {
+            collector.add(&field, format!("{model} is a step already"), "remove one of the two");
+            continue;
+        }
+        check_step_serves(catalog, model, &field, collector);
+        let Some(price) = price_of(catalog, model) else { continue };
+        match cheaper {
+            Some((before, dearer)) if dearer > price => {
+                let problem = format!("{model} costs less than {before}, the step before it");
+                collector.add(&field, problem, "order the steps from cheap to costly");
+            }
+            _ => cheaper = Some((model, price)),
+        }
+    }
+}
+
+fn check_step_serves(
+    catalog: &Catalog,
+    model: &ModelName,
+    field: &str,
+    collector: &mut FindingCollector<'_>,
+) {
+    let serves = |(name, object): (&VersionName, &crate::catalog::objects::Version)| {
+        object.model == *model && !catalog.withdrawals.contains_key(name)
+    };
+    if !catalog.versions.iter().any(serves) {
+        let problem = format!("every version of {model} is withdrawn");
+        collector.add(field, problem, "remove the step or add a version");
+    }
+}
+
+/// Price of a thousand prompt and a thousand generated tokens, in millionths.
+fn price_of(catalog: &Catalog, model: &ModelName) -> Option<u64> {
+    let version = catalog.versions.get(&catalog.models.get(model)?.current)?;
+    Some((version.price_in + version.price_out).as_micros())
+}
+
+/// Whether a roll-out still decides which version new sessions get.
+fn is_active(rollout: &Rollout) -> bool {
+    matches!(rollout.phase, RolloutPhase::Running | RolloutPhase::Paused)
+}
+
+/// Roll-outs go between two versions of one model, at most one at a time.
+pub(super) fn check_rollouts(catalog: &Catalog, collector: &mut FindingCollector<'_>) {
+    let mut active: HashMap<&ModelName, &RolloutName> = HashMap::new();
+    for (name, rollout) in &catalog.rollouts {
+        let path = format!("rollouts/{name}");
+        check_rollout_versions(catalog, rollout, &path, collector);
+        check_rollout_steps(rollout, &path, collector);
+        if !is_active(rollout) {
+            continue;
+        }
+        if let Some(other) = active.insert(&rollout.model, name) {
+            let problem = format!("the roll-out {other} of {} is under way", rollout.model);
+            collector.add(&path, problem, "finish or abort one of them first");
+        }
+        check_active_rollout(catalog, rollout, &path, collector);
+    }
+}
+
+fn check_rollout_versions(
+    catalog: &Catalog,
+    rollout: &Rollout,
+    path: &str,
+    collector: &mut FindingCollector<'_>,
+) {
+    if !catalog.models.contains_key(&rollout.model) {
+        let field = format!("{path}/model");
+        return collector.add_missing(&field, "models", "model", &rollout.model);
+    }
+    let from = format!("{path}/from");
+    check_version_of(catalog, &rollout.from, &rollout.model, &from, collector);
+    let to = format!("{path}/to");
+    check_version_of(catalog, &rollout.to, &rollout.model, &to, collector);
+    if rollout.from == rollout.to {
+        collector.add(&to, "from and to are the same version", "name another version");
+    }
+}
+
+fn check_rollout_steps(rollout: &Rollout, path: &str, collector: &mut FindingCollector<'_>) {
+    if rollout.steps.is_empty() {
+        collector.add(path, "the roll-out has no step", "add one to steps");
+    } else if rollout.step as usize >= rollout.steps.len() {
+        let problem = format!("there is no step {}", rollout.step);
+        let advice = format!("use a step from 0 to {}", rollout.steps.len() - 1);
+        collector.add(&format!("{path}/step"), problem, advice);
+    }
+    let mut before = 0.0;
+    for (index, step) in rollout.steps.iter().enumerate() {
+        let field = format!("{path}/steps/{index}/share");
+        check_share(collector, &field, step.share);
+        if step.share < before {
+            let problem = format!("the share {} is below that of the step before", step.share);
+            collector.add(&field, problem, "let shares rise from step to step");
+        }
+        before = step.share;
+    }
+}
+
+fn check_active_rollout(
+    catalog: &Catalog,
+    rollout: &Rollout,
+    path: &str,
+    collector: &mut FindingCollector<'_>,
+) {
+    for (field, version) in [("from", &rollout.from), ("to", &rollout.to)] {
+        if catalog.withdrawals.contains_key(version) {
+            let problem = format!("{version} is withdrawn while the roll-out is under way");
+            collector.add(&format!("{path}/{field}"), problem, "abort the roll-out");
+        }
+    }
+    let current = catalog.models.get(&rollout.model).map(|model| &model.current);
+    if current.is_some_and(|current| *current != rollout.from) {
+        let problem = format!("{} is not the current version of {}", rollout.from, rollout.model);
+        collector.add(&format!("{path}/from"), problem, "start from the current version");
+    }
+}
+
+/// Withdrawals name versions and client accounts that exist.
+pub(super) fn check_withdrawals(catalog: &Catalog, collector: &mut FindingCollector<'_>) {
+    for (version, withdrawal) in &catalog.withdrawals {
+        let path = format!("withdrawals/{version}");
+        if !catalog.versions.contains_key(version) {
+            collector.add_missing(&path, "versions", "version", version);
+        }
+        for (index, account) in withdrawal.stranded_accounts.iter().enumerate() {
+            if !catalog.client_accounts.contains_key(account) {
+                let field = format!("{path}/stranded_accounts/{index}");
+                collector.add_missing(&field, "client_accounts", "client account", account);
+            }
+        }
+    }
+}
--- a/crates/core/src/catalog/objects.rs
+++ b/crates/core/src/catalog/objects.rs
@@ -307,6 +307,9 @@
 pub struct Withdrawal {
     /// Why it was withdrawn.
     pub reason: Arc<str>,
+    /// Client accounts that the withdrawal knowingly leaves without a version of the model.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub stranded_accounts: Vec<AccountName>,
 }
 
 /// A drained upstream.
--- /dev/null
+++ b/crates/core/tests/catalog_parse.rs
@@ -0,0 +1,119 @@
+//! Catalog files: every finding with its place, and no text that panics.
+
+use oleander_core::catalog::parse::{CatalogFile, parse_catalog, read_files};
+use oleander_core::catalog::{Catalog, CatalogFinding};
+use oleander_core::ids::VersionName;
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngSeed};
+use yare::parameterized;
+
+const SMALL: &str = include_str!("data/small.jsonc");
+const BROKEN: &str = include_str!("data/broken.jsonc");
+
+fn parse(text: &str) -> Result<Catalog, Vec<CatalogFinding>> {
+    parse_catalog(&[CatalogFile::new("small.jsonc", text)]).map(|(catalog, _)| catalog)
+}
+
+fn lines(findings: &[CatalogFinding]) -> String {
+    findings.iter().map(|finding| format!("{finding}\n")).collect()
+}
+
+#[test]
+fn whole_catalog_has_no_finding() {
+    let catalog = parse(SMALL).unwrap();
+    assert_eq!(catalog.versions.len(), 3);
+}
+
+#[test]
+fn every_finding_is_reported_at_once_with_its_place() {
+    let findings = parse_catalog(&[CatalogFile::new("broken.jsonc", BROKEN)]).unwrap_err();
+    insta::assert_snapshot!("broken_catalog", lines(&findings));
+}
+
+#[test]
+fn files_are_merged_and_duplicates_name_both_places() {
+    let other = r#"{ "models": { "menu-small": { "current": "menu-small@1" } } }"#;
+    let files = [CatalogFile::new("a.jsonc", SMALL), CatalogFile::new("b.jsonc", other)];
+    let findings = parse_catalog(&files).unwrap_err();
+    insta::assert_snapshot!(lines(&findings), @r"b.jsonc:1:15: models/menu-small: it was written before at a.jsonc:21:5; keep one of them
+    ");
+}
+
+#[parameterized(
+    no_text = { "", true },
+    comment = { "// nothing\n", true },
+    array = { "[]", false },
+    cut = { "{ \"models\": {", false },
+    word = { "{ models: {} }", false },
+    two_roots = { "{} {}", false },
+    deep = { &"[".repeat(20_000), false },
+    nan = { "{ \"policy\": { \"exploration\": NaN } }", false },
+    huge_number = { "{ \"policy\": { \"exploration\": 1e999 } }", false },
+)]
+fn odd_text_is_a_finding_or_empty(text: &str, accepted: bool) {
+    assert_eq!(parse(text).is_ok(), accepted);
+}
+
+/// Replaces one piece of the small catalog and expects a finding that says so.
+#[parameterized(
+    unknown_pool = { "\"pool\": \"engines\", \"price_in\": 100,", "\"pool\": \"motors\", \"price_in\": 100,", "no pool is named motors" },
+    shared_address = { "127.0.0.1:7102", "127.0.0.1:7101", "listens on 127.0.0.1:7101 too" },
+    shared_key = { "1f1e2d3c", "0f1e2d3c", "belongs to the client account" },
+    costly_first = { "[\"menu-small\", \"menu-large\"]", "[\"menu-large\", \"menu-small\"]", "costs less than menu-large" },
+    step_twice = { "[\"menu-small\", \"menu-large\"]", "[\"menu-small\", \"menu-small\"]", "is a step already" },
+    wrong_current = { "\"current\": \"menu-small@1\"", "\"current\": \"menu-large@1\"", "is a version of menu-large" },
+    unknown_method = { "\"GET\"", "\"get\"", "is no method" },
+    bad_share = { "\"cascades\": {", "\"policy\": { \"exploration\": 2 }, \"cascades\": {", "2 is no share" },
+    withdrawn_current = { "\"cascades\": {", "\"withdrawals\": { \"menu-large@1\": { \"reason\": \"x\" } }, \"cascades\": {", "the current version menu-large@1 is withdrawn" },
+    account_left = { "\"menu-large@1\", \"menu-large@2\"]", "\"menu-small@1\"]", "no version of menu-large is left" },
+    two_rollouts = { "\"cascades\": {", "\"rollouts\": { \"a\": { \"model\": \"menu-large\", \"from\": \"menu-large@1\", \"to\": \"menu-large@2\", \"steps\": [{ \"share\": 0.1, \"ratings\": 1 }] }, \"b\": { \"model\": \"menu-large\", \"from\": \"menu-large@1\", \"to\": \"menu-large@2\", \"steps\": [{ \"share\": 0.1, \"ratings\": 1 }] } }, \"cascades\": {", "the roll-out a of menu-large is under way" },
+)]
+fn one_mistake_is_found(before: &str, after: &str, expected: &str) {
+    assert!(SMALL.contains(before));
+    let findings = parse(&SMALL.replacen(before, after, 1)).unwrap_err();
+    assert!(lines(&findings).contains(expected), "{}", lines(&findings));
+}
+
+#[test]
+fn withdrawal_may_strand_only_accounts_that_it_names() {
+    let narrow = SMALL.replacen("\"menu-large@1\", \"menu-large@2\"]", "\"menu-large@2\"]", 1);
+    let withdrawn = |stranded: &str| {
+        let section = format!(
+            "\"withdrawals\": {{ \"menu-large@2\": {{ \"reason\": \"bad\", \"stranded_accounts\": [{stranded}] }} }}, \"cascades\": {{"
+        );
+        parse(&narrow.replacen("\"cascades\": {", &section, 1))
+    };
+    assert!(lines(&withdrawn("").unwrap_err()).contains("no version of menu-large is left"));
+    let catalog = withdrawn("\"schools\"").unwrap();
+    assert!(catalog.withdrawals.contains_key(&VersionName::new("menu-large@2").unwrap()));
+}
+
+fn config(seed: u64) -> Config {
+    Config {
+        cases: 400,
+        rng_seed: RngSeed::Fixed(seed),
+        failure_persistence: None,
+        ..Config::default()
+    }
+}
+
+proptest! {
+    #![proptest_config(config(31))]
+
+    #[test]
+    fn hostile_text_never_panics(text in ".{0,200}") {
+        let _ = read_files(&[CatalogFile::new("x", &text)]);
+    }
+
+    #[test]
+    fn damaged_catalog_never_panics(at in 0usize..4000, cut in 0usize..80, insert in ".{0,12}") {
+        let chars: Vec<char> = BROKEN.chars().collect();
+        let at = at.min(chars.len());
+        let end = (at + cut).min(chars.len());
+        let text: String = chars[..at].iter().chain(insert.chars().collect::<Vec<_>>().iter()).chain(&chars[end..]).collect();
+        for finding in parse_catalog(&[CatalogFile::new("x", &text)]).unwrap_err() {
+            let place = finding.place.unwrap();
+            prop_assert!(place.line >= 1 && place.line as usize <= text.lines().count() + 1);
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/tests/head.rs
@@ -0,0 +1,96 @@
+//! No order of stale reads, late peers and restarts lowers the head.
+
+use oleander_core::catalog::objects::CutOff;
+use oleander_core::head::{CatalogHead, ContactKeeper, HeadKeeper, HeadNews, StartGate};
+use oleander_core::ids::Revision;
+use oleander_core::units::{Millis, Timestamp};
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngSeed};
+use yare::parameterized;
+
+fn head(number: u64) -> CatalogHead {
+    CatalogHead { revision: Revision::new(number), digest: format!("digest-{number}").into() }
+}
+
+#[derive(Clone, Debug)]
+enum Event {
+    Hear(u64),
+    Adopt(u64),
+}
+
+fn event() -> impl Strategy<Value = Event> {
+    prop_oneof![(0u64..40).prop_map(Event::Hear), (0u64..40).prop_map(Event::Adopt)]
+}
+
+fn config(seed: u64) -> Config {
+    Config {
+        cases: 500,
+        rng_seed: RngSeed::Fixed(seed),
+        failure_persistence: None,
+        ..Config::default()
+    }
+}
+
+proptest! {
+    #![proptest_config(config(5))]
+
+    #[test]
+    fn no_order_of_events_lowers_anything(events in prop::collection::vec(event(), 0..60)) {
+        let mut keeper = HeadKeeper::new();
+        let (mut newest, mut in_force) = (0, 0);
+        for event in events {
+            match event {
+                Event::Hear(number) => { keeper.hear(head(number)); }
+                Event::Adopt(number) => { keeper.adopt(&head(number)); }
+            }
+            let newest_now = keeper.newest().map_or(0, |head| head.revision.get());
+            prop_assert!(newest_now >= newest);
+            prop_assert!(keeper.in_force().get() >= in_force);
+            prop_assert!(keeper.wanted().is_none_or(|wanted| wanted.revision > keeper.in_force()));
+            (newest, in_force) = (newest_now, keeper.in_force().get());
+        }
+    }
+}
+
+#[test]
+fn second_digest_of_a_revision_is_not_taken() {
+    let mut keeper = HeadKeeper::new();
+    keeper.hear(head(3));
+    let forged = CatalogHead { digest: "forged".into(), ..head(3) };
+    assert_eq!(keeper.hear(forged), HeadNews::Conflicting);
+    assert_eq!(keeper.wanted(), Some(&head(3)));
+}
+
+#[parameterized(
+    nothing = { false, 0, 5, false },
+    store = { true, 0, 5, true },
+    one_of_many = { false, 1, 5, false },
+    two_of_many = { false, 2, 5, true },
+    the_only_other = { false, 1, 1, true },
+    alone_without_store = { false, 0, 0, false },
+)]
+fn start_waits_for_the_store_or_several_peers(
+    store: bool,
+    peers: usize,
+    others: usize,
+    open: bool,
+) {
+    let mut gate = StartGate::new();
+    if store {
+        gate.note_store();
+    }
+    gate.note_peers(peers);
+    assert_eq!(gate.is_open(others), open);
+}
+
+#[parameterized(
+    in_time = { CutOff::Refuse, 4_000, false },
+    too_late = { CutOff::Refuse, 4_001, true },
+    serves = { CutOff::Serve, 1_000_000, false },
+)]
+fn cut_off_is_judged_by_policy(policy: CutOff, passed: u64, refuses: bool) {
+    let mut keeper = ContactKeeper::new(Timestamp::from_millis(1_000));
+    keeper.note(Timestamp::from_millis(500));
+    let now = Timestamp::from_millis(1_000 + passed);
+    assert_eq!(keeper.refuses(policy, Millis::new(4_000), now), refuses);
+}
