Put platform, peers and catalog together for a process of any role

Cause: entry, ledger, steward and oleander-local each need the same start from HostSettings. Change: oleander-host with RunningHost: platform adapters, peer node, catalog follower, traces. Conclusion: one place starts a process; roles add only what is theirs.

--- /dev/null
+++ b/crates/host/src/lib.rs
@@ -0,0 +1,6 @@
+//! What every process of a host is built on: the platform's services, the peers and the catalog
+//! in force, put together from the process's settings.
+
+pub mod running_host;
+
+pub use running_host::{HostPorts, RunningHost};
