--- a/crates/core/src/patience.rs
+++ b/crates/core/src/patience.rs
@@ -25,7 +25,8 @@
 
 impl AttemptPatience {
     /// Patience for a version that takes `first_token` and `token_gap` on an idle upstream,
-    /// with `left` until the deadline. Half of what is left is kept for another attempt.
+    /// with `left` until the deadline. Half of what is left is kept for another attempt, when
+    /// that is enough for one.
     ///
     /// ```
     /// use oleander_core::patience::AttemptPatience;
@@ -41,8 +42,9 @@
     pub fn new(first_token: Millis, token_gap: Millis, left: Duration) -> Self {
         let first_byte = Duration::from_millis(first_token.get().saturating_mul(FIRST_BYTE_FACTOR));
         let gap = Duration::from_millis(token_gap.get().saturating_mul(GAP_FACTOR));
+        let share = if left / 2 < MIN_FIRST_BYTE { left } else { left / 2 };
         Self {
-            first_byte: first_byte.clamp(MIN_FIRST_BYTE, MAX_SILENCE).min(left / 2),
+            first_byte: first_byte.clamp(MIN_FIRST_BYTE, MAX_SILENCE).min(share),
             gap: gap.clamp(MIN_GAP, MAX_SILENCE).min(left),
         }
     }
--- a/crates/entry/src/load_watch.rs
+++ b/crates/entry/src/load_watch.rs
@@ -16,7 +16,7 @@
 use std::time::Duration;
 
 /// Time between two polls of one upstream. Answers carry its load too.
-const POLL_INTERVAL: Duration = Duration::from_millis(2_000);
+pub const DEFAULT_POLL_INTERVAL: Duration = Duration::from_millis(2_000);
 /// Longest time for one poll.
 const POLL_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Largest report that is read, in bytes.
@@ -38,12 +38,17 @@
     polled: HashSet<UpstreamName>,
 }
 
-/// Starts the watcher. It ends with the task that is returned.
-pub fn start_load_watch(state: &Arc<EntryState>) -> tokio::task::JoinHandle<()> {
+/// Starts the watcher, with the time between two polls of one upstream. It ends with the task
+/// that is returned.
+pub fn start_load_watch(
+    state: &Arc<EntryState>,
+    interval: Duration,
+) -> tokio::task::JoinHandle<()> {
     let watcher = LoadWatcher { state: Arc::clone(state), polled: HashSet::new() };
     let actor = LoadWatcher::spawn(watcher);
     tokio::spawn(async move {
-        let mut ticks = tokio::time::interval(POLL_INTERVAL);
+        let first = tokio::time::Instant::now() + interval;
+        let mut ticks = tokio::time::interval_at(first, interval);
         ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Skip);
         loop {
             ticks.tick().await;
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -3,7 +3,7 @@
 use crate::admin::admin_port;
 use crate::handler;
 use crate::in_flight::FlightEntry;
-use crate::load_watch::{listen_for_leaving, start_load_watch};
+use crate::load_watch::{DEFAULT_POLL_INTERVAL, listen_for_leaving, start_load_watch};
 use crate::parts::EntryParts;
 use crate::state::EntryState;
 use oleander_adapters::admin::AdminPort;
@@ -18,6 +18,7 @@
     state: Arc<EntryState>,
     server: HttpServer,
     drain: Duration,
+    poll: Duration,
 }
 
 /// Looks into an entry while it serves. Clones look into the same entry.
@@ -60,7 +61,7 @@
         let state = Arc::new(EntryState::new(parts));
         let server = HttpServer::bind(caller_address, caller_handler(&state)).await?;
         listen_for_leaving(&state);
-        Ok(Self { state, server, drain: Duration::ZERO })
+        Ok(Self { state, server, drain: Duration::ZERO, poll: DEFAULT_POLL_INTERVAL })
     }
 
     /// Sets for how long the entry keeps serving after its health check fails.
@@ -70,6 +71,13 @@
         self
     }
 
+    /// Sets the time between two polls of one upstream's load.
+    #[must_use]
+    pub const fn with_poll_interval(mut self, interval: Duration) -> Self {
+        self.poll = interval;
+        self
+    }
+
     /// The callers' address that was bound.
     ///
     /// # Errors
@@ -99,8 +107,8 @@
 
     /// Serves until `stop` ends, then for the drain time, then finishes what is in flight.
     pub async fn serve(self, stop: impl Future<Output = ()>) {
-        let Self { state, server, drain } = self;
-        let watch = start_load_watch(&state);
+        let Self { state, server, drain, poll } = self;
+        let watch = start_load_watch(&state, poll);
         let drained = async {
             stop.await;
             log::info!("entry_draining in_flight={}", state.flights.len());
--- a/crates/entry/src/version_run.rs
+++ b/crates/entry/src/version_run.rs
@@ -31,6 +31,8 @@
     RetryBackoff::new(Duration::from_millis(20), Duration::from_millis(500));
 /// When a caller may come back to a pool that refused.
 const FULL_RETRY_AFTER: Duration = Duration::from_secs(1);
+/// Least time left for which another attempt is made.
+const RETRY_RESERVE: Duration = Duration::from_millis(10);
 /// Kept of the time left for the way back.
 const RETURN_RESERVE: Duration = Duration::from_millis(1);
 
@@ -148,10 +150,27 @@
     }
 
     fn choose(
-        &self,
+        &mut self,
         progress: &RunProgress,
         last: Option<&AttemptFault>,
     ) -> Result<UpstreamPermit, Refusal> {
+        if let Some(permit) = self.draw() {
+            return Ok(permit);
+        }
+        // Every upstream was tried. Those that failed may work now; those that were full or
+        // could not be reached are not asked again.
+        let again = last
+            .is_some_and(|fault| fault.kind.blames_upstream() && fault.kind != FaultKind::Connect);
+        if again && !self.tried.is_empty() {
+            self.tried.clear();
+            if let Some(permit) = self.draw() {
+                return Ok(permit);
+            }
+        }
+        Err(self.no_upstream(progress, last))
+    }
+
+    fn draw(&self) -> Option<UpstreamPermit> {
         let state = &self.ctx.state;
         let cached = |name: &UpstreamName| state.expected_saving(name, self.ctx);
         let is_leaving = |name: &UpstreamName| state.book.is_leaving(name);
@@ -161,8 +180,7 @@
             cached: &cached,
             is_leaving: &is_leaving,
         };
-        let chosen = self.pool.choose(self.ctx.upstream_rule(), &self.work(), &self.tried, &draw);
-        chosen.ok_or_else(|| self.no_upstream(progress, last))
+        self.pool.choose(self.ctx.upstream_rule(), &self.work(), &self.tried, &draw)
     }
 
     fn no_upstream(&self, progress: &RunProgress, last: Option<&AttemptFault>) -> Refusal {
@@ -327,6 +345,9 @@
     ) -> Result<Option<Arc<UpstreamCell>>, Refusal> {
         let (ctx, now) = (self.ctx, self.ctx.now());
         ctx.state.metrics.note_fault(fault.kind);
+        if ctx.deadline.hop(now, RETRY_RESERVE).is_none() {
+            return Err(deadline_refusal(progress));
+        }
         if fault.kind == FaultKind::NotRun {
             cell.note_refusal(now);
         }
--- /dev/null
+++ b/crates/entry/tests/allowed.rs
@@ -0,0 +1,96 @@
+//! A request runs only on a version that its client account allows and that is not withdrawn.
+
+mod support;
+
+use oleander_core::catalog::objects::Withdrawal;
+use oleander_ports::catalog::CatalogStanding;
+use std::sync::Arc;
+use support::{STOCK_KEY, TestBed, chat_body};
+use yare::parameterized;
+
+fn depot(bed: &TestBed, model: &str) -> http::Request<http_body_util::Full<bytes::Bytes>> {
+    let mut request = bed.post("/v1/chat/completions", &[], &chat_body(model, false));
+    let key = format!("Bearer {STOCK_KEY}").parse().unwrap();
+    request.headers_mut().insert("authorization", key);
+    request
+}
+
+#[parameterized(
+    model = { "large", 403, "not_allowed" },
+    version = { "large@1", 403, "not_allowed" },
+    other_version_of_an_allowed_model = { "small@2", 403, "not_allowed" },
+    unknown = { "no-such", 404, "not_found" },
+)]
+#[test_macro(tokio::test)]
+async fn what_is_not_allowed_does_not_run(model: &str, status: u16, reason: &str) {
+    let bed = TestBed::start().await;
+    let reply = bed.send(depot(&bed, model)).await;
+    assert_eq!(reply.status.as_u16(), status, "{}", reply.body);
+    assert_eq!(reply.header("x-oleander-reason"), reason);
+    assert_eq!(reply.header("x-oleander-run-state"), "not_run");
+    assert!(bed.engine_runs().is_empty());
+}
+
+#[tokio::test]
+async fn cascade_is_served_by_allowed_versions_only() {
+    let bed = TestBed::start().await;
+    for _ in 0..5 {
+        let reply = bed.send(depot(&bed, "menu-plan")).await;
+        assert_eq!(reply.header("x-oleander-version"), "small@1", "{}", reply.body);
+    }
+    assert!(bed.engine_runs().iter().all(|version| version == "small@1"));
+}
+
+#[tokio::test]
+async fn model_list_holds_what_the_account_may_use() {
+    let bed = TestBed::start().await;
+    let mut request = bed.post("/v1/models", &[], &serde_json::json!({}));
+    *request.method_mut() = http::Method::GET;
+    let key = format!("Bearer {STOCK_KEY}").parse().unwrap();
+    request.headers_mut().insert("authorization", key);
+    let list = bed.send(request).await.json();
+    let ids: Vec<_> = list["data"].as_array().unwrap().iter().map(|m| m["id"].clone()).collect();
+    assert_eq!(ids, ["menu-plan", "small", "small@1"]);
+}
+
+#[tokio::test]
+async fn withdrawn_version_gets_no_new_work() {
+    let bed = TestBed::start().await;
+    assert_eq!(bed.chat("small@1", false, &[]).await.status, 200);
+    bed.catalog.publish(|catalog| {
+        let withdrawal = Withdrawal { reason: Arc::from("bad allergen summaries") };
+        catalog.withdrawals.insert("small@1".parse().unwrap(), withdrawal);
+    });
+    let reply = bed.chat("small@1", false, &[]).await;
+    assert_eq!(reply.status, 410, "{}", reply.body);
+    assert_eq!(reply.header("x-oleander-reason"), "version_withdrawn");
+    let reply = bed.chat("small", false, &[]).await;
+    assert_eq!(reply.header("x-oleander-version"), "small@2", "{}", reply.body);
+    let runs = bed.engine_runs();
+    assert_eq!(runs.iter().filter(|version| *version == "small@1").count(), 1);
+}
+
+#[tokio::test]
+async fn host_without_standing_refuses() {
+    let bed = TestBed::start().await;
+    for standing in [CatalogStanding::Missing, CatalogStanding::CutOff] {
+        bed.catalog.set_standing(standing);
+        let reply = bed.chat("large", false, &[]).await;
+        assert_eq!(reply.status, 503);
+        assert_eq!(reply.header("x-oleander-reason"), "no_catalog");
+        assert_eq!(reply.header("x-oleander-run-state"), "not_run");
+    }
+    assert!(bed.engine_runs().is_empty());
+}
+
+#[tokio::test]
+async fn account_over_its_rate_is_told_when_to_come_back() {
+    let bed = TestBed::start().await;
+    *bed.shares.share.lock().unwrap() =
+        oleander_ports::shares::AccountShare { requests_per_second: 0.1, burst: 1.0 };
+    assert_eq!(bed.chat("large", false, &[]).await.status, 200);
+    let reply = bed.chat("large", false, &[]).await;
+    assert_eq!(reply.status, 429);
+    assert_eq!(reply.header("retry-after"), "10");
+    assert_eq!(reply.header("x-oleander-run-state"), "not_run");
+}
--- /dev/null
+++ b/crates/entry/tests/leaving.rs
@@ -0,0 +1,70 @@
+//! A leaving upstream gets no new work, and a stop cuts no request.
+
+mod support;
+
+use oleander_core::ids::Incarnation;
+use oleander_ports::members::{MembershipPort, Rumor};
+use std::time::Duration;
+use support::{TestBed, chat_body, expected_text, upstream};
+
+fn leave(name: &str) -> Rumor {
+    let (upstream, incarnation) = (upstream(name), Incarnation::new(1));
+    Rumor::Leaving { upstream, incarnation }
+}
+
+#[tokio::test]
+async fn upstream_that_a_peer_saw_leaving_gets_no_new_work() {
+    let bed = TestBed::start().await;
+    bed.members.announce(leave("runner-1"));
+    for _ in 0..12 {
+        assert_eq!(bed.chat("large", false, &[]).await.status, 200);
+    }
+    let runs = |name: &str| bed.deployment.engines[&upstream(name)].runs().len();
+    assert_eq!((runs("runner-1"), runs("runner-2")), (0, 12));
+    let (upstream, incarnation) = (upstream("runner-1"), Incarnation::new(2));
+    bed.members.announce(Rumor::Joined { upstream, incarnation });
+    bed.members.announce(leave("runner-2"));
+    assert_eq!(bed.chat("large", false, &[]).await.status, 200);
+    assert_eq!((runs("runner-1"), runs("runner-2")), (1, 12));
+}
+
+#[tokio::test]
+async fn upstream_that_reports_leaving_is_announced_and_left_alone() {
+    let bed = TestBed::start().await;
+    bed.deployment.engines[&upstream("runner-1")].set_leaving(true);
+    let announced = tokio::time::timeout(Duration::from_secs(5), async {
+        while !bed.members.rumors().contains(&leave("runner-1")) {
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+    });
+    announced.await.unwrap();
+    bed.deployment.engines[&upstream("runner-1")].set_leaving(false);
+    for _ in 0..12 {
+        assert_eq!(bed.chat("large", false, &[]).await.status, 200);
+    }
+    // The same incarnation does not come back.
+    assert!(bed.deployment.engines[&upstream("runner-1")].runs().is_empty());
+}
+
+#[tokio::test]
+async fn stop_finishes_every_stream() {
+    let mut bed = TestBed::start().await;
+    let mut streams = Vec::new();
+    for _ in 0..8 {
+        let request = bed.post("/v1/chat/completions", &[], &chat_body("large", true));
+        streams.push(bed.client.send(request, Duration::from_secs(5)).await.unwrap());
+    }
+    bed.stop();
+    for stream in streams {
+        let read = oleander_adapters::http_server::read_body(stream.into_body(), 1 << 20);
+        let body = String::from_utf8(read.await.unwrap().to_vec()).unwrap();
+        let reply =
+            support::Reply { status: http::StatusCode::OK, headers: Default::default(), body };
+        assert_eq!(reply.streamed_text(), expected_text("large@1"));
+        assert!(reply.is_done());
+    }
+    tokio::time::timeout(Duration::from_secs(5), bed.stopped()).await.unwrap();
+    assert!(bed.view.is_draining());
+    assert!(bed.members.left());
+    assert_eq!((bed.view.in_flight(), bed.usage.billed().len()), (0, 8));
+}
--- a/crates/entry/tests/support/mod.rs
+++ b/crates/entry/tests/support/mod.rs
@@ -395,9 +395,11 @@
         services.for_each(|service| service.faults().set_plan(plan.clone()));
     }
 
-    /// Runs of every service instance.
+    /// Calls that every service instance ran, its load polls left out.
     pub fn service_runs(&self) -> usize {
-        self.deployment.services.values().map(|service| service.runs().len()).sum()
+        let services = self.deployment.services.values();
+        let runs = services.flat_map(|service| service.runs());
+        runs.filter(|run| run.item.starts_with("POST")).count()
     }
 
     /// Versions that engines ran, in no order.
--- /dev/null
+++ b/crates/entry/tests/whole_answers.rs
@@ -0,0 +1,120 @@
+//! A caller gets the whole answer to its own request, or a failure that says so.
+
+mod support;
+
+use oleander_standin::faults::FaultPlan;
+use std::time::Duration;
+use support::{Reply, TestBed, expected_text};
+use yare::parameterized;
+
+async fn answer_under(plan: FaultPlan, stream: bool) -> (TestBed, Reply) {
+    let bed = TestBed::start().await;
+    bed.set_engine_faults(&plan);
+    let reply = bed.chat("large", stream, &[]).await;
+    (bed, reply)
+}
+
+#[parameterized(
+    crossed = { FaultPlan { wrong_attempts: 1, ..FaultPlan::default() } },
+    other_version = { FaultPlan { wrong_versions: 1, ..FaultPlan::default() } },
+    cut = { FaultPlan { cuts: 1, cut_after: 3, ..FaultPlan::default() } },
+    cut_before_any_token = { FaultPlan { cuts: 1, ..FaultPlan::default() } },
+    duplicated = { FaultPlan { duplicates: 1, ..FaultPlan::default() } },
+    stalled = { FaultPlan { stalls: 1, cut_after: 2, ..FaultPlan::default() } },
+    reply_lost = { FaultPlan { lose_replies: 1, ..FaultPlan::default() } },
+)]
+#[test_macro(tokio::test)]
+async fn one_fault_is_not_seen_by_the_caller(plan: FaultPlan) {
+    for stream in [false, true] {
+        let (bed, reply) = answer_under(plan.clone(), stream).await;
+        assert_eq!(reply.status, 200, "{}", reply.body);
+        let text = if stream { reply.streamed_text() } else { reply.text() };
+        assert_eq!(text, expected_text("large@1"));
+        assert_eq!(reply.is_done(), stream);
+        assert_eq!(bed.usage.billed().len(), 1);
+    }
+}
+
+#[parameterized(
+    crossed = { FaultPlan { wrong_attempts: 99, ..FaultPlan::default() } },
+    other_version = { FaultPlan { wrong_versions: 99, ..FaultPlan::default() } },
+)]
+#[test_macro(tokio::test)]
+async fn answer_of_another_request_or_version_is_never_passed_on(plan: FaultPlan) {
+    for stream in [false, true] {
+        let (bed, reply) = answer_under(plan.clone(), stream).await;
+        assert_eq!(reply.status, 502, "{}", reply.body);
+        assert_eq!(reply.header("x-oleander-reason"), "upstream_fault");
+        assert_eq!(reply.header("x-oleander-run-state"), "partial");
+        assert!(bed.usage.billed().is_empty());
+    }
+}
+
+#[tokio::test]
+async fn stream_that_stays_cut_fails_in_band_and_is_not_billed() {
+    let plan = FaultPlan { cuts: 99, cut_after: 2, ..FaultPlan::default() };
+    let (bed, reply) = answer_under(plan, true).await;
+    assert_eq!(reply.status, 200);
+    assert!(!reply.is_done(), "{}", reply.body);
+    assert!(reply.body.contains(r#""code":"upstream_fault""#), "{}", reply.body);
+    assert!(expected_text("large@1").starts_with(&reply.streamed_text()));
+    assert!(bed.usage.billed().is_empty());
+}
+
+#[tokio::test]
+async fn whole_answer_that_stays_cut_fails() {
+    let plan = FaultPlan { cuts: 99, cut_after: 2, ..FaultPlan::default() };
+    let (_, reply) = answer_under(plan, false).await;
+    assert_eq!(reply.status, 502);
+    assert_eq!(reply.header("x-oleander-run-state"), "partial");
+}
+
+#[tokio::test]
+async fn silent_connection_is_replaced_and_its_upstream_not_blamed() {
+    let mut catalog = support::catalog();
+    let pool = catalog.pools.values_mut().find(|pool| pool.upstreams.len() == 2).unwrap();
+    pool.upstreams.remove(&support::upstream("desk-2"));
+    let runners = catalog.pools.get_mut(&"runners".parse().unwrap()).unwrap();
+    runners.upstreams.remove(&support::upstream("runner-2"));
+    let clock = oleander_ports::clock::SystemClock::shared();
+    let bed = TestBed::start_with(catalog, clock, Default::default()).await;
+    for _ in 0..3 {
+        assert_eq!(bed.chat("large", false, &[]).await.status, 200);
+    }
+    bed.engines().iter().for_each(|engine| engine.faults().silence_open_connections());
+    // The only upstream is asked again: had it been blamed, none would be left.
+    let reply = bed.chat("large", true, &[]).await;
+    assert_eq!(reply.streamed_text(), expected_text("large@1"));
+    assert!(reply.is_done());
+}
+
+#[tokio::test]
+async fn engine_that_is_down_is_left_out() {
+    let bed = TestBed::start().await;
+    bed.engines()[0].faults().set_plan(FaultPlan { down: true, ..FaultPlan::default() });
+    for _ in 0..4 {
+        assert_eq!(bed.chat("large", false, &[]).await.text(), expected_text("large@1"));
+    }
+}
+
+#[tokio::test]
+async fn refusal_of_every_engine_is_not_run_and_says_when_to_come_back() {
+    let plan = FaultPlan { down: true, ..FaultPlan::default() };
+    let (bed, reply) = answer_under(plan, true).await;
+    assert_eq!(reply.status, 503, "{}", reply.body);
+    assert_eq!(reply.header("x-oleander-run-state"), "not_run");
+    assert_eq!(reply.header("retry-after"), "1");
+    assert!(bed.engine_runs().is_empty());
+}
+
+#[tokio::test]
+async fn deadline_ends_the_request_and_its_attempt() {
+    let bed = TestBed::start().await;
+    bed.set_engine_faults(&FaultPlan { delay_ms: 3_000, ..FaultPlan::default() });
+    let headers = [("x-oleander-deadline-ms", "400")];
+    let asked = tokio::time::timeout(Duration::from_secs(2), bed.chat("large", true, &headers));
+    let reply = asked.await.unwrap();
+    assert_eq!(reply.status, 504, "{}", reply.body);
+    assert_eq!(reply.header("x-oleander-reason"), "deadline_exceeded");
+    assert!(bed.usage.billed().is_empty());
+}
