--- a/crates/entry/tests/allowed.rs
+++ b/crates/entry/tests/allowed.rs
@@ -58,7 +58,10 @@
     let bed = TestBed::start().await;
     assert_eq!(bed.chat("small@1", false, &[]).await.status, 200);
     bed.catalog.publish(|catalog| {
-        let withdrawal = Withdrawal { reason: Arc::from("bad allergen summaries") };
+        let withdrawal = Withdrawal {
+            reason: Arc::from("bad summaries"),
+            stranded_accounts: Default::default(),
+        };
         catalog.withdrawals.insert("small@1".parse().unwrap(), withdrawal);
     });
     let reply = bed.chat("small@1", false, &[]).await;
--- a/crates/entry/tests/sessions.rs
+++ b/crates/entry/tests/sessions.rs
@@ -24,7 +24,8 @@
 
 fn withdraw(bed: &TestBed, version: &str) {
     bed.catalog.publish(|catalog| {
-        let withdrawal = Withdrawal { reason: Arc::from("bad") };
+        let withdrawal =
+            Withdrawal { reason: Arc::from("bad"), stranded_accounts: Default::default() };
         catalog.withdrawals.insert(version.parse().unwrap(), withdrawal);
     });
 }
