--- a/crates/adapters/src/admin.rs
+++ b/crates/adapters/src/admin.rs
@@ -26,6 +26,7 @@
 pub struct AdminPort {
     registry: Arc<Registry>,
     health: HealthCheck,
+    paths: Vec<(Arc<str>, HttpHandler)>,
     other: Option<HttpHandler>,
 }
 
@@ -33,7 +34,14 @@
     /// Serves the metrics of `registry` and the result of `health`.
     #[must_use]
     pub fn new(registry: Registry, health: HealthCheck) -> Self {
-        Self { registry: Arc::new(registry), health, other: None }
+        Self { registry: Arc::new(registry), health, paths: Vec::new(), other: None }
+    }
+
+    /// Answers paths that start with `prefix` with `handler`.
+    #[must_use]
+    pub fn with_path(mut self, prefix: &str, handler: HttpHandler) -> Self {
+        self.paths.push((Arc::from(prefix), handler));
+        self
     }
 
     /// Answers every other path with `other`.
@@ -58,7 +66,7 @@
         let port = Arc::new(self);
         Arc::new(move |request, peer| {
             let fixed = port.answer(request.method(), request.uri().path());
-            let other = port.other.clone();
+            let other = port.handler_of(request.uri().path());
             Box::pin(async move {
                 match (fixed, other) {
                     (Some(response), _) => response,
@@ -69,6 +77,11 @@
         })
     }
 
+    fn handler_of(&self, path: &str) -> Option<HttpHandler> {
+        let found = self.paths.iter().find(|(prefix, _)| path.starts_with(&**prefix));
+        found.map(|(_, handler)| Arc::clone(handler)).or_else(|| self.other.clone())
+    }
+
     fn answer(&self, method: &Method, path: &str) -> Option<Response<ResponseBody>> {
         match (method, path) {
             (&Method::GET, "/healthz") => Some(health_response(&(self.health)())),
