Keep copies by the ledger that answers for them

A ledger that had found an origin silent copied what it held of it to another ledger. That copy counted as a sign of life of the origin there, so that the receiver stopped answering for other groups of the origin of which it had the only copy; in a long outage of the table one more loss lost held records. Found by the property test over batching (2,000 cases): "held and not billed" after three crashes. Copies now lie on a shelf named by origin and answering ledger, and only that ledger keeps its own shelf quiet.

--- a/crates/core/src/ledger/book.rs
+++ b/crates/core/src/ledger/book.rs
@@ -1,6 +1,6 @@
 //! What one ledger holds: its own records on their way to the table, and copies for others.
 
-use super::keys::OriginId;
+use super::keys::{OriginId, ShelfId};
 use super::run::{HeldGroup, HeldRun, record_bytes};
 use super::shelf::OriginShelf;
 use crate::ids::Sequence;
@@ -11,7 +11,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-/// Silence of an origin after which a ledger writes what it holds for it.
+/// Silence of a keeper after which a ledger writes what it holds for it.
 pub const ORIGIN_SILENCE: Duration = Duration::from_secs(15);
 /// Size at which an open group is closed at once, in bytes.
 pub const MAX_GROUP_BYTES: usize = 1024 * 1024;
@@ -35,19 +35,19 @@
 /// A run that a ledger holds.
 #[derive(Clone, Debug)]
 pub struct RunTicket {
-    /// The origin.
-    pub origin: OriginId,
-    /// Number of the run in this ledger's book.
+    /// Where it is held.
+    pub shelf: ShelfId,
+    /// Number of the run on its shelf.
     pub number: u64,
     /// The run.
     pub run: Arc<HeldRun>,
 }
 
-/// How far an origin is, told to the ledgers that hold copies of it.
+/// How far a ledger is with a shelf, told to the ledgers that hold copies of it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct OriginProgress {
-    /// The origin.
-    pub origin: OriginId,
+    /// The shelf.
+    pub shelf: ShelfId,
     /// Groups up to this one were sealed into runs.
     pub sealed_to: Option<Sequence>,
     /// Groups up to this one are in the table; only the origin itself says so.
@@ -65,12 +65,12 @@
 /// assert!(book.has_room());
 /// ```
 pub struct LedgerBook {
-    own: OriginId,
+    own: ShelfId,
     bound: usize,
     next: Sequence,
     open: Vec<UsageRecord>,
     open_bytes: usize,
-    shelves: BTreeMap<OriginId, OriginShelf>,
+    shelves: BTreeMap<ShelfId, OriginShelf>,
     leaving: bool,
 }
 
@@ -79,7 +79,7 @@
     #[must_use]
     pub fn new(own: OriginId, bound: usize) -> Self {
         Self {
-            own,
+            own: ShelfId::of(&own),
             bound,
             next: Sequence::new(1),
             open: Vec::new(),
@@ -92,7 +92,7 @@
     /// This ledger as an origin.
     #[must_use]
     pub fn own(&self) -> &OriginId {
-        &self.own
+        &self.own.origin
     }
 
     /// Bytes held.
@@ -154,23 +154,25 @@
         self.change(&own, |shelf| shelf.drop_group(sequence));
     }
 
-    /// Takes a copy of a group of another origin. False when the backlog is at its bound.
+    /// Takes a copy of a group of another origin. False when the backlog is at its bound, or the
+    /// group claims to be this ledger's own.
     pub fn hold_group(&mut self, origin: &OriginId, group: HeldGroup, now: Timestamp) -> bool {
-        if self.bytes() + group.bytes() > self.bound {
+        if *origin == self.own.origin || self.bytes() + group.bytes() > self.bound {
             return false;
         }
-        let shelf = self.shelf(origin.clone(), now);
+        let shelf = self.shelf(ShelfId::of(origin), now);
         shelf.heard_at = now;
         shelf.put_group(group, true);
         true
     }
 
-    /// Takes a copy of a run of another origin. False when the backlog is at its bound.
-    pub fn hold_run(&mut self, origin: &OriginId, run: HeldRun, now: Timestamp) -> bool {
+    /// Takes a copy of a run of which another ledger is the keeper. False when the backlog is at
+    /// its bound.
+    pub fn hold_run(&mut self, shelf: &ShelfId, run: HeldRun, now: Timestamp) -> bool {
         if self.bytes() + run.bytes() > self.bound {
             return false;
         }
-        let shelf = self.shelf(origin.clone(), now);
+        let shelf = self.shelf(shelf.clone(), now);
         shelf.heard_at = now;
         shelf.put_run(Arc::new(run), None);
         true
@@ -178,7 +180,7 @@
 
     /// Takes in how far an origin is.
     pub fn progress(&mut self, progress: &OriginProgress, now: Timestamp) {
-        self.change(&progress.origin, |shelf| {
+        self.change(&progress.shelf, |shelf| {
             shelf.heard_at = now;
             if let Some(end) = progress.flushed_to {
                 shelf.drop_to(end);
@@ -194,7 +196,7 @@
         let end = Sequence::new(u64::MAX);
         let (own, leaving) = (&self.own, self.leaving);
         let shelves = self.shelves.iter_mut();
-        let mine = shelves.filter(|(origin, shelf)| leaving || is_mine(own, origin, shelf, now));
+        let mine = shelves.filter(|(id, shelf)| leaving || is_mine(own, id, shelf, now));
         mine.for_each(|(_, shelf)| shelf.seal_to(end));
     }
 
@@ -203,9 +205,9 @@
     pub fn oldest_run(&self, now: Timestamp) -> Option<RunTicket> {
         let own = self.shelves.get_key_value(&self.own);
         let mut candidates = own.into_iter().chain(self.mine(now));
-        candidates.find_map(|(origin, shelf)| {
+        candidates.find_map(|(id, shelf)| {
             let (number, run) = shelf.oldest_run()?;
-            Some(RunTicket { origin: origin.clone(), number, run })
+            Some(RunTicket { shelf: id.clone(), number, run })
         })
     }
 
@@ -214,8 +216,8 @@
     pub fn seal_unprotected(&mut self, now: Timestamp, live: &dyn Fn(&OriginId) -> bool) {
         let end = Sequence::new(u64::MAX);
         let (own, leaving) = (&self.own, self.leaving);
-        for (origin, shelf) in &mut self.shelves {
-            let mine = leaving || is_mine(own, origin, shelf, now);
+        for (id, shelf) in &mut self.shelves {
+            let mine = leaving || is_mine(own, id, shelf, now);
             if mine && shelf.has_bare_group(live) {
                 shelf.seal_to(end);
             }
@@ -228,8 +230,8 @@
     }
 
     /// Drops a run that is in the table.
-    pub fn drop_run(&mut self, origin: &OriginId, number: u64) {
-        self.change(origin, |shelf| shelf.drop_run(number));
+    pub fn drop_run(&mut self, shelf: &ShelfId, number: u64) {
+        self.change(shelf, |shelf| shelf.drop_run(number));
     }
 
     /// Runs that this ledger should write and that no live ledger has a copy of.
@@ -240,9 +242,9 @@
         live: &dyn Fn(&OriginId) -> bool,
         limit: usize,
     ) -> Vec<RunTicket> {
-        let runs = self.mine(now).flat_map(|(origin, shelf)| {
+        let runs = self.mine(now).flat_map(|(id, shelf)| {
             shelf.unprotected(live).map(move |(number, run)| RunTicket {
-                origin: origin.clone(),
+                shelf: id.clone(),
                 number,
                 run,
             })
@@ -251,8 +253,8 @@
     }
 
     /// Notes that `backup` holds a copy of a run.
-    pub fn settle_run(&mut self, origin: &OriginId, number: u64, backup: OriginId) {
-        if let Some(shelf) = self.shelves.get_mut(origin) {
+    pub fn settle_run(&mut self, shelf: &ShelfId, number: u64, backup: OriginId) {
+        if let Some(shelf) = self.shelves.get_mut(shelf) {
             shelf.settle_run(number, backup);
         }
     }
@@ -262,14 +264,14 @@
     pub fn progress_reports(&self, now: Timestamp) -> Vec<(BTreeSet<OriginId>, OriginProgress)> {
         let own = self.shelves.get(&self.own);
         let own_report = OriginProgress {
-            origin: self.own.clone(),
+            shelf: self.own.clone(),
             sealed_to: own.and_then(OriginShelf::sealed_to),
             flushed_to: self.flushed_to(),
         };
         let mut reports = vec![(own.map(backups_of).unwrap_or_default(), own_report)];
-        for (origin, shelf) in self.mine(now).filter(|(origin, _)| **origin != self.own) {
-            let origin = origin.clone();
-            let progress = OriginProgress { origin, sealed_to: None, flushed_to: None };
+        for (id, shelf) in self.mine(now).filter(|(id, _)| **id != self.own) {
+            let shelf_id = self.kept_as(id);
+            let progress = OriginProgress { shelf: shelf_id, sealed_to: None, flushed_to: None };
             reports.push((backups_of(shelf), progress));
         }
         reports
@@ -283,27 +285,33 @@
         next.checked_sub(1).filter(|&done| done > 0).map(Sequence::new)
     }
 
-    fn mine(&self, now: Timestamp) -> impl Iterator<Item = (&OriginId, &OriginShelf)> {
+    /// The shelf on which others hold copies of what this ledger has on `shelf` and writes.
+    #[must_use]
+    pub fn kept_as(&self, shelf: &ShelfId) -> ShelfId {
+        ShelfId { origin: shelf.origin.clone(), keeper: self.own.keeper.clone() }
+    }
+
+    fn mine(&self, now: Timestamp) -> impl Iterator<Item = (&ShelfId, &OriginShelf)> {
         self.shelves
             .iter()
-            .filter(move |(origin, shelf)| self.leaving || is_mine(&self.own, origin, shelf, now))
+            .filter(move |(id, shelf)| self.leaving || is_mine(&self.own, id, shelf, now))
     }
 
-    fn shelf(&mut self, origin: OriginId, now: Timestamp) -> &mut OriginShelf {
-        self.shelves.entry(origin).or_insert_with(|| OriginShelf::new(now))
+    fn shelf(&mut self, id: ShelfId, now: Timestamp) -> &mut OriginShelf {
+        self.shelves.entry(id).or_insert_with(|| OriginShelf::new(now))
     }
 
-    fn change(&mut self, origin: &OriginId, change: impl FnOnce(&mut OriginShelf)) {
-        let Some(shelf) = self.shelves.get_mut(origin) else { return };
+    fn change(&mut self, id: &ShelfId, change: impl FnOnce(&mut OriginShelf)) {
+        let Some(shelf) = self.shelves.get_mut(id) else { return };
         change(shelf);
         if shelf.is_empty() {
-            self.shelves.remove(origin);
+            self.shelves.remove(id);
         }
     }
 }
 
-fn is_mine(own: &OriginId, origin: &OriginId, shelf: &OriginShelf, now: Timestamp) -> bool {
-    origin == own || now.since(shelf.heard_at) >= ORIGIN_SILENCE
+fn is_mine(own: &ShelfId, id: &ShelfId, shelf: &OriginShelf, now: Timestamp) -> bool {
+    id == own || now.since(shelf.heard_at) >= ORIGIN_SILENCE
 }
 
 fn backups_of(shelf: &OriginShelf) -> BTreeSet<OriginId> {
--- a/crates/core/src/ledger/keys.rs
+++ b/crates/core/src/ledger/keys.rs
@@ -21,6 +21,24 @@
     }
 }
 
+/// What one ledger answers for of one origin. The origin answers for its own batches; a ledger
+/// that found an origin silent answers for the copies that it holds of it.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct ShelfId {
+    /// The origin of the batches.
+    pub origin: OriginId,
+    /// The ledger that answers for them.
+    pub keeper: OriginId,
+}
+
+impl ShelfId {
+    /// The shelf of an origin that answers for itself.
+    #[must_use]
+    pub fn of(origin: &OriginId) -> Self {
+        Self { origin: origin.clone(), keeper: origin.clone() }
+    }
+}
+
 /// Prefix of the batch rows of a shard.
 #[must_use]
 pub fn shard_prefix(shard: ShardId) -> String {
--- a/crates/ledger/src/batch_keeper.rs
+++ b/crates/ledger/src/batch_keeper.rs
@@ -6,7 +6,7 @@
 use kameo::prelude::*;
 use oleander_core::ids::Sequence;
 use oleander_core::ledger::book::{LedgerBook, OfferOutcome, OriginProgress, RunTicket};
-use oleander_core::ledger::keys::OriginId;
+use oleander_core::ledger::keys::{OriginId, ShelfId};
 use oleander_core::usage::UsageRecord;
 use oleander_ports::clock::ClockPort;
 use std::collections::{BTreeSet, HashMap};
@@ -160,7 +160,7 @@
         let now = self.clock.now();
         let held = match call {
             BatchCall::HoldGroup { origin, group } => self.book.hold_group(&origin, group, now),
-            BatchCall::HoldRun { origin, run } => self.book.hold_run(&origin, run, now),
+            BatchCall::HoldRun { shelf, run } => self.book.hold_run(&shelf, run, now),
             BatchCall::Progress(progress) => {
                 self.book.progress(&progress, now);
                 true
@@ -214,9 +214,9 @@
 
 /// A run that is in the table.
 pub struct RunWritten {
-    /// The origin.
-    pub origin: OriginId,
-    /// Its number in the book.
+    /// Its shelf.
+    pub shelf: ShelfId,
+    /// Its number on the shelf.
     pub number: u64,
 }
 
@@ -224,16 +224,16 @@
     type Reply = ();
 
     async fn handle(&mut self, written: RunWritten, _: &mut Context<Self, ()>) {
-        self.book.drop_run(&written.origin, written.number);
+        self.book.drop_run(&written.shelf, written.number);
         self.note_size();
     }
 }
 
 /// A run of which `backup` has a copy.
 pub struct RunCopied {
-    /// The origin.
-    pub origin: OriginId,
-    /// Its number in the book.
+    /// Its shelf.
+    pub shelf: ShelfId,
+    /// Its number on the shelf.
     pub number: u64,
     /// The ledger with the copy.
     pub backup: OriginId,
@@ -243,7 +243,7 @@
     type Reply = ();
 
     async fn handle(&mut self, copied: RunCopied, _: &mut Context<Self, ()>) {
-        self.book.settle_run(&copied.origin, copied.number, copied.backup);
+        self.book.settle_run(&copied.shelf, copied.number, copied.backup);
     }
 }
 
--- a/crates/ledger/src/flush_loop.rs
+++ b/crates/ledger/src/flush_loop.rs
@@ -79,13 +79,13 @@
         let mut seal = true;
         while let Ok(Some(ticket)) = self.keeper.ask(NextRun { seal }).await {
             seal = false;
-            match self.writer.write_run(&ticket.origin, &ticket.run).await {
+            match self.writer.write_run(&ticket.shelf.origin, &ticket.run).await {
                 Ok(transactions) => {
                     self.failures = 0;
                     self.metrics.flushes.inc();
                     self.metrics.flush_transactions.inc_by(transactions);
-                    let (origin, number) = (ticket.origin, ticket.number);
-                    let _ = self.keeper.tell(RunWritten { origin, number }).await;
+                    let (shelf, number) = (ticket.shelf, ticket.number);
+                    let _ = self.keeper.tell(RunWritten { shelf, number }).await;
                 }
                 Err(error) => {
                     self.failures += 1;
@@ -107,8 +107,8 @@
                 return CopyState::SomeLeft;
             };
             self.metrics.recopies.inc();
-            let (origin, number) = (ticket.origin, ticket.number);
-            let _ = self.keeper.tell(RunCopied { origin, number, backup }).await;
+            let (shelf, number) = (ticket.shelf, ticket.number);
+            let _ = self.keeper.tell(RunCopied { shelf, number, backup }).await;
         }
         if last { CopyState::AllCopied } else { CopyState::SomeLeft }
     }
--- a/crates/ledger/src/group_holder.rs
+++ b/crates/ledger/src/group_holder.rs
@@ -5,7 +5,7 @@
 use crate::table_writer::TableWriter;
 use crate::wire::{BatchCall, BatchReply, from_wire, to_wire};
 use oleander_core::ledger::book::RunTicket;
-use oleander_core::ledger::keys::OriginId;
+use oleander_core::ledger::keys::{OriginId, ShelfId};
 use oleander_core::ledger::run::{HeldGroup, HeldRun};
 use oleander_ports::members::Member;
 use oleander_ports::peers::PeerChannel;
@@ -69,8 +69,10 @@
     /// Gets a copy of a run held by another ledger.
     pub async fn copy_run(&self, ticket: &RunTicket) -> Option<OriginId> {
         let run = HeldRun::clone(&ticket.run);
-        let call = BatchCall::HoldRun { origin: ticket.origin.clone(), run };
-        self.copy(&ticket.origin, &to_wire(&call)).await
+        let origin = ticket.shelf.origin.clone();
+        let shelf = ShelfId { origin, keeper: self.config.life() };
+        let call = BatchCall::HoldRun { shelf, run };
+        self.copy(&ticket.shelf.origin, &to_wire(&call)).await
     }
 
     async fn copy(&self, origin: &OriginId, body: &[u8]) -> Option<OriginId> {
--- a/crates/ledger/src/node.rs
+++ b/crates/ledger/src/node.rs
@@ -84,6 +84,12 @@
         }
     }
 
+    /// This life of the ledger.
+    #[must_use]
+    pub fn life(&self) -> OriginId {
+        OriginId { host: self.place.host.clone(), incarnation: self.incarnation }
+    }
+
     /// Sets the bound of the backlog.
     #[must_use]
     pub fn with_backlog_bytes(mut self, backlog_bytes: usize) -> Self {
@@ -122,8 +128,7 @@
     #[must_use]
     pub fn new(config: NodeConfig, ports: LedgerPorts) -> Arc<Self> {
         let metrics = Arc::new(LedgerMetrics::new());
-        let own = OriginId { host: config.place.host.clone(), incarnation: config.incarnation };
-        let book = LedgerBook::new(own, config.backlog_bytes);
+        let book = LedgerBook::new(config.life(), config.backlog_bytes);
         let holder = GroupHolder::new(config.clone(), ports.clone());
         let clock = Arc::clone(&ports.clock);
         let keeper = BatchKeeper::new(book, clock, holder, Arc::clone(&metrics), config.grouping);
--- a/crates/ledger/src/wire.rs
+++ b/crates/ledger/src/wire.rs
@@ -2,7 +2,7 @@
 
 use oleander_core::claim::{ClaimOutcome, ClaimRequest};
 use oleander_core::ledger::book::OriginProgress;
-use oleander_core::ledger::keys::OriginId;
+use oleander_core::ledger::keys::{OriginId, ShelfId};
 use oleander_core::ledger::run::{HeldGroup, HeldRun};
 use oleander_core::usage::UsageRecord;
 use oleander_core::versioned::{VersionedError, decode, encode};
@@ -46,12 +46,12 @@
     },
     /// Hold a copy of a run.
     HoldRun {
-        /// The origin of the run.
-        origin: OriginId,
+        /// Its origin and the ledger that answers for it.
+        shelf: ShelfId,
         /// The run.
         run: HeldRun,
     },
-    /// How far an origin is.
+    /// How far a ledger is with a shelf.
     Progress(OriginProgress),
 }
 
