Answer load reports at plain services without counting them as runs

Cause: an order through oleander-local came back as run 11: the entry asks every upstream for its load, and the service stand-in counted each question as a call that ran. Change: GET /load answers a report; services can be told to leave, as engines can. Conclusion: run counts can now prove at most once.

--- a/crates/standin/src/control.rs
+++ b/crates/standin/src/control.rs
@@ -5,7 +5,7 @@
 //! | `GET /targets` | the names of all stand-ins |
 //! | `GET /targets/{name}/faults`, `PUT …` | the fault plan; `PUT` replaces it |
 //! | `POST /targets/{name}/silence` | makes the open connections silent for good |
-//! | `PUT /targets/{name}/leaving` | `true` or `false`, for an engine |
+//! | `PUT /targets/{name}/leaving` | `true` or `false`, for an upstream |
 //! | `GET /targets/{name}/runs` | what an engine or service ran |
 //! | `PUT /quality/{version}` | the true quality of a version, from 0 to 1 |
 //!
@@ -129,15 +129,18 @@
 }
 
 fn set_leaving(targets: &ControlTargets, name: &str, body: &[u8]) -> Response<ResponseBody> {
-    let engine = UpstreamName::new(name).ok().and_then(|name| targets.engines.get(&name));
-    match (engine, serde_json::from_slice::<bool>(body)) {
-        (Some(engine), Ok(leaving)) => {
-            engine.set_leaving(leaving);
-            json_response(StatusCode::OK, &())
-        }
-        (None, _) => text_response(StatusCode::NOT_FOUND, "no such engine"),
-        (_, Err(_)) => bad_call("the body is true or false"),
+    let Ok(leaving) = serde_json::from_slice::<bool>(body) else {
+        return bad_call("the body is true or false");
+    };
+    let Ok(name) = UpstreamName::new(name) else { return bad_call("that is no upstream's name") };
+    if let Some(engine) = targets.engines.get(&name) {
+        engine.set_leaving(leaving);
+    } else if let Some(service) = targets.services.get(&name) {
+        service.set_leaving(leaving);
+    } else {
+        return text_response(StatusCode::NOT_FOUND, "no such upstream");
     }
+    json_response(StatusCode::OK, &())
 }
 
 fn runs(targets: &ControlTargets, name: &str) -> Response<ResponseBody> {
--- a/crates/standin/src/service.rs
+++ b/crates/standin/src/service.rs
@@ -3,15 +3,17 @@
 use crate::engine::RunNote;
 use crate::faults::{CallFate, FaultSwitch};
 use crate::platform::bad_call;
-use http::{HeaderValue, Request, Response, StatusCode};
+use http::{HeaderValue, Method, Request, Response, StatusCode};
 use hyper::body::Incoming;
 use oleander_adapters::http_server::{
     HttpHandler, ResponseBody, json_response, read_body, text_response,
 };
-use oleander_core::ids::UpstreamName;
-use oleander_ports::upstream::{ATTEMPT_HEADER, NOT_RUN_HEADER};
+use oleander_core::ids::{Incarnation, UpstreamName};
+use oleander_ports::clock::{ClockPort, SystemClock};
+use oleander_ports::upstream::{ATTEMPT_HEADER, LoadReport, NOT_RUN_HEADER};
 use serde_json::json;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 /// Largest body that is read, in bytes.
@@ -22,6 +24,8 @@
 pub struct ServiceStandin {
     name: UpstreamName,
     faults: FaultSwitch,
+    running: Arc<AtomicU32>,
+    leaving: Arc<AtomicBool>,
     runs: Arc<Mutex<Vec<RunNote>>>,
 }
 
@@ -29,7 +33,13 @@
     /// An instance that does not listen yet.
     #[must_use]
     pub fn new(name: UpstreamName) -> Self {
-        Self { name, faults: FaultSwitch::new(), runs: Arc::default() }
+        Self {
+            name,
+            faults: FaultSwitch::new(),
+            running: Arc::default(),
+            leaving: Arc::default(),
+            runs: Arc::default(),
+        }
     }
 
     /// Serves on `address` on a task of its own; returns the address that was bound.
@@ -56,6 +66,11 @@
         &self.faults
     }
 
+    /// Says that it is leaving.
+    pub fn set_leaving(&self, leaving: bool) {
+        self.leaving.store(leaving, Ordering::Relaxed);
+    }
+
     /// What it ran so far, oldest first.
     #[must_use]
     pub fn runs(&self) -> Vec<RunNote> {
@@ -78,7 +93,10 @@
         response.headers_mut().insert(NOT_RUN_HEADER, HeaderValue::from_static("1"));
         return response;
     }
-    let response = run(&service, request).await;
+    let response = match (request.method(), request.uri().path()) {
+        (&Method::GET, "/load") => json_response(StatusCode::OK, &load_report(&service)),
+        _ => run(&service, request).await,
+    };
     if fate == CallFate::LoseReply {
         std::future::pending::<()>().await;
     }
@@ -86,10 +104,24 @@
     response
 }
 
+fn load_report(service: &ServiceStandin) -> LoadReport {
+    LoadReport {
+        incarnation: Incarnation::new(1),
+        running: service.running.load(Ordering::Relaxed),
+        queued: 0,
+        versions: Vec::new(),
+        leaving: service.leaving.load(Ordering::Relaxed),
+        reported_at: SystemClock.now(),
+    }
+}
+
 async fn run(service: &ServiceStandin, request: Request<Incoming>) -> Response<ResponseBody> {
     let item = format!("{} {}", request.method(), request.uri().path());
     let attempt = request.headers().get(ATTEMPT_HEADER).cloned();
-    let body = match read_body(request.into_body(), MAX_BODY_BYTES).await {
+    service.running.fetch_add(1, Ordering::Relaxed);
+    let body = read_body(request.into_body(), MAX_BODY_BYTES).await;
+    service.running.fetch_sub(1, Ordering::Relaxed);
+    let body = match body {
         Ok(body) => body,
         Err(error) => return bad_call(&error.to_string()),
     };
