--- /dev/null
+++ b/crates/core/src/alarm_threshold.rs
@@ -0,0 +1,118 @@
+//! Thresholds of the mean-change test for a wanted time between false alarms.
+//!
+//! The closed form of the paper holds for every distribution within 0 and 1 and is far too
+//! strict for real ratings. [`alarm_threshold`] takes ratings as Beta distributed with the
+//! baseline's mean and variance and solves the Markov chain of the statistic (Brook and Evans)
+//! for its mean run length.
+
+use crate::detect::{HEAD_START, RatingBaseline, mct_threshold};
+
+/// States of the Markov chain.
+const STATES: usize = 60;
+/// Cells of the distribution of one rating.
+const CELLS: usize = 2_000;
+const BISECTIONS: u32 = 24;
+/// Mean run from which the solution is not trusted any more.
+const LONGEST_RUN: f64 = 1e10;
+
+/// The threshold at which healthy ratings raise one false alarm in `ratings`, on average, for a
+/// test that starts with its head start.
+///
+/// ```
+/// use oleander_core::alarm_threshold::alarm_threshold;
+/// use oleander_core::detect::RatingBaseline;
+///
+/// let baseline = RatingBaseline::new(0.8, 0.02, 0.1);
+/// assert!(alarm_threshold(&baseline, 10_000.0) > alarm_threshold(&baseline, 100.0));
+/// ```
+#[must_use]
+pub fn alarm_threshold(baseline: &RatingBaseline, ratings: f64) -> f64 {
+    let distribution = RatingCells::new(baseline);
+    let (mut low, mut high) = (0.0, mct_threshold(baseline, ratings));
+    for _ in 0..BISECTIONS {
+        let middle = (low + high) / 2.0;
+        if mean_run(&distribution, middle) < ratings {
+            low = middle;
+        } else {
+            high = middle;
+        }
+    }
+    high
+}
+
+/// Cumulative distribution of the statistic's increment, on a grid.
+struct RatingCells {
+    middle: f64,
+    cumulative: Vec<f64>,
+}
+
+impl RatingCells {
+    fn new(baseline: &RatingBaseline) -> Self {
+        let mean = baseline.mean.clamp(0.01, 0.99);
+        let concentration = (mean * (1.0 - mean) / baseline.variance - 1.0).max(0.1);
+        let (a, b) = (mean * concentration, (1.0 - mean) * concentration);
+        let at = |cell: usize| (cell as f64 + 0.5) / CELLS as f64;
+        let density = |x: f64| ((a - 1.0) * x.ln() + (b - 1.0) * (1.0 - x).ln()).exp();
+        let mut cumulative = Vec::with_capacity(CELLS + 1);
+        let mut sum = 0.0;
+        cumulative.push(0.0);
+        for cell in 0..CELLS {
+            sum += density(at(cell));
+            cumulative.push(sum);
+        }
+        cumulative.iter_mut().for_each(|value| *value /= sum);
+        Self { middle: mean - baseline.drop / 2.0, cumulative }
+    }
+
+    /// Chance that a rating is below `score`.
+    fn below(&self, score: f64) -> f64 {
+        let place = score.clamp(0.0, 1.0) * CELLS as f64;
+        let cell = (place as usize).min(CELLS - 1);
+        let part = place - cell as f64;
+        self.cumulative[cell] + (self.cumulative[cell + 1] - self.cumulative[cell]) * part
+    }
+
+    /// Chance that the increment `middle - score` is at most `step`.
+    fn increment_at_most(&self, step: f64) -> f64 {
+        1.0 - self.below(self.middle - step)
+    }
+}
+
+/// Mean number of ratings to a false alarm.
+fn mean_run(cells: &RatingCells, threshold: f64) -> f64 {
+    let width = 2.0 * threshold / (2.0 * STATES as f64 - 1.0);
+    let chance = |from: usize, to: usize| {
+        let step = to as f64 - from as f64;
+        let upper = cells.increment_at_most((step + 0.5) * width);
+        if to == 0 { upper } else { upper - cells.increment_at_most((step - 0.5) * width) }
+    };
+    let row = |from: usize| {
+        let mut row: Vec<f64> = (0..STATES).map(|to| -chance(from, to)).collect();
+        row[from] += 1.0;
+        row.push(1.0);
+        row
+    };
+    let runs = solve((0..STATES).map(row).collect());
+    let run = runs[(HEAD_START * STATES as f64) as usize];
+    // A chain that hardly ever leaves is beyond the precision of the solution.
+    if (0.0..LONGEST_RUN).contains(&run) { run } else { f64::INFINITY }
+}
+
+/// Solves a diagonally dominant system whose rows end with their right-hand side.
+fn solve(mut rows: Vec<Vec<f64>>) -> Vec<f64> {
+    let size = rows.len();
+    for pivot in 0..size {
+        let (head, tail) = rows.split_at_mut(pivot + 1);
+        let top = &head[pivot];
+        for row in tail {
+            let factor = row[pivot] / top[pivot];
+            row[pivot..].iter_mut().zip(&top[pivot..]).for_each(|(cell, &up)| *cell -= factor * up);
+        }
+    }
+    let mut found = vec![0.0; size];
+    for index in (0..size).rev() {
+        let known: f64 = (index + 1..size).map(|other| rows[index][other] * found[other]).sum();
+        found[index] = (rows[index][size] - known) / rows[index][index];
+    }
+    found
+}
--- a/crates/core/src/detect.rs
+++ b/crates/core/src/detect.rs
@@ -21,6 +21,8 @@
     pub drop: f64,
 }
 
+/// Part of the threshold at which a test with a head start begins.
+pub const HEAD_START: f64 = 0.5;
 const MIN_VARIANCE: f64 = 1e-4;
 const MIN_DROP: f64 = 1e-3;
 
@@ -58,12 +60,19 @@
 }
 
 impl MeanChangeTest {
-    /// A test with a threshold from [`mct_threshold`] or from a calibration.
+    /// A test with a threshold from [`crate::alarm_threshold`] or [`mct_threshold`].
     #[must_use]
     pub const fn new(baseline: RatingBaseline, threshold: f64) -> Self {
         Self { baseline, threshold, statistic: 0.0 }
     }
 
+    /// Begins with a head start, for a version that may be bad from its first answer.
+    #[must_use]
+    pub fn with_head_start(mut self) -> Self {
+        self.statistic = self.threshold * HEAD_START;
+        self
+    }
+
     /// Adds one rating; `true` when the mean has fallen.
     pub fn add(&mut self, score: f64) -> bool {
         self.add_sum(1, score)
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -5,6 +5,7 @@
 //! the binaries carry inputs in and outputs out.
 
 pub mod admission;
+pub mod alarm_threshold;
 pub mod attempt_retry;
 pub mod backoff;
 pub mod catalog;
--- /dev/null
+++ b/crates/load/src/experiments/failure.rs
@@ -0,0 +1,95 @@
+//! A third of a pool fails, or a pool runs dry: what retries add and what callers see.
+
+use super::choice::capacity;
+use crate::arrival_trace::arrivals;
+use crate::deployment::{DeploymentKind, DeploymentModel};
+use crate::report::{ExperimentReport, ReportCell};
+use crate::simulation::settings::{EngineFault, RetryRule};
+use crate::simulation::{SimulationSettings, SimulationTally, simulate};
+
+/// What a run needs.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct FailureSettings {
+    /// The seed.
+    pub seed: u64,
+    /// Seconds of arrivals; engines fail in the middle third.
+    pub seconds: f64,
+    /// The deployment.
+    pub kind: DeploymentKind,
+    /// Load as a share of the healthy pool's capacity.
+    pub load: f64,
+}
+
+const FIXED_RETRIES: u32 = 3;
+
+/// Runs the experiment.
+///
+/// # Errors
+///
+/// When the deployment's catalog is not valid.
+pub fn run(settings: &FailureSettings) -> anyhow::Result<ExperimentReport> {
+    let columns = [
+        "failing engines",
+        "retries",
+        "ejection",
+        "in time",
+        "refused",
+        "late",
+        "failed",
+        "retries / first attempts",
+        "p95 ms",
+        "p99 refusal ms",
+    ];
+    let title = format!("Engines failing in mid-run, {}", settings.kind.name());
+    let mut report = ExperimentReport::new(title, settings.seed, &columns);
+    let deployment = DeploymentModel::new(settings.kind).with_last_tier_only();
+    let capacity = capacity(&deployment, settings.seed)?;
+    let rate = capacity * settings.load;
+    let trace = arrivals(&deployment, rate, settings.seconds, true, settings.seed);
+    let runners = deployment.tiers[0].runners;
+    for engines in [runners.div_ceil(3), runners] {
+        for retry in [RetryRule::Budget, RetryRule::Fixed(FIXED_RETRIES)] {
+            for ejection in [true, false] {
+                let mut set = SimulationSettings::new(settings.seed);
+                let (from, to) = (settings.seconds / 3.0, settings.seconds * 2.0 / 3.0);
+                set.faults = vec![EngineFault { tier: 0, engines, from, to }];
+                set.retry = retry;
+                set.ejection = ejection;
+                let tally = simulate(&deployment, &trace, &set)?;
+                report.push(row(engines, retry, ejection, &tally));
+            }
+        }
+    }
+    report.note(format!(
+        "pool of {runners}; load {} of capacity ({capacity:.2} answers a second); failing from \
+         a third to two thirds of {} s",
+        settings.load, settings.seconds
+    ));
+    Ok(report)
+}
+
+fn row(
+    engines: usize,
+    retry: RetryRule,
+    ejection: bool,
+    tally: &SimulationTally,
+) -> Vec<ReportCell> {
+    let arrived = tally.total(|class| class.arrived).max(1) as f64;
+    let share = |count: u64| ReportCell::number(count as f64 / arrived, 4);
+    let name = match retry {
+        RetryRule::Budget => "budget".to_owned(),
+        RetryRule::Fixed(most) => format!("up to {most}"),
+    };
+    vec![
+        ReportCell::number(engines as f64, 0),
+        ReportCell::text(name),
+        ReportCell::text(if ejection { "yes" } else { "no" }),
+        share(tally.total(|class| class.in_time)),
+        share(tally.total(|class| class.refused)),
+        share(tally.total(|class| class.late)),
+        share(tally.total(|class| class.failed)),
+        ReportCell::number(tally.retry_share(), 4),
+        ReportCell::number(tally.first_token.value_at_quantile(0.95) as f64, 0),
+        ReportCell::number(tally.refusal.value_at_quantile(0.99) as f64, 0),
+    ]
+}
--- /dev/null
+++ b/crates/load/src/lib.rs
@@ -0,0 +1,12 @@
+//! Load and experiments over the router's decisions.
+//!
+//! [`simulation`] drives one router's decisions against models of the engines that it sends
+//! work to; [`experiments`] holds one measurement each, with its baselines in the same run.
+
+pub mod arrival_trace;
+pub mod deployment;
+pub mod experiments;
+pub mod plot;
+pub mod report;
+pub mod seeded_source;
+pub mod simulation;
--- /dev/null
+++ b/src/bin/oleander-load/cli.rs
@@ -0,0 +1,180 @@
+//! Command line of the tool.
+
+use anyhow::Context;
+use clap::{Args, Parser, Subcommand, ValueEnum};
+use oleander_load::deployment::DeploymentKind;
+use oleander_load::experiments::choice::{self, ChoiceSettings};
+use oleander_load::experiments::cost::{self, CostSettings};
+use oleander_load::experiments::exposure::{self, ExposureSettings};
+use oleander_load::experiments::failure::{self, FailureSettings};
+use oleander_load::plot::write_plot;
+use oleander_load::report::ExperimentReport;
+use std::path::PathBuf;
+
+/// Measures the router's decisions and running entries.
+#[derive(Debug, Parser)]
+#[command(version)]
+pub struct CommandLine {
+    #[command(subcommand)]
+    command: LoadCommand,
+}
+
+#[derive(Debug, Subcommand)]
+enum LoadCommand {
+    /// Experiments over the decisions, against models of the engines; no traffic.
+    #[command(subcommand)]
+    Decide(DecideCommand),
+}
+
+#[derive(Debug, Subcommand)]
+enum DecideCommand {
+    /// Cost of an answer at the quality target, by way of choosing the chain.
+    Cost(CostArgs),
+    /// Time to the first token, by way of choosing the upstream, at 80% and 150% of capacity.
+    Choice(ChoiceArgs),
+    /// A third of a pool failing, then all of it.
+    Failure(FailureArgs),
+    /// Requests that a bad version serves before its withdrawal, by detection test.
+    Exposure(ExposureArgs),
+}
+
+/// A deployment, as a trace of arrivals.
+#[derive(Clone, Copy, Debug, ValueEnum)]
+enum TraceName {
+    /// Food vans: a burst at morning prep.
+    Curbside,
+    /// Data centres: contracts, questions and tags.
+    Teranga,
+}
+
+impl TraceName {
+    const fn kind(self) -> DeploymentKind {
+        match self {
+            Self::Curbside => DeploymentKind::Curbside,
+            Self::Teranga => DeploymentKind::Teranga,
+        }
+    }
+}
+
+#[derive(Debug, Args)]
+struct OutputArgs {
+    /// Seed of every random draw.
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+    /// Print JSON instead of a text table.
+    #[arg(long)]
+    json: bool,
+    /// Write an SVG plot to this file.
+    #[arg(long)]
+    plot: Option<PathBuf>,
+}
+
+#[derive(Debug, Args)]
+struct CostArgs {
+    #[command(flatten)]
+    output: OutputArgs,
+    /// Mean requests a second.
+    #[arg(long, default_value_t = 3.0)]
+    rate: f64,
+    /// Seconds of arrivals.
+    #[arg(long, default_value_t = 7_200.0)]
+    seconds: f64,
+    /// Seconds at the start that are not counted.
+    #[arg(long, default_value_t = 1_200.0)]
+    warm_up: f64,
+}
+
+#[derive(Debug, Args)]
+struct ChoiceArgs {
+    #[command(flatten)]
+    output: OutputArgs,
+    /// The deployment.
+    #[arg(long, value_enum, default_value = "curbside")]
+    trace: TraceName,
+    /// Seconds of arrivals.
+    #[arg(long, default_value_t = 1_800.0)]
+    seconds: f64,
+    /// Lag of load reports, in seconds.
+    #[arg(long, default_value_t = 1.0)]
+    report_lag: f64,
+}
+
+#[derive(Debug, Args)]
+struct FailureArgs {
+    #[command(flatten)]
+    output: OutputArgs,
+    /// The deployment.
+    #[arg(long, value_enum, default_value = "curbside")]
+    trace: TraceName,
+    /// Seconds of arrivals.
+    #[arg(long, default_value_t = 1_800.0)]
+    seconds: f64,
+    /// Load as a share of the healthy pool's capacity.
+    #[arg(long, default_value_t = 0.6)]
+    load: f64,
+}
+
+#[derive(Debug, Args)]
+struct ExposureArgs {
+    #[command(flatten)]
+    output: OutputArgs,
+    /// Runs of each scenario and test.
+    #[arg(long, default_value_t = 2_000)]
+    runs: u32,
+    /// Mean number of healthy ratings between false alarms.
+    #[arg(long, default_value_t = 10_000.0)]
+    false_alarm_ratings: f64,
+}
+
+/// Runs the command.
+///
+/// # Errors
+///
+/// When the measurement cannot be made or its result not be written.
+pub fn run(line: &CommandLine) -> anyhow::Result<()> {
+    match &line.command {
+        LoadCommand::Decide(command) => decide(command),
+    }
+}
+
+fn decide(command: &DecideCommand) -> anyhow::Result<()> {
+    match command {
+        DecideCommand::Cost(args) => {
+            let seed = args.output.seed;
+            let (rate, seconds, warm_up) = (args.rate, args.seconds, args.warm_up);
+            let report = cost::run(&CostSettings { seed, rate, seconds, warm_up })?;
+            show(&report, &args.output)
+        }
+        DecideCommand::Choice(args) => {
+            let (seed, seconds) = (args.output.seed, args.seconds);
+            let (kind, report_lag) = (args.trace.kind(), args.report_lag);
+            let report = choice::run(&ChoiceSettings { seed, seconds, kind, report_lag })?;
+            show(&report, &args.output)
+        }
+        DecideCommand::Failure(args) => {
+            let (seed, seconds) = (args.output.seed, args.seconds);
+            let (kind, load) = (args.trace.kind(), args.load);
+            let report = failure::run(&FailureSettings { seed, seconds, kind, load })?;
+            show(&report, &args.output)
+        }
+        DecideCommand::Exposure(args) => {
+            let settings = ExposureSettings {
+                seed: args.output.seed,
+                runs: args.runs,
+                false_alarm_ratings: args.false_alarm_ratings,
+                ..ExposureSettings::default()
+            };
+            show(&exposure::run(&settings), &args.output)
+        }
+    }
+}
+
+fn show(report: &ExperimentReport, output: &OutputArgs) -> anyhow::Result<()> {
+    if output.json {
+        let text = serde_json::to_string_pretty(report).context("cannot write JSON")?;
+        println!("{text}");
+    } else {
+        print!("{report}");
+    }
+    output.plot.as_ref().map_or(Ok(()), |path| write_plot(report, path))
+}
