Record what upstream stand-ins run in a history

Cause: the checker needs the upstreams' side of a run: which attempt began where, on which version, with which whole text, and which non-idempotent operations took effect. Change: a recorder in engines and services; services record only the catalog's non-idempotent paths, since a repeated look-up is no fault; a digest of texts. Conclusion: a whole run can be judged from what upstreams did, not from what the router says.

--- a/crates/history/src/lib.rs
+++ b/crates/history/src/lib.rs
@@ -4,11 +4,13 @@
 //! [`HistoryRecorder`]; [`check_history`] reads a whole run and verifies every promise.
 
 pub mod checks;
+pub mod digest;
 pub mod event;
 pub mod history;
 pub mod recorder;
 
 pub use checks::{CheckName, CheckReport, Violation, check_history};
+pub use digest::text_digest;
 pub use event::{HistoryEvent, SeenEvent};
 pub use history::{History, HistoryError};
 pub use recorder::HistoryRecorder;
--- a/crates/standin/src/deployment.rs
+++ b/crates/standin/src/deployment.rs
@@ -8,8 +8,10 @@
 use oleander_core::catalog::Catalog;
 use oleander_core::catalog::objects::Version;
 use oleander_core::ids::{PoolName, UpstreamName, VersionName};
+use oleander_history::HistoryRecorder;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 /// Confidence of engines whose versions have no expected quality.
@@ -47,10 +49,26 @@
     ///
     /// When an address cannot be bound.
     pub async fn start(
+        catalog: Catalog,
+        plan: AddressPlan,
+        platform_wanted: Option<&PlatformSettings>,
+        control_wanted: SocketAddr,
+    ) -> anyhow::Result<Self> {
+        let off = HistoryRecorder::off();
+        Self::start_recorded(catalog, plan, platform_wanted, control_wanted, &off).await
+    }
+
+    /// As [`StandinDeployment::start`]; the upstreams record what they run.
+    ///
+    /// # Errors
+    ///
+    /// When an address cannot be bound.
+    pub async fn start_recorded(
         mut catalog: Catalog,
         plan: AddressPlan,
         platform_wanted: Option<&PlatformSettings>,
         control_wanted: SocketAddr,
+        recorder: &HistoryRecorder,
     ) -> anyhow::Result<Self> {
         let platform = PlatformStandin::new();
         set_true_quality(&platform, &catalog);
@@ -58,8 +76,8 @@
             Some(wanted) => platform.start(wanted).await?,
             None => platform.start_anywhere().await?,
         };
-        let engines = start_engines(&mut catalog, plan).await?;
-        let services = start_services(&mut catalog, plan).await?;
+        let engines = start_engines(&mut catalog, plan, recorder).await?;
+        let services = start_services(&mut catalog, plan, recorder).await?;
         let targets = ControlTargets::new(&platform, &engines, &services);
         let control_address = control::start(control_wanted, targets).await?;
         Ok(Self { platform, platform_addresses, engines, services, catalog, control_address })
@@ -93,6 +111,7 @@
 async fn start_engines(
     catalog: &mut Catalog,
     plan: AddressPlan,
+    recorder: &HistoryRecorder,
 ) -> anyhow::Result<BTreeMap<UpstreamName, EngineStandin>> {
     let mut engines = BTreeMap::new();
     for (pool, versions) in versions_by_pool(catalog) {
@@ -102,6 +121,7 @@
             let mut settings = engine_settings(name, &versions, &first);
             settings.slots = upstream.slots;
             settings.checks_fencing = upstream.checks_fencing;
+            settings.recorder = recorder.clone();
             let engine = EngineStandin::new(settings);
             upstream.address = engine.start(bind_address(plan, upstream.address)).await?;
             engines.insert(name.clone(), engine);
@@ -127,17 +147,25 @@
     settings
 }
 
+fn non_idempotent_paths(catalog: &Catalog) -> Arc<[Arc<str>]> {
+    let operations = catalog.services.values().flat_map(|service| service.operations.values());
+    operations.filter(|one| !one.idempotent).map(|one| Arc::clone(&one.path)).collect()
+}
+
 async fn start_services(
     catalog: &mut Catalog,
     plan: AddressPlan,
+    recorder: &HistoryRecorder,
 ) -> anyhow::Result<BTreeMap<UpstreamName, ServiceStandin>> {
     let pools: BTreeSet<PoolName> =
         catalog.services.values().map(|service| service.pool.clone()).collect();
+    let paths = non_idempotent_paths(catalog);
     let mut services = BTreeMap::new();
     for pool in pools {
         let Some(pool) = catalog.pools.get_mut(&pool) else { continue };
         for (name, upstream) in &mut pool.upstreams {
-            let service = ServiceStandin::new(name.clone());
+            let service = ServiceStandin::new(name.clone())
+                .with_recorder(recorder.clone(), Arc::clone(&paths));
             upstream.address = service.start(bind_address(plan, upstream.address)).await?;
             services.insert(name.clone(), service);
         }
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -16,6 +16,8 @@
 
 use crate::faults::FaultSwitch;
 use oleander_core::ids::{AttemptId, FencingNumber, Incarnation, UpstreamName, VersionName};
+use oleander_history::{HistoryRecorder, SeenEvent, text_digest};
+use oleander_ports::clock::{ClockPort, SystemClock};
 use orders::LoadedVersions;
 use prefixes::PrefixCache;
 use queue::SlotQueue;
@@ -26,7 +28,7 @@
 use std::time::Duration;
 
 /// How an engine behaves when nothing is wrong.
-#[derive(Clone, Debug)]
+#[derive(Clone)]
 pub struct EngineSettings {
     /// Its name in the catalog.
     pub name: UpstreamName,
@@ -54,6 +56,8 @@
     pub confidence: f64,
     /// Its incarnation.
     pub incarnation: Incarnation,
+    /// Records what it runs.
+    pub recorder: HistoryRecorder,
 }
 
 impl EngineSettings {
@@ -74,6 +78,7 @@
             checks_fencing: true,
             confidence: 0.8,
             incarnation: Incarnation::new(1),
+            recorder: HistoryRecorder::off(),
         }
     }
 }
@@ -156,6 +161,10 @@
     /// Says that it is leaving: it finishes its work and refuses more.
     pub fn set_leaving(&self, leaving: bool) {
         self.lock().leaving = leaving;
+        if leaving {
+            let (upstream, incarnation) = (self.settings.name.clone(), self.settings.incarnation);
+            self.record(SeenEvent::UpstreamLeaving { upstream, incarnation });
+        }
     }
 
     /// What it ran so far, oldest first.
@@ -172,6 +181,7 @@
 
     /// Notes a run and returns its index.
     fn note_run(&self, attempt: &str, version: &VersionName) -> Option<usize> {
+        self.record_start(attempt, version);
         let mut state = self.lock();
         if state.runs.len() >= MAX_RUN_NOTES {
             return None;
@@ -181,13 +191,30 @@
         Some(state.runs.len() - 1)
     }
 
-    fn note_finished(&self, run: Option<usize>) {
+    /// Notes the end of a run whose whole text, from its first token on, is `text`.
+    fn note_finished(&self, run: Option<usize>, attempt: &str, text: &str) {
+        if let Ok(attempt) = attempt.parse() {
+            let (upstream, answer) = (self.settings.name.clone(), text_digest(text));
+            self.record(SeenEvent::AttemptEnded { upstream, attempt, answer });
+        }
         let mut state = self.lock();
         if let Some(note) = run.and_then(|index| state.runs.get_mut(index)) {
             note.finished = true;
         }
     }
 
+    fn record_start(&self, attempt: &str, version: &VersionName) {
+        if let Ok(attempt) = attempt.parse() {
+            let (upstream, version) = (self.settings.name.clone(), Some(version.clone()));
+            let incarnation = self.settings.incarnation;
+            self.record(SeenEvent::AttemptStarted { upstream, incarnation, attempt, version });
+        }
+    }
+
+    fn record(&self, seen: SeenEvent) {
+        self.settings.recorder.record(SystemClock.now(), self.settings.name.as_str(), seen);
+    }
+
     fn lock(&self) -> MutexGuard<'_, EngineState> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/standin/src/engine/chat.rs
+++ b/crates/standin/src/engine/chat.rs
@@ -189,7 +189,7 @@
         tokio::time::sleep(gap(engine)).await;
     }
     drop(permit);
-    engine.note_finished(run);
+    engine.note_finished(run, &job.attempt_text, &job.words.concat());
     let message = json!({ "role": "assistant", "content": job.words.concat() });
     let choice = json!({ "index": 0, "message": message, "finish_reason": finish_reason(&job) });
     let body = json!({
@@ -265,7 +265,7 @@
             }
         }
     }
-    engine.note_finished(run);
+    engine.note_finished(run, &job.attempt_text, &job.words.concat());
     let _ = sender.send(Ok(event(&last_chunk(job).to_string()))).await;
     let _ = sender.send(Ok(event("[DONE]"))).await;
 }
--- a/crates/standin/src/service.rs
+++ b/crates/standin/src/service.rs
@@ -9,6 +9,7 @@
     HttpHandler, ResponseBody, json_response, read_body, text_response,
 };
 use oleander_core::ids::{Incarnation, UpstreamName};
+use oleander_history::{HistoryRecorder, SeenEvent};
 use oleander_ports::clock::{ClockPort, SystemClock};
 use oleander_ports::upstream::{ATTEMPT_HEADER, LoadReport, NOT_RUN_HEADER};
 use serde_json::json;
@@ -24,6 +25,8 @@
 pub struct ServiceStandin {
     name: UpstreamName,
     faults: FaultSwitch,
+    recorder: HistoryRecorder,
+    recorded_paths: Arc<[Arc<str>]>,
     running: Arc<AtomicU32>,
     leaving: Arc<AtomicBool>,
     runs: Arc<Mutex<Vec<RunNote>>>,
@@ -36,12 +39,22 @@
         Self {
             name,
             faults: FaultSwitch::new(),
+            recorder: HistoryRecorder::off(),
+            recorded_paths: Arc::default(),
             running: Arc::default(),
             leaving: Arc::default(),
             runs: Arc::default(),
         }
     }
 
+    /// Records each run of an operation at one of `paths`, the non-idempotent ones.
+    #[must_use]
+    pub fn with_recorder(mut self, recorder: HistoryRecorder, paths: Arc<[Arc<str>]>) -> Self {
+        self.recorder = recorder;
+        self.recorded_paths = paths;
+        self
+    }
+
     /// Serves on `address` on a task of its own; returns the address that was bound.
     ///
     /// # Errors
@@ -117,6 +130,7 @@
 
 async fn run(service: &ServiceStandin, request: Request<Incoming>) -> Response<ResponseBody> {
     let item = format!("{} {}", request.method(), request.uri().path());
+    let recorded = service.recorded_paths.iter().any(|path| **path == *request.uri().path());
     let attempt = request.headers().get(ATTEMPT_HEADER).cloned();
     service.running.fetch_add(1, Ordering::Relaxed);
     let body = read_body(request.into_body(), MAX_BODY_BYTES).await;
@@ -126,6 +140,11 @@
         Err(error) => return bad_call(&error.to_string()),
     };
     let sent = attempt.as_ref().and_then(|value| value.to_str().ok()).unwrap_or_default();
+    if recorded && let Ok(attempt) = sent.parse() {
+        let (upstream, operation) = (service.name.clone(), Arc::from(item.as_str()));
+        let seen = SeenEvent::OperationRan { upstream, attempt, operation, key: None };
+        service.recorder.record(SystemClock.now(), service.name.as_str(), seen);
+    }
     let number = {
         let mut runs = service.lock();
         let item = Arc::from(item.as_str());
