Add oleander-entry and put an entry together from its settings

EntryProcess joins the peers, follows the catalog, records usage through the ledgers and serves callers and the admin port. Until shares are traded between entries, each gets an even part of an account's rate.

--- a/crates/entry/src/billing.rs
+++ b/crates/entry/src/billing.rs
@@ -8,8 +8,10 @@
 use std::time::Duration;
 use tracing::Instrument;
 
-/// Tries to get one record held.
-const RECORD_TRIES: u32 = 4;
+/// Tries to get one record held; each asks several ledgers.
+const RECORD_TRIES: u32 = 3;
+/// Longest time in which a record must be held.
+const RECORD_TIME: Duration = Duration::from_secs(10);
 /// Wait between two tries.
 const RECORD_WAIT: Duration = Duration::from_millis(150);
 /// When a caller may come back after usage could not be recorded.
@@ -48,7 +50,9 @@
         }
         Err(last)
     };
-    held.instrument(span).await.map_err(|error| {
+    let held = tokio::time::timeout(RECORD_TIME, held.instrument(span)).await;
+    let late = |_| Err(UsageError::NotHeld(format!("no ledger held it within {RECORD_TIME:?}")));
+    held.unwrap_or_else(late).map_err(|error| {
         log::error!("usage_not_held request={} {error}", record.request);
         Refusal::new(Reason::LedgerUnavailable, error.to_string())
             .with_run(RunState::Done)
--- /dev/null
+++ b/crates/entry/src/entry_process.rs
@@ -0,0 +1,128 @@
+//! An entry put together from the process's settings.
+
+use crate::even_shares::EvenShares;
+use crate::parts::EntryParts;
+use crate::server::{EntryServer, EntryView};
+use anyhow::Context;
+use oleander_adapters::http_server::HttpServer;
+use oleander_catalog::QualityFollower;
+use oleander_core::choice_mode::ChoiceMode;
+use oleander_host::RunningHost;
+use oleander_ledger::LedgerClient;
+use oleander_ports::catalog::CatalogPort;
+use oleander_ports::claims::ClaimPort;
+use oleander_ports::usage::UsagePort;
+use std::future::Future;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// How an entry stopped.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum EntryStop {
+    /// Every request in flight was finished.
+    Finished,
+    /// Requests were cut; the log names each.
+    Cut,
+}
+
+/// A running entry.
+pub struct EntryProcess {
+    host: RunningHost,
+    server: EntryServer,
+    admin: HttpServer,
+    caller_address: SocketAddr,
+    admin_address: SocketAddr,
+}
+
+impl EntryProcess {
+    /// Binds the callers' port and the admin port of a host.
+    ///
+    /// # Errors
+    ///
+    /// When the settings name no callers' port or no session key, or a port cannot be bound.
+    pub async fn start(host: RunningHost, mode: ChoiceMode) -> anyhow::Result<Self> {
+        let settings = &host.settings;
+        let wanted = settings.caller_address.context("caller_address is missing")?;
+        anyhow::ensure!(!settings.session_keys.is_empty(), "session_keys is empty");
+        let drain = Duration::from_secs(settings.drain_seconds);
+        let server = EntryServer::bind(entry_parts(&host, mode), wanted).await?.with_drain(drain);
+        let caller_address = server.address()?;
+        let admin = server.admin_port().bind(settings.admin_address).await?;
+        let admin_address = admin.address()?;
+        Ok(Self { host, server, admin, caller_address, admin_address })
+    }
+
+    /// The callers' address that was bound.
+    #[must_use]
+    pub const fn caller_address(&self) -> SocketAddr {
+        self.caller_address
+    }
+
+    /// The admin address that was bound.
+    #[must_use]
+    pub const fn admin_address(&self) -> SocketAddr {
+        self.admin_address
+    }
+
+    /// The peer address that was bound.
+    #[must_use]
+    pub const fn peer_address(&self) -> SocketAddr {
+        self.host.peers.address()
+    }
+
+    /// A view that outlives the process.
+    #[must_use]
+    pub fn view(&self) -> EntryView {
+        self.server.view()
+    }
+
+    /// Serves until `stop` ends, then drains. When `cut` ends before every request in flight is
+    /// finished, each one that is left is logged.
+    pub async fn serve(
+        self,
+        stop: impl Future<Output = ()>,
+        cut: impl Future<Output = ()>,
+    ) -> EntryStop {
+        let Self { host, server, admin, .. } = self;
+        let view = server.view();
+        let admin = tokio::spawn(admin.serve(std::future::pending()));
+        let ended = tokio::select! {
+            () = server.serve(stop) => EntryStop::Finished,
+            () = cut => EntryStop::Cut,
+        };
+        if ended == EntryStop::Cut {
+            view.log_cut();
+        }
+        admin.abort();
+        host.stop().await;
+        ended
+    }
+}
+
+fn entry_parts(host: &RunningHost, mode: ChoiceMode) -> EntryParts {
+    let (settings, clock) = (&host.settings, Arc::clone(&host.clock));
+    let catalog = Arc::clone(&host.catalog) as Arc<dyn CatalogPort>;
+    let ledger = LedgerClient::new(host.calls(), host.members(), Arc::clone(&clock), host.seed)
+        .with_region(settings.region.clone());
+    let shares = EvenShares::new(Arc::clone(&catalog), host.members());
+    let quality = QualityFollower::new(host.calls(), host.members(), host.seed);
+    EntryParts {
+        id: settings.id.clone(),
+        region: settings.region.clone(),
+        domain: settings.domain.clone(),
+        incarnation: host.incarnation,
+        catalog,
+        usage: Arc::new(ledger.clone()) as Arc<dyn UsagePort>,
+        claims: Arc::new(ledger) as Arc<dyn ClaimPort>,
+        members: host.members(),
+        ratings: Arc::clone(&host.platform.ratings),
+        shares: Arc::new(shares),
+        quality: Arc::new(quality),
+        table: Arc::clone(&host.platform.table),
+        clock,
+        session_keys: settings.session_keys.clone(),
+        seed: host.seed,
+        mode,
+    }
+}
