Add the steward: leases, roll-out driver, orders, host list, operators' interface

Cause: nothing held a lease, drove a roll-out, ordered versions or answered operators.

A lease is two rows: the holder's, written by each renewal, and the fence, written only when the holder changes and named by the conditions of every write that must not come late. The driver keeps nothing: it starts each look from the catalog and one row of statistics with the rating service's cursor, so another steward goes on where it stopped. Orders are reconciled from what upstreams report.

Conclusion: the parts are in place and wired by StewardNode.

--- a/crates/adapters/src/settings.rs
+++ b/crates/adapters/src/settings.rs
@@ -40,6 +40,9 @@
     /// Keys that sign session tokens; the first one signs.
     #[serde(default)]
     pub session_keys: Vec<SecretKey>,
+    /// Keys of operators, on a steward only; the id names the operator in the history.
+    #[serde(default)]
+    pub operator_keys: Vec<SecretKey>,
     /// Where traces go (an OTLP collector over HTTP); none when left out.
     #[serde(default)]
     pub trace_collector: Option<SocketAddr>,
--- a/crates/catalog/src/publish.rs
+++ b/crates/catalog/src/publish.rs
@@ -78,6 +78,9 @@
     /// The catalog has findings; nothing was published.
     #[error("the catalog has {} findings; nothing was published", .0.len())]
     Invalid(Vec<CatalogFinding>),
+    /// A change by name makes no sense for the catalog in force; nothing was published.
+    #[error("{0}; nothing was published")]
+    Edit(Arc<str>),
     /// Another publication came first; nothing was published.
     #[error("{}", describe_conflict(.0))]
     Conflict(Box<PublishConflict>),
--- a/crates/core/src/lease.rs
+++ b/crates/core/src/lease.rs
@@ -130,6 +130,13 @@
         Some(LeaseGuard { fencing: row.fencing, fence_version: reading.fence_version? })
     }
 
+    /// The right to act and the time at which it lapses by the holder's own clock.
+    #[must_use]
+    pub fn held_until(&self, now: Timestamp) -> Option<(LeaseGuard, Timestamp)> {
+        let lapses = self.held_from? + (self.times.term - self.times.margin);
+        Some((self.guard(now)?, lapses))
+    }
+
     /// What to do now. `write_id` names the write that may be returned; it must be fresh.
     pub fn step(&mut self, now: Timestamp, write_id: u64) -> LeaseAction {
         let Some(watched) = &self.watched else { return self.read(now) };
--- /dev/null
+++ b/crates/steward/src/steward.rs
@@ -0,0 +1,144 @@
+//! One steward: its leases, actors and the operators' interface, wired up.
+
+use crate::host_watcher::{HostWatcher, start_watcher};
+use crate::lease_actor::LeaseHandle;
+use crate::operators::desk::{DeskParts, OperatorDesk};
+use crate::operators::handler::operator_handler;
+use crate::order_reconciler::{ORDER_LEASE, OrderReconciler, ReconcilerParts, start_reconciler};
+use crate::rollout_driver::{DriverParts, ROLLOUT_LEASE, RolloutDriver, start_driver};
+use crate::statistics_table::StatisticsTable;
+use kameo::actor::ActorRef;
+use oleander_adapters::http_server::HttpHandler;
+use oleander_adapters::settings::SecretKey;
+use oleander_catalog::CatalogPublisher;
+use oleander_core::ids::HostId;
+use oleander_ledger::StatementReader;
+use oleander_ports::catalog::CatalogPort;
+use oleander_ports::clock::ClockPort;
+use oleander_ports::hosts::HostListPort;
+use oleander_ports::members::MembershipPort;
+use oleander_ports::objects::ObjectPort;
+use oleander_ports::peers::{PeerHandler, PeerPort};
+use oleander_ports::ratings::RatingPort;
+use oleander_ports::table::TablePort;
+use oleander_ports::weights::WeightPort;
+use std::sync::Arc;
+
+/// What a steward works with.
+#[derive(Clone)]
+pub struct StewardParts {
+    /// The table service.
+    pub table: Arc<dyn TablePort>,
+    /// The object store.
+    pub objects: Arc<dyn ObjectPort>,
+    /// The rating service.
+    pub ratings: Arc<dyn RatingPort>,
+    /// The weight store.
+    pub weights: Arc<dyn WeightPort>,
+    /// The list of hosts.
+    pub hosts: Arc<dyn HostListPort>,
+    /// The membership.
+    pub members: Arc<dyn MembershipPort>,
+    /// Calls other processes.
+    pub peers: Arc<dyn PeerPort>,
+    /// The catalog in force on this process.
+    pub catalog: Arc<dyn CatalogPort>,
+    /// Tells the time.
+    pub clock: Arc<dyn ClockPort>,
+}
+
+/// A running steward.
+pub struct StewardNode {
+    rollout_lease: LeaseHandle,
+    order_lease: LeaseHandle,
+    statistics: StatisticsTable,
+    desk: Arc<OperatorDesk>,
+    driver: ActorRef<RolloutDriver>,
+    reconciler: ActorRef<OrderReconciler>,
+    watcher: ActorRef<HostWatcher>,
+}
+
+impl StewardNode {
+    /// Starts a steward; needs a running tokio runtime. `seed` gives ids of writes and must
+    /// differ from start to start.
+    #[must_use]
+    pub fn start(parts: StewardParts, host: &HostId, seed: u64) -> Self {
+        let lease = |name, seed| {
+            let (table, clock) = (Arc::clone(&parts.table), Arc::clone(&parts.clock));
+            LeaseHandle::start(table, clock, name, host.clone(), seed)
+        };
+        let rollout_lease = lease(ROLLOUT_LEASE, seed);
+        let order_lease = lease(ORDER_LEASE, seed.wrapping_add(1));
+        let statistics = StatisticsTable::new(Arc::clone(&parts.table));
+        let publisher = CatalogPublisher::new(
+            Arc::clone(&parts.table),
+            Arc::clone(&parts.objects),
+            Arc::clone(&parts.clock),
+        )
+        .with_members(Arc::clone(&parts.members));
+        let driver_parts = DriverParts {
+            publisher: publisher.clone(),
+            ratings: Arc::clone(&parts.ratings),
+            statistics: statistics.clone(),
+            lease: rollout_lease.clone(),
+            clock: Arc::clone(&parts.clock),
+        };
+        let reconciler_parts = ReconcilerParts {
+            catalog: Arc::clone(&parts.catalog),
+            weights: Arc::clone(&parts.weights),
+            lease: order_lease.clone(),
+            clock: Arc::clone(&parts.clock),
+        };
+        let desk = OperatorDesk::new(DeskParts {
+            publisher,
+            statements: StatementReader::new(parts.table, parts.objects),
+            members: Arc::clone(&parts.members),
+            peers: parts.peers,
+            leases: vec![rollout_lease.clone(), order_lease.clone()],
+        });
+        Self {
+            driver: start_driver(driver_parts, seed.wrapping_add(2)),
+            reconciler: start_reconciler(reconciler_parts),
+            watcher: start_watcher(parts.hosts, parts.members),
+            desk: Arc::new(desk),
+            rollout_lease,
+            order_lease,
+            statistics,
+        }
+    }
+
+    /// Answers the peers' calls on the statistics channel.
+    #[must_use]
+    pub fn statistics_handler(&self) -> PeerHandler {
+        self.statistics.peer_handler()
+    }
+
+    /// Serves the operators' interface to the holders of `keys`.
+    #[must_use]
+    pub fn operator_handler(&self, keys: &[SecretKey]) -> HttpHandler {
+        operator_handler(Arc::clone(&self.desk), keys)
+    }
+
+    /// What operators ask for, for embedded use.
+    #[must_use]
+    pub fn desk(&self) -> Arc<OperatorDesk> {
+        Arc::clone(&self.desk)
+    }
+
+    /// Stops acting and gives the leases up, so that another steward goes on at once.
+    pub async fn stop(&self) {
+        self.driver.kill();
+        self.reconciler.kill();
+        self.watcher.kill();
+        tokio::join!(self.rollout_lease.release(), self.order_lease.release());
+    }
+
+    /// Stops at once and gives nothing up, as a crash would.
+    pub fn abandon(&self) {
+        self.driver.kill();
+        self.reconciler.kill();
+        self.watcher.kill();
+        self.rollout_lease.abandon();
+        self.order_lease.abandon();
+    }
+}
