Add oleander-steward and oleander-ctl

Cause: operators had no way to publish, see, roll out, withdraw, drain, bill or explain.

oleander-steward serves the operators' interface on its admin port to the holders of operator_keys (new in the settings); oleander-ctl calls it, the next steward when one cannot be reached, and tells findings, conflicts, unreachable stewards and unknown outcomes apart by exit code. Every change carries a publish id, so that a repeat takes effect once.

--- a/crates/steward/src/lib.rs
+++ b/crates/steward/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod rollout_driver;
 pub mod statistics_table;
 pub mod steward;
+pub mod steward_process;
 mod ticker;
 
 pub use steward::{StewardNode, StewardParts};
--- /dev/null
+++ b/crates/steward/src/steward_process.rs
@@ -0,0 +1,92 @@
+//! A steward as a process of its own: the node, its admin port and its channels to peers.
+
+use crate::process_status::status_handler;
+use crate::steward::{StewardNode, StewardParts};
+use anyhow::ensure;
+use oleander_adapters::admin::{AdminPort, HealthCheck, ProcessHealth};
+use oleander_adapters::settings::MIN_SECRET_BYTES;
+use oleander_host::RunningHost;
+use oleander_ports::catalog::CatalogPort;
+use oleander_ports::peers::PeerChannel;
+use prometheus_client::registry::Registry;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use tokio::sync::oneshot;
+use tokio::task::JoinHandle;
+
+/// A running steward with its ports.
+pub struct StewardProcess {
+    host: RunningHost,
+    node: StewardNode,
+    admin_address: SocketAddr,
+    stop_server: oneshot::Sender<()>,
+    server: JoinHandle<()>,
+}
+
+impl StewardProcess {
+    /// Starts the steward on a host that has joined its peers.
+    ///
+    /// # Errors
+    ///
+    /// When an operator's key is too short or the admin port cannot be bound.
+    pub async fn start(host: RunningHost) -> anyhow::Result<Self> {
+        for key in &host.settings.operator_keys {
+            let long_enough = key.secret.len() >= MIN_SECRET_BYTES;
+            ensure!(
+                long_enough,
+                "operator key {} is shorter than {MIN_SECRET_BYTES} bytes",
+                key.id
+            );
+        }
+        let node = StewardNode::start(steward_parts(&host), &host.settings.id, host.seed);
+        let handler = node.operator_handler(&host.settings.operator_keys);
+        // A steward is ready whatever the catalog: it is what publishes the first one.
+        let health: HealthCheck = Arc::new(|| ProcessHealth::Ready);
+        let admin = AdminPort::new(Registry::default(), health).with_other(handler);
+        let server = admin.bind(host.settings.admin_address).await?;
+        let admin_address = server.address()?;
+        host.peers.handle(PeerChannel::Statistics, node.statistics_handler());
+        host.peers.handle(PeerChannel::Status, status_handler(admin_address));
+        let (stop_server, stopped) = oneshot::channel::<()>();
+        let server = tokio::spawn(server.serve(async move {
+            let _ = stopped.await;
+        }));
+        Ok(Self { host, node, admin_address, stop_server, server })
+    }
+
+    /// Where the admin port listens.
+    #[must_use]
+    pub const fn admin_address(&self) -> SocketAddr {
+        self.admin_address
+    }
+
+    /// Where the peer port listens.
+    #[must_use]
+    pub const fn peer_address(&self) -> SocketAddr {
+        self.host.peers.address()
+    }
+
+    /// Gives the leases up, answers the calls in flight and leaves the peers.
+    pub async fn stop(self) {
+        self.host.members().leave();
+        self.node.stop().await;
+        let _ = self.stop_server.send(());
+        let _ = self.server.await;
+        self.host.stop().await;
+    }
+}
+
+fn steward_parts(host: &RunningHost) -> StewardParts {
+    let platform = host.platform.clone();
+    StewardParts {
+        table: platform.table,
+        objects: platform.objects,
+        ratings: platform.ratings,
+        weights: platform.weights,
+        hosts: platform.hosts,
+        members: host.members(),
+        peers: host.calls(),
+        catalog: Arc::clone(&host.catalog) as Arc<dyn CatalogPort>,
+        clock: Arc::clone(&host.clock),
+    }
+}
--- /dev/null
+++ b/src/bin/oleander-ctl/main.rs
@@ -0,0 +1,69 @@
+//! The operators' command line.
+
+mod arguments;
+mod cli;
+mod client;
+mod commands;
+mod exit_codes;
+mod failure;
+mod render;
+
+use clap::Parser;
+use cli::{Cli, Command};
+use client::StewardClient;
+use exit_codes::CtlExit;
+use failure::CtlFailure;
+use std::io::Write;
+use std::path::Path;
+use std::process::ExitCode;
+
+const KEY_VARIABLE: &str = "OLEANDER_OPERATOR_KEY";
+
+#[tokio::main(flavor = "current_thread")]
+async fn main() -> ExitCode {
+    let cli = Cli::parse();
+    let json = cli.json;
+    match run(cli).await {
+        Ok(text) => {
+            // A reader that closed the pipe wants no more.
+            let _ = std::io::stdout().write_all(text.as_bytes());
+            CtlExit::Done.into()
+        }
+        Err(failure) => report(&failure, json).into(),
+    }
+}
+
+async fn run(cli: Cli) -> Result<String, CtlFailure> {
+    let key = match &cli.command {
+        Command::Check { .. } | Command::Explain { entry: Some(_), .. } => String::new(),
+        _ => operator_key(cli.key_file.as_deref())?,
+    };
+    let client = StewardClient::new(cli.steward.clone(), key);
+    commands::run(cli, &client).await
+}
+
+fn operator_key(file: Option<&Path>) -> Result<String, CtlFailure> {
+    if let Some(file) = file {
+        let read = std::fs::read_to_string(file).map_err(|error| {
+            CtlFailure::Usage(format!("{} cannot be read: {error}", file.display()))
+        })?;
+        return Ok(read.trim().to_owned());
+    }
+    std::env::var(KEY_VARIABLE).map_err(|_| {
+        CtlFailure::Usage(format!("no operator's key; give --key-file PATH or set {KEY_VARIABLE}"))
+    })
+}
+
+/// Prints findings to standard output, one a line, and one line to standard error.
+fn report(failure: &CtlFailure, json: bool) -> CtlExit {
+    let findings = failure.findings();
+    let mut out = std::io::stdout().lock();
+    if json && !findings.is_empty() {
+        let value = serde_json::json!({ "findings": findings });
+        let _ = writeln!(out, "{value:#}");
+    } else {
+        findings.iter().for_each(|finding| drop(writeln!(out, "{finding}")));
+    }
+    eprintln!("oleander-ctl: {failure}");
+    failure.exit()
+}
