--- a/src/bin/oleander-ctl/cli.rs
+++ b/src/bin/oleander-ctl/cli.rs
@@ -15,7 +15,7 @@
 /// 1 findings, 2 wrong arguments, 3 another publication came first, 4 refused, 5 unreachable,
 /// 6 outcome not known, 7 published but not in force everywhere.
 #[derive(Debug, Parser)]
-#[command(version, propagate_version = true)]
+#[command(version)]
 pub struct Cli {
     /// Stewards to call, tried in turn; comma-separated
     #[arg(
--- a/src/bin/oleander-local/embedded.rs
+++ b/src/bin/oleander-local/embedded.rs
@@ -99,6 +99,7 @@
         platform: platform.clone(),
         peer_keys: vec![fresh_key("peer-1")?],
         session_keys: vec![fresh_key("session-1")?],
+        operator_keys: Vec::new(),
         trace_collector: None,
         log_level: Arc::from(cli.log_level.as_str()),
         drain_seconds: 0,
