Prove the membership under loss, restarts, pauses and cuts

Machines in virtual time with seeded loss showed two faults. A death that others declared was taken at the second telling, so that the far region's old belief killed near members when regions met again: it is now only a suspicion, and each process declares death by its own time. At 30% loss one of 40 members missed a refutation among the gossip and declared a living member dead: suspects are pinged again by who still suspects them, a message's sender renews its own record, and news is sent 6 times the logarithm of the members instead of 4.

--- a/crates/core/src/membership/config.rs
+++ b/crates/core/src/membership/config.rs
@@ -52,7 +52,7 @@
             suspicion: Duration::from_secs(6),
             gossip_interval: Duration::from_millis(200),
             gossip_fanout: 2,
-            retransmit_factor: 4,
+            retransmit_factor: 6,
             sync_interval: Duration::from_secs(10),
             rejoin_interval: Duration::from_secs(5),
             forget_after: Duration::from_secs(2 * 3_600),
--- a/crates/core/src/membership/machine.rs
+++ b/crates/core/src/membership/machine.rs
@@ -16,6 +16,7 @@
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use std::net::SocketAddr;
+use std::time::Duration;
 
 /// What the machine wants done.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -48,6 +49,12 @@
 /// Time between pings for other processes after which an answer is not passed on.
 const RELAY_TIMEOUT_MILLIS: u64 = 1_000;
 
+/// Time from one look for late suspects and long dead members to the next.
+const REVIEW_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Most suspects that are pinged again at one look.
+const MAX_ASKED_SUSPECTS: usize = 8;
+
 /// Most pings for other processes at one time.
 const MAX_RELAYS: usize = 256;
 
@@ -92,6 +99,7 @@
     next_sync: Timestamp,
     next_rejoin: Timestamp,
     next_prompted_sync: Timestamp,
+    next_review: Timestamp,
     last_tick: Timestamp,
     last_heard: Timestamp,
     expects_peers: bool,
@@ -123,6 +131,7 @@
             next_sync: now,
             next_rejoin: now,
             next_prompted_sync: now,
+            next_review: now,
             last_tick: now,
             last_heard: now,
             expects_peers: false,
@@ -242,6 +251,7 @@
             None => self.prompt_sync(from, now),
             Some(version) if version.incarnation == sender.version.incarnation => {
                 self.note_revision(sender);
+                self.note_renewal(sender, now);
                 if version.standing > Standing::Alive && version > sender.version {
                     self.tell_its_record(from, &sender.id);
                 }
@@ -268,6 +278,16 @@
         self.learn_revision(RevisionReport { tag, revision: sender.revision }, true);
     }
 
+    /// Takes over what a member says of itself when it has renewed its record meanwhile.
+    fn note_renewal(&mut self, sender: &Sender, now: Timestamp) {
+        let Some(entry) = self.table.get(&sender.id) else { return };
+        if entry.record.version < sender.version {
+            let (version, leaving) = (sender.version, sender.leaving);
+            let record = MemberRecord { version, leaving, ..entry.record.clone() };
+            self.learn_record(&record, true, now);
+        }
+    }
+
     /// Tells a member what is said of it, so that it can refute.
     fn tell_its_record(&mut self, to: SocketAddr, id: &HostId) {
         let Some(record) = self.table.last_record(id).cloned() else { return };
@@ -371,11 +391,30 @@
     }
 
     fn tick_suspicion(&mut self, now: Timestamp) {
+        if now < self.next_review {
+            return;
+        }
+        self.next_review = now + REVIEW_INTERVAL;
         for record in self.table.expire_suspects(self.config.suspicion, now) {
             self.queue.push_record(record);
             self.changed = true;
         }
         self.table.forget(self.config.forget_after, now);
+        self.ask_suspects(now);
+    }
+
+    /// Pings members that have been suspect for a while: who missed the refutation among the
+    /// gossip gets it from the member itself.
+    fn ask_suspects(&mut self, now: Timestamp) {
+        let patience = self.config.suspicion / 3;
+        let late = self.table.present().filter(|entry| {
+            entry.record.version.standing == Standing::Suspect && now.since(entry.since) >= patience
+        });
+        let ids: Vec<HostId> = late.map(|entry| entry.record.id.clone()).collect();
+        for id in pick(&ids, MAX_ASKED_SUSPECTS, &mut self.rng) {
+            let number = self.take_number();
+            self.ping(&id, number);
+        }
     }
 
     fn tick_gossip(&mut self, now: Timestamp) {
@@ -490,7 +529,11 @@
             self.hear_of_me(record.version.incarnation, Some(record));
             return;
         }
+        let was_dead = self.table.get(&record.id).is_some_and(|known| !known.record.is_present());
         let offered = self.table.offer(record, now);
+        if was_dead && record.is_present() && offered == Offered::Taken {
+            self.prompt_sync(record.address, now);
+        }
         match offered {
             Offered::Stale => return,
             Offered::Buried => {}
@@ -550,8 +593,8 @@
     }
 
     fn sender(&self) -> Sender {
-        let version = self.me.record.version;
-        Sender { id: self.me.record.id.clone(), version, revision: self.me.revision }
+        let MemberRecord { id, version, leaving, .. } = &self.me.record;
+        Sender { id: id.clone(), version: *version, leaving: *leaving, revision: self.me.revision }
     }
 
     fn send(&mut self, to: SocketAddr, kind: MessageKind, news: News) {
--- a/crates/core/src/membership/message.rs
+++ b/crates/core/src/membership/message.rs
@@ -32,6 +32,8 @@
     pub id: HostId,
     /// Age of its own record.
     pub version: RecordVersion,
+    /// Whether it is leaving.
+    pub leaving: bool,
     /// The revision that it has in force.
     pub revision: Revision,
 }
--- a/crates/core/src/membership/record.rs
+++ b/crates/core/src/membership/record.rs
@@ -2,6 +2,7 @@
 
 use crate::ids::{DomainName, HostId, Incarnation, RegionName, Revision};
 use crate::membership::member::{Member, MemberRole, MemberState};
+use crate::stable_hash::{hash_parts, mix};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 
@@ -123,26 +124,21 @@
     /// The tag of one incarnation of a member.
     #[must_use]
     pub fn new(id: &HostId, incarnation: Incarnation) -> Self {
-        let hash = stable_hash(id.as_str().as_bytes());
-        Self(fold(mix(hash, incarnation.get())))
+        let hash = id_hash(id.as_str());
+        Self(fold(combine(hash, incarnation.get())))
     }
 }
 
-/// FNV-1a: the same on every process and in every release.
+/// Hash of an id, the same on every process and in every release.
 #[must_use]
-pub fn stable_hash(bytes: &[u8]) -> u64 {
-    const OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
-    const PRIME: u64 = 0x0100_0000_01b3;
-    bytes.iter().fold(OFFSET, |hash, &byte| (hash ^ u64::from(byte)).wrapping_mul(PRIME))
+pub fn id_hash(id: &str) -> u64 {
+    hash_parts(&[id])
 }
 
-/// Mixes a number into a hash (the finaliser of splitmix64).
+/// Takes a number into a hash.
 #[must_use]
-pub const fn mix(hash: u64, number: u64) -> u64 {
-    let mut value = hash ^ number.wrapping_mul(0x9e37_79b9_7f4a_7c15);
-    value = (value ^ (value >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-    value = (value ^ (value >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-    value ^ (value >> 31)
+pub const fn combine(hash: u64, number: u64) -> u64 {
+    mix(hash ^ mix(number))
 }
 
 /// Folds a hash to 32 bits.
--- a/crates/core/src/membership/rumors.rs
+++ b/crates/core/src/membership/rumors.rs
@@ -3,7 +3,7 @@
 use crate::ids::{Incarnation, Revision, UpstreamName};
 use crate::membership::config::MAX_UPSTREAM_RUMORS;
 use crate::membership::member::{BodyDigest, Rumor};
-use crate::membership::record::{fold, mix, stable_hash};
+use crate::membership::record::{combine, fold, id_hash};
 use std::collections::{BTreeMap, VecDeque};
 
 /// Age of what is known of an upstream: leaving wins over joining of the same incarnation.
@@ -90,12 +90,12 @@
     /// Digest of what is known.
     #[must_use]
     pub fn digest(&self) -> u32 {
-        let head = self.head.as_ref().map_or(0, |(revision, _)| mix(1, revision.get()));
+        let head = self.head.as_ref().map_or(0, |(revision, _)| combine(1, revision.get()));
         let upstreams = self.upstreams.iter().fold(0u64, |sum, (name, age)| {
-            let named = stable_hash(name.as_str().as_bytes());
-            sum.wrapping_add(mix(mix(named, age.incarnation.get()), u64::from(age.leaving)))
+            let named = id_hash(name.as_str());
+            sum.wrapping_add(combine(combine(named, age.incarnation.get()), u64::from(age.leaving)))
         });
-        fold(mix(head, upstreams))
+        fold(combine(head, upstreams))
     }
 }
 
--- a/crates/core/src/membership/sync.rs
+++ b/crates/core/src/membership/sync.rs
@@ -1,7 +1,7 @@
 //! Comparison of two tables by digests, so that only what differs is sent.
 
 use crate::membership::message::{News, RevisionReport, SyncDigest};
-use crate::membership::record::{MemberRecord, fold, mix, stable_hash};
+use crate::membership::record::{MemberRecord, combine, fold, id_hash};
 use crate::membership::rumors::RumorBoard;
 use crate::membership::table::{MemberEntry, MemberTable};
 
@@ -9,7 +9,7 @@
 pub const SYNC_BUCKETS: usize = 32;
 
 fn bucket_of(record: &MemberRecord) -> usize {
-    (stable_hash(record.id.as_str().as_bytes()) % SYNC_BUCKETS as u64) as usize
+    (id_hash(record.id.as_str()) % SYNC_BUCKETS as u64) as usize
 }
 
 /// Digest of everything that is compared. The dead are left out: who has forgotten them has
@@ -32,13 +32,13 @@
 
 fn record_hash(record: &MemberRecord) -> u64 {
     let version = &record.version;
-    let named = mix(stable_hash(record.id.as_str().as_bytes()), version.incarnation.get());
-    mix(mix(named, u64::from(version.refutation)), version.standing as u64)
+    let named = combine(id_hash(record.id.as_str()), version.incarnation.get());
+    combine(combine(named, u64::from(version.refutation)), version.standing as u64)
 }
 
 fn revision_hash(entry: &MemberEntry) -> u64 {
-    let named = stable_hash(entry.record.id.as_str().as_bytes());
-    mix(mix(named, entry.record.version.incarnation.get()), entry.revision.get())
+    let named = id_hash(entry.record.id.as_str());
+    combine(combine(named, entry.record.version.incarnation.get()), entry.revision.get())
 }
 
 /// What this process has where its digest differs from `theirs`.
--- a/crates/core/src/membership/table.rs
+++ b/crates/core/src/membership/table.rs
@@ -62,7 +62,7 @@
     pub fn offer(&mut self, record: &MemberRecord, now: Timestamp) -> Offered {
         match self.entries.get(&record.id) {
             Some(known) if known.record.version >= record.version => Offered::Stale,
-            Some(known) if kills(&known.record, record) => self.suspect_first(record, now),
+            Some(known) if kills(&known.record, record) => self.doubt(record, now),
             Some(_) => self.take(record, now),
             None if self.is_buried(record) => Offered::Buried,
             None if self.is_unwanted(record) => Offered::Stale,
@@ -85,9 +85,15 @@
         self.entries.get(id).map(|entry| &entry.record).or_else(|| self.floors.get(id))
     }
 
-    fn suspect_first(&mut self, record: &MemberRecord, now: Timestamp) -> Offered {
+    /// Takes a death that others declared as a suspicion, so that the member has its full time
+    /// to refute here too. One that is suspected already dies by this process's own time.
+    fn doubt(&mut self, record: &MemberRecord, now: Timestamp) -> Offered {
         let mut suspected = record.clone();
         suspected.version.standing = Standing::Suspect;
+        let known = self.entries.get(&record.id);
+        if known.is_some_and(|known| known.record.version >= suspected.version) {
+            return Offered::Stale;
+        }
         self.take(&suspected, now);
         Offered::Suspected
     }
@@ -206,10 +212,10 @@
     }
 }
 
-/// Whether `record` says that a member is dead which is held to be alive here. A member that
-/// said itself that it left is believed.
+/// Whether `record` says that a member is dead which is held to be present here. A member
+/// that said itself that it left is believed.
 fn kills(known: &MemberRecord, record: &MemberRecord) -> bool {
-    known.version.standing == Standing::Alive
+    known.is_present()
         && known.version.incarnation == record.version.incarnation
         && record.version.standing == Standing::Dead
 }
--- /dev/null
+++ b/crates/core/tests/membership_faults.rs
@@ -0,0 +1,164 @@
+//! The membership under loss, restarts, pauses and cuts, in virtual time.
+
+mod virtual_network;
+
+use oleander_core::ids::Incarnation;
+use oleander_core::membership::message::{Message, MessageKind, News, Sender};
+use oleander_core::membership::record::MemberRecord;
+use oleander_core::membership::{MemberState, MembershipConfig};
+use std::time::Duration;
+use virtual_network::{Faults, Network, address, alive_count, head, member, state_of};
+
+const SECOND: Duration = Duration::from_secs(1);
+const MINUTE: Duration = Duration::from_secs(60);
+
+fn converged(count: usize, seed: u64, config: MembershipConfig) -> Network {
+    let mut network = Network::start_with(count, seed, config);
+    assert!(network.run_until(MINUTE, Network::is_converged).is_some(), "seed {seed}");
+    network
+}
+
+fn all(network: &Network, index: usize, state: Option<MemberState>) -> bool {
+    let others =
+        network.nodes.iter().enumerate().filter(|(other, node)| *other != index && !node.stopped);
+    others.into_iter().all(|(_, node)| state_of(node, index) == state)
+}
+
+/// A datagram of node 1 that says that `record` is so.
+fn claim(network: &Network, record: MemberRecord) -> Message {
+    let me = network.nodes[1].machine.members().into_iter().find(|m| m.address == address(1));
+    let version = MemberRecord::new(&me.expect("it knows itself")).version;
+    let id = member(1, 1).id;
+    let sender = Sender { id, version, leaving: false, revision: Default::default() };
+    let news = News { records: vec![record], ..News::default() };
+    Message { sender, kind: MessageKind::Gossip, news }
+}
+
+#[test]
+fn nobody_is_declared_dead_by_lost_doubled_reordered_and_late_datagrams() {
+    let mut network = converged(40, 3, MembershipConfig::default());
+    network.faults = Faults { loss: 0.3, duplicate: 0.2, jitter_millis: 150 };
+    for second in 0..180 {
+        network.run(SECOND);
+        for (index, node) in network.nodes.iter().enumerate() {
+            let members = node.machine.members().len();
+            assert_eq!(members, 40, "second {second}: node {index} holds somebody dead");
+        }
+    }
+    network.faults = Faults::default();
+    assert!(network.run_until(MINUTE, Network::is_converged).is_some());
+}
+
+#[test]
+fn a_crash_is_seen_and_a_newer_incarnation_is_back_but_an_older_record_is_not() {
+    let mut network = converged(20, 4, MembershipConfig::default());
+    network.nodes[5].stopped = true;
+    let dead = network.run_until(MINUTE, |network| all(network, 5, None));
+    println!("a crash is known to all after {dead:?} ms");
+    assert!(dead.is_some_and(|millis| millis < 20_000));
+
+    let late = claim(&network, MemberRecord::new(&member(5, 1)));
+    for index in [0, 2, 3] {
+        network.drive(index, |machine, now| machine.handle(address(1), &late, now));
+    }
+    for _ in 0..20 {
+        network.run(SECOND);
+        assert!(all(&network, 5, None), "an old record brought a dead member back");
+    }
+
+    network.restart(5, 2);
+    let back = network.run_until(MINUTE, |network| all(network, 5, Some(MemberState::Alive)));
+    println!("a restart is known to all after {back:?} ms");
+    assert!(back.is_some_and(|millis| millis < 10_000));
+    network.drive(0, |machine, now| machine.handle(address(1), &late, now));
+    let id = member(5, 1).id;
+    let seen = network.nodes[0].machine.members().into_iter().find(|m| m.id == id);
+    assert_eq!(seen.map(|m| m.incarnation), Some(Incarnation::new(2)));
+}
+
+#[test]
+fn a_paused_process_comes_back_and_takes_nobody_down() {
+    let mut network = converged(20, 5, MembershipConfig::default());
+    network.nodes[7].paused = true;
+    network.run(MINUTE);
+    assert!(all(&network, 7, None), "a paused process is still held alive");
+    network.resume(7);
+    for _ in 0..300 {
+        network.run(Duration::from_millis(100));
+        for index in 0..20 {
+            let others = (0..20).filter(|&other| other != 7 && other != index);
+            let node = &network.nodes[index];
+            assert!(others.into_iter().all(|other| state_of(node, other).is_some()), "at {index}");
+        }
+    }
+    assert!(network.is_converged(), "the paused process did not come back");
+}
+
+#[test]
+fn who_slept_past_the_forgetting_does_not_bring_the_dead_back() {
+    let config = MembershipConfig { forget_after: SECOND * 30, ..MembershipConfig::default() };
+    let mut network = converged(12, 6, config);
+    network.nodes[7].paused = true;
+    network.nodes[4].stopped = true;
+    network.run(MINUTE * 3);
+    network.resume(7);
+    for second in 0..40 {
+        network.run(SECOND);
+        let running = network.nodes.iter().enumerate().filter(|(index, _)| ![4, 7].contains(index));
+        for (index, node) in running {
+            assert_eq!(state_of(node, 4), None, "second {second}: node {index} brought it back");
+        }
+    }
+    assert!(network.is_converged());
+}
+
+#[test]
+fn two_regions_cut_for_three_hours_find_each_other_again() {
+    let mut network = converged(14, 7, MembershipConfig::default());
+    network.cut = true;
+    network.run(MINUTE);
+    assert!(network.nodes.iter().all(|node| alive_count(node) == 7), "the cut is not seen");
+    network.drive(0, |machine, _| machine.announce(&head(9)));
+    network.run(MINUTE * 180);
+    assert!(network.nodes[1].rumors.is_empty());
+
+    network.cut = false;
+    let healed_at = network.now;
+    while !network.is_converged() && network.now < healed_at + 120_000 {
+        network.run(Duration::from_millis(100));
+        for (index, node) in network.nodes.iter().enumerate() {
+            let own = (0..14).filter(|other| other % 2 == index % 2);
+            let kept = own.into_iter().all(|other| state_of(node, other).is_some());
+            assert!(kept, "the far region's belief killed a near member at {index}");
+        }
+    }
+    network.run(SECOND * 5);
+    println!("healed after {} ms", network.now - healed_at - 5_000);
+    assert!(network.is_converged(), "the regions did not find each other");
+    assert_eq!(network.nodes[1].rumors.len(), 1, "the rumor did not cross");
+}
+
+#[test]
+fn a_process_with_a_newer_namesake_is_told() {
+    let mut network = converged(6, 8, MembershipConfig::default());
+    let newer = claim(&network, MemberRecord::new(&member(2, 9)));
+    network.drive(2, |machine, now| machine.handle(address(1), &newer, now));
+    assert!(network.nodes[2].superseded);
+}
+
+#[test]
+fn contact_is_lost_when_everybody_falls_silent_and_not_when_they_left() {
+    let mut network = converged(3, 9, MembershipConfig::default());
+    let in_contact = |network: &Network| {
+        let now = oleander_core::units::Timestamp::from_millis(network.now);
+        network.nodes[0].machine.in_contact(now)
+    };
+    network.nodes[1].stopped = true;
+    network.run(SECOND * 10);
+    assert!(in_contact(&network));
+    network.nodes[2].stopped = true;
+    network.run(SECOND * 6);
+    assert!(!in_contact(&network));
+    network.run(MINUTE * 150);
+    assert!(!in_contact(&network), "the dead were forgotten, and with them the lost contact");
+}
