Share a client account's rate over the entries by demand

A rate per account must hold over all entries without a write per request, and a balancer does not spread accounts evenly. One coordinator per account, chosen by rendezvous over the live stewards (the entries when there is none), hands out grants that expire; it never hands out what another unexpired grant may still use, and after a change of coordinator divides only what entries say they hold until earlier grants have expired. A tenth of the rate is each entry's without asking.

Connections ping less when no call waits: 370 entries on one coordinator would have cost 185 pings a second.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -34,6 +34,7 @@
 pub mod price;
 pub mod quality;
 pub mod quality_estimate;
+pub mod rate_share;
 pub mod reason;
 pub mod retry_budget;
 pub mod rollout;
--- a/crates/peers/src/connection.rs
+++ b/crates/peers/src/connection.rs
@@ -68,6 +68,9 @@
     calls: HashMap<CallNumber, ReplySender>,
     last_heard: Instant,
     last_used: Instant,
+    /// When the ping left to which nothing was heard yet.
+    pinged: Option<Instant>,
+    last_ping: Instant,
 }
 
 /// One connection to a peer.
@@ -102,8 +105,14 @@
         let writer = FrameWriter::new(write, keys.outward, Arc::clone(&counters));
         let (outgoing, queue) = mpsc::channel(limits.queued_frames);
         let now = Instant::now();
-        let waiting =
-            Waiting { next_number: 0, calls: HashMap::new(), last_heard: now, last_used: now };
+        let waiting = Waiting {
+            next_number: 0,
+            calls: HashMap::new(),
+            last_heard: now,
+            last_used: now,
+            pinged: None,
+            last_ping: now,
+        };
         let connection = Arc::new(Self {
             outgoing,
             waiting: Mutex::new(waiting),
@@ -209,7 +218,25 @@
     }
 
     fn hear(&self) {
-        self.lock().last_heard = Instant::now();
+        let mut waiting = self.lock();
+        waiting.last_heard = Instant::now();
+        waiting.pinged = None;
+    }
+
+    /// Whether a ping is due; it counts as sent.
+    fn begin_ping(&self) -> bool {
+        let mut waiting = self.lock();
+        let interval = match waiting.calls.is_empty() {
+            true => self.limits.idle_ping_interval,
+            false => self.limits.ping_interval,
+        };
+        let now = Instant::now();
+        let quiet = now.duration_since(waiting.last_heard.max(waiting.last_ping)) >= interval;
+        if quiet {
+            waiting.last_ping = now;
+            waiting.pinged.get_or_insert(now);
+        }
+        quiet
     }
 
     fn settle(&self, number: CallNumber, result: Result<Vec<u8>, PeerError>) {
@@ -232,7 +259,7 @@
     }
 
     fn is_silent(&self) -> bool {
-        self.lock().last_heard.elapsed() >= self.limits.silence
+        self.lock().pinged.is_some_and(|pinged| pinged.elapsed() >= self.limits.silence)
     }
 }
 
@@ -270,7 +297,7 @@
     counters: &SharedCounters,
 ) {
     let silence = connection.limits.silence;
-    let mut pings = interval(connection.limits.ping_interval);
+    let mut pings = interval(connection.limits.ping_interval / 2);
     loop {
         tokio::select! {
             Some(outgoing) = queue.recv() => {
@@ -305,6 +332,9 @@
     if connection.is_spent() {
         return false;
     }
+    if !connection.begin_ping() {
+        return true;
+    }
     let written = timeout(silence, writer.write(&FrameHead::Ping, &[])).await;
     matches!(written, Ok(Ok(())))
 }
--- a/crates/peers/src/lib.rs
+++ b/crates/peers/src/lib.rs
@@ -16,8 +16,14 @@
 pub mod node;
 pub mod replay;
 pub mod server;
+pub mod share_book;
+pub mod share_keeper;
+pub mod share_meters;
+pub mod share_view;
+pub mod shares;
 
 pub use counters::PeerCounters;
 pub use keys::PeerKey;
 pub use limits::PeerLimits;
 pub use node::{PeerNode, PeerSettings, PeerStartError};
+pub use shares::{ShareService, ShareSettings};
--- a/crates/peers/src/limits.rs
+++ b/crates/peers/src/limits.rs
@@ -17,9 +17,11 @@
     pub inbound_connections: usize,
     /// Time for a connection to be made and proved.
     pub connect_timeout: Duration,
-    /// Time from one ping on a connection to the next.
+    /// Time from one ping to the next on a connection with calls that wait.
     pub ping_interval: Duration,
-    /// Time without a byte after which a connection is silent and retired.
+    /// Time from one ping to the next on a connection without.
+    pub idle_ping_interval: Duration,
+    /// Time without a byte after a ping after which a connection is silent and retired.
     pub silence: Duration,
     /// Time without a call after which a connection is closed.
     pub idle: Duration,
@@ -39,7 +41,8 @@
             inbound_connections: 1_024,
             connect_timeout: Duration::from_secs(2),
             ping_interval: Duration::from_secs(2),
-            silence: Duration::from_secs(5),
+            idle_ping_interval: Duration::from_secs(10),
+            silence: Duration::from_secs(4),
             idle: Duration::from_secs(30),
             max_age: Duration::from_secs(300),
             handler_timeout: Duration::from_secs(30),
--- a/crates/peers/src/server.rs
+++ b/crates/peers/src/server.rs
@@ -97,7 +97,9 @@
         let mut calls = JoinSet::new();
         loop {
             while calls.try_join_next().is_some() {}
-            let Ok(Ok(frame)) = timeout(self.limits.silence * 2, reader.read()).await else {
+            let Ok(Ok(frame)) =
+                timeout(self.limits.idle + self.limits.silence, reader.read()).await
+            else {
                 return;
             };
             match &frame.head {
--- a/crates/peers/tests/support/mod.rs
+++ b/crates/peers/tests/support/mod.rs
@@ -45,6 +45,7 @@
 pub fn quick() -> PeerLimits {
     PeerLimits {
         ping_interval: Duration::from_millis(100),
+        idle_ping_interval: Duration::from_millis(200),
         silence: Duration::from_millis(400),
         ..PeerLimits::default()
     }
