--- a/crates/ledger/src/metrics.rs
+++ b/crates/ledger/src/metrics.rs
@@ -49,25 +49,28 @@
         Self::default()
     }
 
-    /// Registers every metric.
-    pub fn register(&self, registry: &mut Registry) {
+    /// A registry of every metric.
+    #[must_use]
+    pub fn to_registry(&self) -> Registry {
+        let mut registry = Registry::with_prefix("oleander_ledger");
         let gauge = self.backlog_bytes.clone();
-        registry.register("ledger_backlog_bytes", "Bytes held and not in the table", gauge);
+        registry.register("backlog_bytes", "Bytes held and not in the table", gauge);
         let counters = [
-            ("ledger_records", "Records taken", &self.records),
-            ("ledger_records_full", "Records refused at the bound", &self.records_full),
-            ("ledger_records_not_held", "Records refused as not held", &self.records_not_held),
-            ("ledger_groups", "Groups replicated", &self.groups),
-            ("ledger_flushes", "Runs written", &self.flushes),
-            ("ledger_flush_transactions", "Transactions of runs", &self.flush_transactions),
-            ("ledger_flush_failures", "Failed writes of runs", &self.flush_failures),
-            ("ledger_recopies", "Runs copied again", &self.recopies),
-            ("ledger_folds", "Windows folded", &self.folds),
+            ("records", "Records taken", &self.records),
+            ("records_full", "Records refused at the bound", &self.records_full),
+            ("records_not_held", "Records refused as not held", &self.records_not_held),
+            ("groups", "Groups replicated", &self.groups),
+            ("flushes", "Runs written", &self.flushes),
+            ("flush_transactions", "Transactions of runs", &self.flush_transactions),
+            ("flush_failures", "Failed writes of runs", &self.flush_failures),
+            ("recopies", "Runs copied again", &self.recopies),
+            ("folds", "Windows folded", &self.folds),
         ];
         for (name, help, counter) in counters {
             registry.register(name, help, counter.clone());
         }
-        registry.register("ledger_claims", "Claims by outcome", self.claims.clone());
+        registry.register("claims", "Claims by outcome", self.claims.clone());
+        registry
     }
 
     /// Counts a claim.
