--- /dev/null
+++ b/crates/core/tests/data_path.rs
@@ -0,0 +1,47 @@
+//! Small rules of the data path.
+
+use oleander_core::attempt_retry::{FaultKind, RetryMove, next_move};
+use oleander_core::patience::{AttemptPatience, MIN_FIRST_BYTE};
+use oleander_core::trace_context::TraceContext;
+use oleander_core::units::Millis;
+use std::time::Duration;
+use yare::parameterized;
+
+#[parameterized(
+    connect = { FaultKind::Connect, false, RetryMove::OtherUpstream },
+    lost_once = { FaultKind::Lost, false, RetryMove::SameUpstream },
+    lost_twice = { FaultKind::Lost, true, RetryMove::OtherUpstream },
+    silent_once = { FaultKind::Silent, false, RetryMove::SameUpstream },
+    full = { FaultKind::NotRun, false, RetryMove::OtherUpstream },
+    wrong = { FaultKind::Wrong, false, RetryMove::OtherUpstream },
+    cut = { FaultKind::Cut, false, RetryMove::OtherUpstream },
+    rejected = { FaultKind::Rejected, false, RetryMove::Stop },
+)]
+fn fault_decides_the_next_attempt(fault: FaultKind, renewed: bool, expected: RetryMove) {
+    assert_eq!(next_move(fault, renewed), expected);
+}
+
+#[parameterized(
+    empty = { "" },
+    no_trace = { "00-00000000000000000000000000000000-b7ad6b7169203331-01" },
+    no_span = { "00-0af7651916cd43dd8448eb211c80319c-0000000000000000-01" },
+    capitals = { "00-0AF7651916CD43DD8448EB211C80319C-b7ad6b7169203331-01" },
+    sign = { "00-+af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01" },
+    version_255 = { "ff-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01" },
+    more_in_version_0 = { "00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01-x" },
+)]
+fn malformed_traceparent_is_refused(text: &str) {
+    assert!(text.parse::<TraceContext>().is_err());
+}
+
+#[parameterized(
+    plenty = { 30_000, 4_000 },
+    half_is_kept_for_another_attempt = { 4_000, 2_000 },
+    too_little_for_two = { 900, 900 },
+)]
+fn patience_keeps_time_for_another_attempt(left: u64, first_byte: u64) {
+    let left = Duration::from_millis(left);
+    let patience = AttemptPatience::new(Millis::new(200), Millis::new(20), left);
+    assert_eq!(patience.first_byte, Duration::from_millis(first_byte));
+    assert!(patience.first_byte >= MIN_FIRST_BYTE.min(left));
+}
--- a/crates/entry/src/answer_sink.rs
+++ b/crates/entry/src/answer_sink.rs
@@ -1,6 +1,7 @@
 //! Where the pieces of an answer go: to the caller, or held back until the answer is kept.
 
 use crate::refusal::Refusal;
+use crate::sample_queue::SampleText;
 use oleander_core::ids::VersionName;
 use oleander_core::price::TokenUse;
 use oleander_core::units::Money;
@@ -56,13 +57,17 @@
     head: Option<AnswerHead>,
     held: Option<Vec<Map<String, Value>>>,
     passed: bool,
+    sample: SampleText,
 }
 
 impl AnswerSink {
     /// A sink and where its events come out.
     pub fn new() -> (Self, mpsc::Receiver<ChatEvent>) {
         let (sender, receiver) = mpsc::channel(PIECE_BUFFER);
-        (Self { sender, head: None, held: None, passed: false }, receiver)
+        (
+            Self { sender, head: None, held: None, passed: false, sample: SampleText::default() },
+            receiver,
+        )
     }
 
     /// Prepares for an answer. With `hold`, its pieces stay here until [`AnswerSink::release`].
@@ -78,6 +83,7 @@
             return Ok(());
         }
         self.start().await?;
+        self.sample.add(&delta);
         self.send(ChatEvent::Delta(delta)).await
     }
 
@@ -94,6 +100,11 @@
         self.held.take().unwrap_or_default()
     }
 
+    /// The start of the text that was passed on.
+    pub fn take_sample(&mut self) -> Arc<str> {
+        self.sample.take()
+    }
+
     /// Ends the answer.
     pub async fn finish(&mut self, end: AnswerEnd) -> Result<(), CallerGone> {
         self.start().await?;
--- a/crates/entry/src/chat_run.rs
+++ b/crates/entry/src/chat_run.rs
@@ -6,17 +6,21 @@
 use crate::chat_context::ChatContext;
 use crate::refusal::Refusal;
 use crate::request_trace::{RequestTrace, TraceEvent};
-use crate::upstream_pool::PoolPlace;
+use crate::sample_queue::SampleText;
+use crate::upstream_pool::{PoolPlace, UpstreamPool};
 use crate::version_run::{RunProgress, VersionEnd, VersionRun};
 use oleander_core::admission::{AdmissionDecision, AdmissionRequest};
 use oleander_core::catalog::objects::Version;
 use oleander_core::chain::{ChainPlan, ChainStep};
 use oleander_core::chain_input::idle_latency;
+use oleander_core::ids::{ModelName, VersionName};
 use oleander_core::price::{TokenUse, version_price};
 use oleander_core::reason::{Reason, RunState};
 use oleander_core::units::{Money, TokenCount};
 use oleander_core::usage::{UsageRecord, UsedItem};
+use oleander_ports::ratings::AnswerSample;
 use serde_json::{Map, Value};
+use std::sync::Arc;
 
 /// A chat request that runs.
 pub struct ChatRun {
@@ -77,6 +81,9 @@
                     let from = step.version.clone();
                     self.trace.add(self.ctx.now(), TraceEvent::Escalated { from, confidence });
                     let pieces = self.sink.take_held();
+                    let mut text = SampleText::default();
+                    pieces.iter().for_each(|piece| text.add(piece));
+                    self.offer(&step.version, text.take());
                     weak = close.map(|close| WeakAnswer { step: index, pieces, close }).or(weak);
                 }
                 Err(refusal) if !self.sink.has_passed() && weak.is_some() => {
@@ -106,7 +113,7 @@
     }
 
     async fn run_step(&mut self, index: u32, step: &ChainStep) -> Result<VersionEnd, Refusal> {
-        let snapshot = std::sync::Arc::clone(&self.ctx.account.snapshot);
+        let snapshot = Arc::clone(&self.ctx.account.snapshot);
         let missing = || Refusal::new(Reason::NotFound, format!("{} is gone", step.version));
         let object = snapshot.version(&step.version).ok_or_else(missing)?;
         let pool = self.ctx.state.book.pool(&snapshot, &object.pool);
@@ -124,11 +131,7 @@
     }
 
     /// Asks the pool for a place.
-    fn enter(
-        &self,
-        pool: &crate::upstream_pool::UpstreamPool,
-        object: &Version,
-    ) -> Result<PoolPlace, Refusal> {
+    fn enter(&self, pool: &UpstreamPool, object: &Version) -> Result<PoolPlace, Refusal> {
         let _span = tracing::info_span!("admission", pool = %pool.name).entered();
         let ctx = &self.ctx;
         let request = AdmissionRequest {
@@ -162,9 +165,17 @@
     }
 
     fn head(&self, step: u32) -> AnswerHead {
-        let version = self.plan.steps[step as usize].version.clone();
-        let session = self.ctx.state.session_token(&self.ctx, &version);
-        AnswerHead { version, step, session }
+        let ChainStep { version, model, .. } = &self.plan.steps[step as usize];
+        let session = self.ctx.state.session_token(&self.ctx, version);
+        AnswerHead { version: version.clone(), step: self.cascade_step(model, step), session }
+    }
+
+    /// Place of a model in the cascade that the caller named.
+    fn cascade_step(&self, model: &ModelName, step: u32) -> u32 {
+        let cascade = self.ctx.cascade.as_ref();
+        let cascade = cascade.and_then(|name| self.ctx.account.snapshot.cascade(name));
+        let place = cascade.and_then(|object| object.steps.iter().position(|m| m == model));
+        place.map_or(step, |place| place as u32)
     }
 
     /// Bills a whole answer, then lets the caller see its end.
@@ -180,6 +191,8 @@
         self.trace.add(self.ctx.now(), TraceEvent::Answered { version: version.clone(), tokens });
         record_usage(&self.ctx.state, record).await?;
         self.note_billed(cost);
+        let text = self.sink.take_sample();
+        self.offer(&version, text);
         self.ctx.state.metrics.note_answer(&version, cost, self.progress.upstream_cost);
         let end = AnswerEnd { finish_reason: close.finish_reason, used, cost };
         if self.sink.finish(end).await.is_err() {
@@ -188,6 +201,14 @@
         Ok(())
     }
 
+    /// Offers an answer of a task class for rating, a weak one too: estimates that saw only
+    /// the answers that were kept would be too high.
+    fn offer(&self, version: &VersionName, text: Arc<str>) {
+        let Some(cascade) = self.ctx.cascade.clone().filter(|_| !text.is_empty()) else { return };
+        let (request, version) = (self.ctx.ids.run, version.clone());
+        self.ctx.state.samples.push(AnswerSample { request, cascade, version, text });
+    }
+
     /// Bills what was generated for a caller that went away.
     async fn finish_gone(&mut self, step: u32) {
         self.trace.add(self.ctx.now(), TraceEvent::CallerGone);
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -32,6 +32,7 @@
 mod refusal;
 mod request_body;
 mod request_trace;
+mod sample_queue;
 mod server;
 mod service_call;
 mod service_order;
--- /dev/null
+++ b/crates/entry/src/sample_queue.rs
@@ -0,0 +1,80 @@
+//! Answers that wait to be offered to the rating service.
+
+use crate::state::EntryState;
+use oleander_ports::ratings::AnswerSample;
+use serde_json::{Map, Value};
+use std::collections::VecDeque;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+/// Most answers that wait; further ones are not offered.
+const MAX_WAITING: usize = 512;
+/// Most bytes of an answer that are offered.
+const MAX_SAMPLE_BYTES: usize = 2_048;
+/// Time between two offers.
+const OFFER_INTERVAL: Duration = Duration::from_millis(1_000);
+/// Longest time for one offer.
+const OFFER_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// The start of an answer's text.
+#[derive(Clone, Debug, Default)]
+pub struct SampleText {
+    text: String,
+}
+
+impl SampleText {
+    /// Adds the text of a piece, as far as there is room.
+    pub fn add(&mut self, delta: &Map<String, Value>) {
+        let Some(text) = delta.get("content").and_then(Value::as_str) else { return };
+        if self.text.len() + text.len() <= MAX_SAMPLE_BYTES {
+            self.text.push_str(text);
+        }
+    }
+
+    /// The text.
+    pub fn take(&mut self) -> Arc<str> {
+        Arc::from(std::mem::take(&mut self.text))
+    }
+}
+
+/// A bounded queue of answers. Losing some costs ratings, nothing else.
+#[derive(Default)]
+pub struct SampleQueue {
+    waiting: Mutex<VecDeque<AnswerSample>>,
+}
+
+impl SampleQueue {
+    /// Queues an answer when there is room.
+    pub fn push(&self, sample: AnswerSample) {
+        let mut waiting = self.waiting.lock().unwrap_or_else(PoisonError::into_inner);
+        if waiting.len() < MAX_WAITING {
+            waiting.push_back(sample);
+        }
+    }
+
+    fn take(&self) -> Vec<AnswerSample> {
+        let mut waiting = self.waiting.lock().unwrap_or_else(PoisonError::into_inner);
+        waiting.drain(..).collect()
+    }
+}
+
+/// Offers what waits to the rating service, on a task that ends when it is aborted.
+pub fn start_offers(state: &Arc<EntryState>) -> tokio::task::JoinHandle<()> {
+    let state = Arc::clone(state);
+    tokio::spawn(async move {
+        let mut ticks = tokio::time::interval(OFFER_INTERVAL);
+        ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Skip);
+        loop {
+            ticks.tick().await;
+            let samples = state.samples.take();
+            if samples.is_empty() {
+                continue;
+            }
+            let count = samples.len();
+            let offer = state.parts.ratings.submit(samples);
+            if !matches!(tokio::time::timeout(OFFER_TIMEOUT, offer).await, Ok(Ok(()))) {
+                log::debug!("samples_not_offered count={count}");
+            }
+        }
+    })
+}
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -5,6 +5,7 @@
 use crate::in_flight::FlightEntry;
 use crate::load_watch::{DEFAULT_POLL_INTERVAL, listen_for_leaving, start_load_watch};
 use crate::parts::EntryParts;
+use crate::sample_queue::start_offers;
 use crate::state::EntryState;
 use oleander_adapters::admin::AdminPort;
 use oleander_adapters::http_server::{HttpHandler, HttpServer};
@@ -109,6 +110,7 @@
     pub async fn serve(self, stop: impl Future<Output = ()>) {
         let Self { state, server, drain, poll } = self;
         let watch = start_load_watch(&state, poll);
+        let offers = start_offers(&state);
         let drained = async {
             stop.await;
             log::info!("entry_draining in_flight={}", state.flights.len());
@@ -119,6 +121,7 @@
         server.serve(drained).await;
         state.flights.wait_empty().await;
         watch.abort();
+        offers.abort();
         log::info!("entry_stopped");
     }
 }
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -7,6 +7,7 @@
 use crate::metrics::{EntryMetrics, StandingFigures};
 use crate::parts::EntryParts;
 use crate::request_trace::TraceRing;
+use crate::sample_queue::SampleQueue;
 use crate::session_pin::{NamedSessions, SESSION_LIFETIME};
 use crate::upstream_book::UpstreamBook;
 use oleander_core::catalog::Snapshot;
@@ -41,6 +42,8 @@
     pub named_sessions: NamedSessions,
     /// Requests in flight.
     pub flights: FlightBook,
+    /// Answers that wait to be offered for rating.
+    pub samples: SampleQueue,
     /// Records of the latest requests.
     pub traces: TraceRing,
     /// Metrics.
@@ -63,6 +66,7 @@
             limits: AccountLimits::default(),
             named_sessions: NamedSessions::default(),
             flights: FlightBook::default(),
+            samples: SampleQueue::default(),
             traces: TraceRing::default(),
             metrics: EntryMetrics::new(),
             hints: Mutex::new(PrefixHints::new(PREFIX_HINTS)),
