Prove leases, roll-outs, orders, the host list and operators' sessions under failure

Cause: the steward had no test of the failures that it is for.

A first run of the order test stood still for 60 s: a load that is undone before the reconciler saw it counts as under way for LOAD_TIMEOUT (120 s). That is what is wanted of slow loads; the test now waits until the load was seen.

Changed besides: times are printed as dates.

--- /dev/null
+++ b/crates/steward/tests/support/mod.rs
@@ -0,0 +1,158 @@
+//! What the tests of this crate share.
+#![allow(dead_code)]
+
+use oleander_catalog::records::PublishId;
+use oleander_catalog::store::CatalogStore;
+use oleander_catalog::{
+    CatalogFile, CatalogPublisher, FixedCatalog, PublishRequest, parse_catalog,
+};
+use oleander_core::catalog::Catalog;
+use oleander_core::catalog::edit::{CatalogEdit, apply_edit};
+use oleander_core::catalog::objects::{Rollout, RolloutPhase, RolloutStep};
+use oleander_core::ids::{HostId, RequestId, RolloutName, VersionName};
+use oleander_core::units::{Millis, Timestamp};
+use oleander_ports::catalog::CatalogPort;
+use oleander_ports::clock::{ClockPort, RuntimeClock};
+use oleander_ports::ratings::{AnswerSample, RatingPort};
+use oleander_standin::fakes::{FakeMembers, FakePeers};
+use oleander_standin::memory::{
+    MemoryHosts, MemoryObjects, MemoryRatings, MemoryTable, MemoryWeights,
+};
+use oleander_steward::{StewardNode, StewardParts};
+use std::sync::Arc;
+use std::time::Duration;
+
+const SMALL: &str = include_str!("../../../core/tests/data/small.jsonc");
+
+pub fn small_catalog() -> Catalog {
+    parse_catalog(&[CatalogFile::new("small.jsonc", SMALL)]).unwrap().0
+}
+
+pub fn version(name: &str) -> VersionName {
+    VersionName::new(name).unwrap()
+}
+
+pub fn rollout_name() -> RolloutName {
+    RolloutName::new("spring").unwrap()
+}
+
+/// The small catalog with a roll-out of `menu-large@2` under way.
+pub fn catalog_with_rollout() -> Catalog {
+    let step = |share, ratings| RolloutStep { share, ratings, hold: Millis::new(2_000) };
+    let rollout = Rollout {
+        model: "menu-large".parse().unwrap(),
+        from: version("menu-large@1"),
+        to: version("menu-large@2"),
+        steps: vec![step(0.02, 20), step(0.2, 50), step(1.0, 100)],
+        step: 0,
+        phase: RolloutPhase::Running,
+    };
+    let start = CatalogEdit::StartRollout { name: rollout_name(), rollout };
+    apply_edit(&small_catalog(), &start).unwrap()
+}
+
+/// The platform in memory, a clock and any number of stewards.
+pub struct World {
+    pub table: MemoryTable,
+    pub objects: MemoryObjects,
+    pub ratings: MemoryRatings,
+    pub weights: MemoryWeights,
+    pub hosts: MemoryHosts,
+    pub members: FakeMembers,
+    pub peers: FakePeers,
+    pub clock: Arc<dyn ClockPort>,
+    samples: std::sync::atomic::AtomicU64,
+}
+
+impl World {
+    pub fn new() -> Self {
+        Self {
+            table: MemoryTable::new(),
+            objects: MemoryObjects::new(),
+            ratings: MemoryRatings::new(),
+            weights: MemoryWeights::new(),
+            hosts: MemoryHosts::new(),
+            members: FakeMembers::new(),
+            peers: FakePeers::new(),
+            clock: Arc::new(RuntimeClock::new(Timestamp::from_millis(1_800_000_000_000))),
+            samples: 0.into(),
+        }
+    }
+
+    pub fn parts(&self, catalog: Arc<dyn CatalogPort>) -> StewardParts {
+        StewardParts {
+            table: Arc::new(self.table.clone()),
+            objects: Arc::new(self.objects.clone()),
+            ratings: Arc::new(self.ratings.clone()),
+            weights: Arc::new(self.weights.clone()),
+            hosts: Arc::new(self.hosts.clone()),
+            members: Arc::new(self.members.clone()),
+            peers: Arc::new(self.peers.clone()),
+            catalog,
+            clock: Arc::clone(&self.clock),
+        }
+    }
+
+    /// A steward that has no upstreams to order.
+    pub fn steward(&self, number: u64) -> StewardNode {
+        let parts = self.parts(Arc::new(FixedCatalog::new(Catalog::default())));
+        StewardNode::start(parts, &host(number), number * 1_000)
+    }
+
+    pub fn publisher(&self) -> CatalogPublisher {
+        let (table, objects) = (Arc::new(self.table.clone()), Arc::new(self.objects.clone()));
+        CatalogPublisher::new(table, objects, Arc::clone(&self.clock))
+    }
+
+    pub fn store(&self) -> CatalogStore {
+        self.publisher().store().clone()
+    }
+
+    pub async fn publish(&self, catalog: &Catalog) {
+        let base = self.store().head().await.unwrap().revision();
+        let id = PublishId::new(u128::from(base.get()) + 1);
+        self.publisher().publish(catalog, PublishRequest::new(id, "kim", base)).await.unwrap();
+    }
+
+    pub async fn head_catalog(&self) -> Catalog {
+        let head = self.store().head().await.unwrap();
+        self.store().catalog(head.record.as_ref()).await.unwrap()
+    }
+
+    pub async fn rollout(&self) -> Rollout {
+        self.head_catalog().await.rollouts[&rollout_name()].clone()
+    }
+
+    /// Offers answers of a version for rating.
+    pub async fn answer(&self, name: &str, count: u64) {
+        let first = self.samples.fetch_add(count, std::sync::atomic::Ordering::SeqCst);
+        let sample = |number: u64| AnswerSample {
+            request: RequestId::new(self.clock.now(), u128::from(first + number)),
+            cascade: "menu-plan".parse().unwrap(),
+            version: version(name),
+            text: "an answer".into(),
+        };
+        self.ratings.submit((0..count).map(sample).collect()).await.unwrap();
+    }
+
+    /// Lets both versions of the roll-out answer for some seconds.
+    pub async fn run(&self, seconds: u64, answers_a_second: u64) {
+        for _ in 0..seconds {
+            self.answer("menu-large@1", answers_a_second).await;
+            self.answer("menu-large@2", answers_a_second).await;
+            pass(1.0).await;
+        }
+    }
+
+    pub fn set_quality(&self, name: &str, quality: f64) {
+        self.ratings.set_quality(&"menu-plan".parse().unwrap(), &version(name), quality);
+    }
+}
+
+pub fn host(number: u64) -> HostId {
+    HostId::new(&format!("host-{number}.steward")).unwrap()
+}
+
+pub async fn pass(seconds: f64) {
+    tokio::time::sleep(Duration::from_secs_f64(seconds)).await;
+}
--- a/src/bin/oleander-ctl/main.rs
+++ b/src/bin/oleander-ctl/main.rs
@@ -4,6 +4,7 @@
 mod cli;
 mod client;
 mod commands;
+mod dates;
 mod exit_codes;
 mod failure;
 mod render;
--- a/src/bin/oleander-ctl/render.rs
+++ b/src/bin/oleander-ctl/render.rs
@@ -1,5 +1,6 @@
 //! Text for people.
 
+use crate::dates::to_text;
 use oleander_catalog::records::RevisionRecord;
 use oleander_core::catalog::Catalog;
 use oleander_core::catalog::diff::DiffEntry;
@@ -77,7 +78,7 @@
         "revision {} by {} at {} ({} objects{restricts}){note}",
         record.revision,
         record.author,
-        record.published_at,
+        to_text(record.published_at),
         record.objects.len()
     )
 }
