--- a/crates/entry/src/entry_process.rs
+++ b/crates/entry/src/entry_process.rs
@@ -1,16 +1,19 @@
 //! An entry put together from the process's settings.
 
-use crate::even_shares::EvenShares;
 use crate::parts::EntryParts;
 use crate::server::{EntryServer, EntryView};
 use anyhow::Context;
 use oleander_adapters::http_server::HttpServer;
 use oleander_catalog::QualityFollower;
 use oleander_core::choice_mode::ChoiceMode;
+use oleander_core::ids::Revision;
 use oleander_host::RunningHost;
 use oleander_ledger::LedgerClient;
+use oleander_peers::{ShareService, ShareSettings};
 use oleander_ports::catalog::CatalogPort;
 use oleander_ports::claims::ClaimPort;
+use oleander_ports::members::{Member, MemberRole, MemberState};
+use oleander_ports::peers::PeerChannel;
 use oleander_ports::usage::UsagePort;
 use std::future::Future;
 use std::net::SocketAddr;
@@ -29,6 +32,7 @@
 /// A running entry.
 pub struct EntryProcess {
     host: RunningHost,
+    shares: ShareService,
     server: EntryServer,
     admin: HttpServer,
     caller_address: SocketAddr,
@@ -46,11 +50,13 @@
         let wanted = settings.caller_address.context("caller_address is missing")?;
         anyhow::ensure!(!settings.session_keys.is_empty(), "session_keys is empty");
         let drain = Duration::from_secs(settings.drain_seconds);
-        let server = EntryServer::bind(entry_parts(&host, mode), wanted).await?.with_drain(drain);
+        let shares = start_shares(&host);
+        let parts = entry_parts(&host, &shares, mode);
+        let server = EntryServer::bind(parts, wanted).await?.with_drain(drain);
         let caller_address = server.address()?;
         let admin = server.admin_port().bind(settings.admin_address).await?;
         let admin_address = admin.address()?;
-        Ok(Self { host, server, admin, caller_address, admin_address })
+        Ok(Self { host, shares, server, admin, caller_address, admin_address })
     }
 
     /// The callers' address that was bound.
@@ -84,7 +90,7 @@
         stop: impl Future<Output = ()>,
         cut: impl Future<Output = ()>,
     ) -> EntryStop {
-        let Self { host, server, admin, .. } = self;
+        let Self { host, shares, server, admin, .. } = self;
         let view = server.view();
         let admin = tokio::spawn(admin.serve(std::future::pending()));
         let ended = tokio::select! {
@@ -95,17 +101,41 @@
             view.log_cut();
         }
         admin.abort();
+        drop(shares);
         host.stop().await;
         ended
     }
 }
 
-fn entry_parts(host: &RunningHost, mode: ChoiceMode) -> EntryParts {
+/// Starts to report this entry's demand and to take its shares.
+fn start_shares(host: &RunningHost) -> ShareService {
+    let settings = &host.settings;
+    let me = Member {
+        id: settings.id.clone(),
+        incarnation: host.incarnation,
+        role: MemberRole::Entry,
+        region: settings.region.clone(),
+        domain: settings.domain.clone(),
+        address: host.peers.address(),
+        state: MemberState::Alive,
+        revision: Revision::default(),
+    };
+    let shares = ShareService::start(ShareSettings {
+        me,
+        catalog: Arc::clone(&host.catalog) as Arc<dyn CatalogPort>,
+        members: host.members(),
+        calls: host.calls(),
+        clock: Arc::clone(&host.clock),
+    });
+    host.peers.handle(PeerChannel::Shares, shares.handler());
+    shares
+}
+
+fn entry_parts(host: &RunningHost, shares: &ShareService, mode: ChoiceMode) -> EntryParts {
     let (settings, clock) = (&host.settings, Arc::clone(&host.clock));
     let catalog = Arc::clone(&host.catalog) as Arc<dyn CatalogPort>;
     let ledger = LedgerClient::new(host.calls(), host.members(), Arc::clone(&clock), host.seed)
         .with_region(settings.region.clone());
-    let shares = EvenShares::new(Arc::clone(&catalog), host.members());
     let quality = QualityFollower::new(host.calls(), host.members(), host.seed);
     EntryParts {
         id: settings.id.clone(),
@@ -117,7 +147,7 @@
         claims: Arc::new(ledger) as Arc<dyn ClaimPort>,
         members: host.members(),
         ratings: Arc::clone(&host.platform.ratings),
-        shares: Arc::new(shares),
+        shares: shares.port(),
         quality: Arc::new(quality),
         table: Arc::clone(&host.platform.table),
         clock,
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -17,7 +17,6 @@
 mod chat_run;
 mod engine_chunk;
 mod entry_process;
-mod even_shares;
 mod findings;
 mod handler;
 mod headers;
@@ -48,7 +47,6 @@
 mod version_run;
 
 pub use entry_process::{EntryProcess, EntryStop};
-pub use even_shares::EvenShares;
 pub use parts::EntryParts;
 pub use refusal::Refusal;
 pub use server::{EntryServer, EntryView};
