--- /dev/null
+++ b/crates/peers/tests/silence.rs
@@ -0,0 +1,160 @@
+//! Silent, closed and overloaded connections: what callers are told is true.
+
+mod support;
+
+use oleander_peers::frame::{FrameHead, FrameReader, FrameWriter, ReplyOutcome};
+use oleander_peers::handshake::welcome;
+use oleander_peers::keys::KeyRing;
+use oleander_peers::{PeerCounters, PeerLimits, PeerNode};
+use oleander_ports::peers::{PeerChannel, PeerError, PeerHandler};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
+use support::{echo, finished, key, quick, settings, start, until};
+use tokio::net::TcpListener;
+use tokio::sync::Notify;
+
+const SECOND: Duration = Duration::from_secs(1);
+
+/// A peer whose first connection goes silent after `answers` calls; later ones work.
+async fn half_deaf(answers: usize) -> (SocketAddr, Arc<AtomicUsize>) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("it binds");
+    let me = listener.local_addr().expect("it is bound");
+    let received = Arc::new(AtomicUsize::new(0));
+    let count = Arc::clone(&received);
+    tokio::spawn(async move {
+        let mut answered = answers;
+        while let Ok((stream, _)) = listener.accept().await {
+            tokio::spawn(serve(stream, me, answered, Arc::clone(&count)));
+            answered = usize::MAX;
+        }
+    });
+    (me, received)
+}
+
+async fn serve(
+    mut stream: tokio::net::TcpStream,
+    me: SocketAddr,
+    answers: usize,
+    received: Arc<AtomicUsize>,
+) {
+    let ring = KeyRing::new(&[key("k1")], "tcp").expect("there is a key");
+    let keys = welcome(&mut stream, &ring, me).await.expect("it greets");
+    let (read, write) = stream.into_split();
+    let counters = Arc::new(PeerCounters::default());
+    let mut reader = FrameReader::new(read, keys.outward, None, Arc::clone(&counters));
+    let mut writer = FrameWriter::new(write, keys.backward, counters);
+    let mut answered = 0;
+    while let Ok(frame) = reader.read().await {
+        let head = match frame.head {
+            FrameHead::Call { number, .. } => {
+                received.fetch_add(1, Ordering::SeqCst);
+                answered += 1;
+                FrameHead::Reply { number, outcome: ReplyOutcome::Done }
+            }
+            _ => FrameHead::Pong,
+        };
+        if answered <= answers {
+            let _ = writer.write(&head, &frame.body).await;
+        }
+        if answered >= answers && answers != usize::MAX {
+            // Nothing more is read or sent, and nothing is closed.
+            std::future::pending::<()>().await;
+        }
+    }
+}
+
+#[tokio::test]
+async fn an_idempotent_call_on_a_silent_connection_is_tried_on_a_new_one() {
+    let (peer, received) = half_deaf(0).await;
+    let node = start("a.entry", vec![]).await;
+    let calls = node.calls();
+    let call = calls.call(peer, PeerChannel::Status, vec![5], SECOND * 30);
+    assert_eq!(finished(call).await, Ok(vec![5]));
+    assert_eq!(node.counters().calls_retried.get(), 1);
+    assert!(received.load(Ordering::SeqCst) >= 1);
+}
+
+#[tokio::test]
+async fn a_call_that_may_not_be_repeated_is_unknown_and_the_next_finds_a_new_connection() {
+    let (peer, received) = half_deaf(1).await;
+    let node = start("a.entry", vec![]).await;
+    let calls = node.calls();
+    let first = calls.call(peer, PeerChannel::Claims, vec![1], SECOND * 30);
+    assert_eq!(finished(first).await, Ok(vec![1]));
+    let second = finished(calls.call(peer, PeerChannel::Claims, vec![2], SECOND * 2)).await;
+    assert!(matches!(second, Err(PeerError::Unknown(_))), "{second:?}");
+    let third = calls.call(peer, PeerChannel::Claims, vec![3], SECOND * 30);
+    assert_eq!(finished(third).await, Ok(vec![3]));
+    assert_eq!(received.load(Ordering::SeqCst), 2, "the second call was sent again");
+    assert_eq!(node.counters().connections_out.get(), 2);
+}
+
+#[tokio::test]
+async fn a_connection_that_falls_silent_while_idle_is_found_before_the_next_call() {
+    let (peer, _) = half_deaf(1).await;
+    let node = start("a.entry", vec![]).await;
+    let calls = node.calls();
+    let first = calls.call(peer, PeerChannel::Claims, vec![1], SECOND * 30);
+    assert_eq!(finished(first).await, Ok(vec![1]));
+    until("the silence is found", || node.counters().silent_connections.get() == 1).await;
+    let next = calls.call(peer, PeerChannel::Claims, vec![2], SECOND * 30);
+    assert_eq!(finished(next).await, Ok(vec![2]));
+}
+
+#[tokio::test]
+async fn a_peer_that_restarts_is_called_on_a_new_connection() {
+    let first =
+        PeerNode::start(settings("a.entry", vec![]), vec![echo()]).await.expect("it starts");
+    let node = start("b.entry", vec![]).await;
+    let calls = node.calls();
+    let address = first.address();
+    let call = || calls.call(address, PeerChannel::Status, vec![1], SECOND * 30);
+    assert_eq!(finished(call()).await, Ok(vec![1]));
+    first.stop().await;
+    drop(first);
+    let mut again = settings("a.entry", vec![]);
+    again.me.address = address;
+    let again = PeerNode::start(again, vec![echo()]).await.expect("the port is free");
+    assert_eq!(finished(call()).await, Ok(vec![1]));
+    drop(again);
+}
+
+#[tokio::test]
+async fn too_many_calls_are_refused_and_a_failing_handler_ends_only_its_call() {
+    let release = Arc::new(Notify::new());
+    let waits = Arc::clone(&release);
+    let slow: PeerHandler = Arc::new(move |body: Vec<u8>| {
+        let waits = Arc::clone(&waits);
+        Box::pin(async move {
+            assert!(body != [9], "a handler that fails");
+            waits.notified().await;
+            Ok(body)
+        })
+    });
+    let limits = PeerLimits { handlers: 1, ..quick() };
+    let busy = settings("a.entry", vec![]).with_limits(limits);
+    let server = PeerNode::start(busy, vec![(PeerChannel::Usage, slow)]).await.expect("it starts");
+    let node = start("b.entry", vec![]).await;
+    let calls = node.calls();
+    let call = |body: u8| {
+        let (calls, address) = (Arc::clone(&calls), server.address());
+        tokio::spawn(async move {
+            calls.call(address, PeerChannel::Usage, vec![body], SECOND * 30).await
+        })
+    };
+    let failed = finished(call(9)).await.expect("it ends");
+    assert!(matches!(failed, Err(PeerError::Unknown(_))), "{failed:?}");
+
+    let (first, second) = (call(1), call(2));
+    let (ended, other) = tokio::select! {
+        ended = first => (ended, 2),
+        ended = second => (ended, 1),
+    };
+    let refused = ended.expect("it ends");
+    assert!(matches!(refused, Err(PeerError::Refused(_))), "call {other} waits: {refused:?}");
+    assert_eq!(server.counters().calls_shed.get(), 1);
+    release.notify_one();
+    until("the handler ended", || Arc::strong_count(&release) == 2).await;
+}
