--- a/crates/entry/src/chat.rs
+++ b/crates/entry/src/chat.rs
@@ -188,6 +188,7 @@
         account: ctx.account.name.clone(),
         target: Arc::from(ctx.body.target.as_str()),
         started_at: ctx.now(),
+        key: ctx.body.options.key.clone(),
     });
     let frame = ReplyFrame::new(&ctx);
     let stream = ctx.body.stream;
--- a/crates/entry/src/chat_reply.rs
+++ b/crates/entry/src/chat_reply.rs
@@ -3,8 +3,9 @@
 use crate::answer_sink::{AnswerEnd, AnswerHead, ChatEvent};
 use crate::chat_context::ChatContext;
 use crate::headers::{
-    COST_HEADER, REQUEST_HEADER, SESSION_HEADER, STEP_HEADER, VERSION_HEADER, set_header,
+    COST_HEADER, SESSION_HEADER, STEP_HEADER, VERSION_HEADER, set_header, set_identity,
 };
+use crate::identity::RequestIdentity;
 use crate::message_merge::MessageMerge;
 use crate::refusal::Refusal;
 use crate::state::EntryState;
@@ -14,7 +15,6 @@
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::Frame;
 use oleander_adapters::http_server::{BodyError, ResponseBody, json_response};
-use oleander_core::ids::RequestId;
 use oleander_core::reason::{Reason, RunState};
 use oleander_core::units::Timestamp;
 use serde::Serialize;
@@ -25,8 +25,7 @@
 /// What frames every answer of one request.
 pub struct ReplyFrame {
     state: Arc<EntryState>,
-    run: RequestId,
-    billed: RequestId,
+    ids: RequestIdentity,
     started_at: Timestamp,
     include_usage: bool,
 }
@@ -36,15 +35,14 @@
     pub fn new(ctx: &ChatContext) -> Self {
         Self {
             state: Arc::clone(&ctx.state),
-            run: ctx.ids.run,
-            billed: ctx.ids.billed,
+            ids: ctx.ids,
             started_at: ctx.now(),
             include_usage: ctx.body.include_usage,
         }
     }
 
     fn chat_id(&self) -> String {
-        format!("chatcmpl-{:032x}", self.run.get())
+        format!("chatcmpl-{:032x}", self.ids.run.get())
     }
 
     const fn created(&self) -> u64 {
@@ -61,7 +59,7 @@
     }
 
     fn add_request(&self, headers: &mut HeaderMap) {
-        set_header(headers, REQUEST_HEADER, &self.billed.to_string());
+        set_identity(headers, self.ids);
     }
 
     fn refuse(&self, refusal: &Refusal) -> Response<ResponseBody> {
@@ -287,7 +285,7 @@
         out.put_slice(b"data: ");
         let mut writer = out.writer();
         if serde_json::to_writer(&mut writer, &chunk).is_err() {
-            log::error!("chunk_not_written request={}", self.frame.run);
+            log::error!("chunk_not_written request={}", self.frame.ids.run);
         }
         out.put_slice(b"\n\n");
     }
--- a/crates/entry/src/entry_process.rs
+++ b/crates/entry/src/entry_process.rs
@@ -7,6 +7,7 @@
 use oleander_catalog::QualityFollower;
 use oleander_core::choice_mode::ChoiceMode;
 use oleander_core::ids::Revision;
+use oleander_history::HistoryRecorder;
 use oleander_host::RunningHost;
 use oleander_ledger::LedgerClient;
 use oleander_peers::{ShareService, ShareSettings};
@@ -40,19 +41,25 @@
 }
 
 impl EntryProcess {
-    /// Binds the callers' port and the admin port of a host.
+    /// Binds the callers' port and the admin port of a host. `recorder` gets each request that
+    /// is admitted.
     ///
     /// # Errors
     ///
     /// When the settings name no callers' port or no session key, or a port cannot be bound.
-    pub async fn start(host: RunningHost, mode: ChoiceMode) -> anyhow::Result<Self> {
+    pub async fn start(
+        host: RunningHost,
+        mode: ChoiceMode,
+        recorder: HistoryRecorder,
+    ) -> anyhow::Result<Self> {
         let settings = &host.settings;
         let wanted = settings.caller_address.context("caller_address is missing")?;
         anyhow::ensure!(!settings.session_keys.is_empty(), "session_keys is empty");
         let drain = Duration::from_secs(settings.drain_seconds);
         let shares = start_shares(&host);
         let parts = entry_parts(&host, &shares, mode);
-        let server = EntryServer::bind(parts, wanted).await?.with_drain(drain);
+        let server = EntryServer::bind(parts, wanted).await?;
+        let server = server.with_drain(drain).with_recorder(recorder);
         let caller_address = server.address()?;
         let admin = server.admin_port().bind(settings.admin_address).await?;
         let admin_address = admin.address()?;
--- a/crates/entry/src/in_flight.rs
+++ b/crates/entry/src/in_flight.rs
@@ -1,9 +1,9 @@
 //! Requests in flight, for a stop that cuts none of them.
 
-use oleander_core::ids::{AccountName, RequestId};
+use oleander_core::ids::{AccountName, IdempotencyKey, RequestId};
 use oleander_core::units::Timestamp;
 use std::collections::BTreeMap;
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use tokio::sync::Notify;
 
 /// A request in flight.
@@ -17,6 +17,8 @@
     pub target: Arc<str>,
     /// When it came.
     pub started_at: Timestamp,
+    /// The caller's key.
+    pub key: Option<IdempotencyKey>,
 }
 
 /// Requests in flight. Clones share them.
@@ -25,20 +27,32 @@
     shared: Arc<FlightShared>,
 }
 
+/// Told of each request that enters.
+pub type FlightListener = Box<dyn Fn(&FlightEntry) + Send + Sync>;
+
 #[derive(Default)]
 struct FlightShared {
     entries: Mutex<BTreeMap<RequestId, FlightEntry>>,
     ended: Notify,
+    listener: OnceLock<FlightListener>,
 }
 
 impl FlightBook {
     /// Enters a request; it leaves when the ticket is dropped.
     pub fn enter(&self, entry: FlightEntry) -> FlightTicket {
+        if let Some(listener) = self.shared.listener.get() {
+            listener(&entry);
+        }
         let request = entry.request;
         self.lock().insert(request, entry);
         FlightTicket { book: self.clone(), request }
     }
 
+    /// Tells `listener` of each request from now on; only the first listener counts.
+    pub fn listen(&self, listener: FlightListener) {
+        let _ = self.shared.listener.set(listener);
+    }
+
     /// Every request in flight, oldest first.
     pub fn entries(&self) -> Vec<FlightEntry> {
         self.lock().values().cloned().collect()
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -20,7 +20,7 @@
 mod findings;
 mod handler;
 mod headers;
-mod identity;
+pub mod identity;
 mod in_flight;
 mod load_watch;
 mod message_merge;
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -61,9 +61,9 @@
     fn encode(&self, mut encoder: DescriptorEncoder<'_>) -> Result<(), fmt::Error> {
         let figures = (self.read)();
         let gauges = [
-            ("oleander_entry_in_flight", "Requests in flight", figures.in_flight as i64),
-            ("oleander_entry_revision", "Catalog revision in force", figures.revision as i64),
-            ("oleander_entry_draining", "1 while stopping", i64::from(figures.draining)),
+            ("in_flight", "Requests in flight", figures.in_flight as i64),
+            ("revision", "Catalog revision in force", figures.revision as i64),
+            ("draining", "1 while stopping", i64::from(figures.draining)),
         ];
         for (name, help, value) in gauges {
             let gauge = ConstGauge::new(value);
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -9,6 +9,7 @@
 use crate::state::EntryState;
 use oleander_adapters::admin::AdminPort;
 use oleander_adapters::http_server::{HttpHandler, HttpServer};
+use oleander_history::{HistoryRecorder, SeenEvent};
 use std::future::Future;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -43,7 +44,8 @@
 
     /// Logs each request in flight, as when the process ends without waiting for them.
     pub fn log_cut(&self) {
-        for FlightEntry { request, account, target, started_at } in self.state.flights.entries() {
+        for FlightEntry { request, account, target, started_at, .. } in self.state.flights.entries()
+        {
             let age = self.state.parts.clock.now().since(started_at);
             log::error!(
                 "request_cut request={request} account={account} target={target} age={age:?}"
@@ -79,6 +81,20 @@
         self
     }
 
+    /// Records each request that is admitted.
+    #[must_use]
+    pub fn with_recorder(self, recorder: HistoryRecorder) -> Self {
+        let (clock, host) = (Arc::clone(&self.state.parts.clock), self.state.parts.id.clone());
+        self.state.flights.listen(Box::new(move |flight| {
+            let FlightEntry { request, account, key, .. } = flight.clone();
+            let host_name = host.clone();
+            let seen =
+                SeenEvent::Admitted { host: host_name, account, request, key, session: None };
+            recorder.record(clock.now(), host.as_str(), seen);
+        }));
+        self
+    }
+
     /// The callers' address that was bound.
     ///
     /// # Errors
--- a/crates/entry/src/service_call.rs
+++ b/crates/entry/src/service_call.rs
@@ -3,7 +3,7 @@
 use crate::account::AccountView;
 use crate::attempt::AttemptFault;
 use crate::billing::{check_room, record_usage};
-use crate::headers::{COST_HEADER, REPLAYED_HEADER, REQUEST_HEADER, set_header};
+use crate::headers::{COST_HEADER, REPLAYED_HEADER, set_header, set_identity};
 use crate::in_flight::FlightEntry;
 use crate::refusal::Refusal;
 use crate::request_trace::{RequestTrace, TraceEvent};
@@ -62,12 +62,13 @@
     check_room(state)?;
     state.limits.admit(state, &request.account.name)?;
     let (sender, receiver) = oneshot::channel();
-    let (state, billed) = (Arc::clone(state), request.ids.billed);
+    let (state, ids) = (Arc::clone(state), request.ids);
     let ticket = state.flights.enter(FlightEntry {
         request: request.ids.run,
         account: request.account.name.clone(),
         target: Arc::clone(&request.item),
         started_at: request.started_at,
+        key: request.key.clone(),
     });
     let span = tracing::info_span!("request", request = %request.ids.run, item = %request.item);
     // A task of its own, so that a caller that goes away does not leave an order half done.
@@ -86,7 +87,7 @@
         Ok(reply) => reply_response(&reply),
         Err(refusal) => refusal.response(),
     };
-    set_header(response.headers_mut(), REQUEST_HEADER, &billed.to_string());
+    set_identity(response.headers_mut(), ids);
     Ok(response)
 }
 
--- a/src/bin/oleander-entry/cli.rs
+++ b/src/bin/oleander-entry/cli.rs
@@ -23,4 +23,8 @@
     /// Seconds from the signal after which requests that are still in flight are cut
     #[arg(long, default_value_t = 300)]
     pub stop_deadline: u64,
+
+    /// File to which each admitted request is appended, for oleander-check; for trials only
+    #[arg(long, value_name = "FILE")]
+    pub history: Option<PathBuf>,
 }
--- a/src/bin/oleander-entry/main.rs
+++ b/src/bin/oleander-entry/main.rs
@@ -3,6 +3,7 @@
 mod cli;
 mod exit_codes;
 
+use anyhow::Context;
 use clap::Parser;
 use cli::Cli;
 use exit_codes::EntryExit;
@@ -11,6 +12,7 @@
 use oleander_adapters::settings::{HostSettings, read_settings};
 use oleander_adapters::signals::StopSignals;
 use oleander_entry::{EntryProcess, EntryStop};
+use oleander_history::HistoryRecorder;
 use oleander_host::RunningHost;
 use oleander_ports::members::MemberRole;
 use std::process::ExitCode;
@@ -35,7 +37,7 @@
     let id = settings.id.clone();
     let mut signals = StopSignals::new()?;
     let host = RunningHost::start(settings, MemberRole::Entry).await?;
-    let process = EntryProcess::start(host, cli.mode).await?;
+    let process = EntryProcess::start(host, cli.mode, new_recorder(cli)?).await?;
     log::info!("entry_ready id={id} callers={} mode={}", process.caller_address(), cli.mode);
     ReadyLine::new(id)
         .with_callers(process.caller_address())
@@ -55,3 +57,8 @@
     };
     Ok(process.serve(stopped, cut).await)
 }
+
+fn new_recorder(cli: &Cli) -> anyhow::Result<HistoryRecorder> {
+    let Some(path) = &cli.history else { return Ok(HistoryRecorder::off()) };
+    HistoryRecorder::to_file(path).with_context(|| format!("cannot write {}", path.display()))
+}
