Write within eight seconds of the store's return; take the settings file as argument

Cause: after a 30 s outage the flush pause had grown past the end of an 8 s wait; 640 answered requests were not on the statements yet. Nothing was lost: the ledgers still held them. Ruled out: lost replies, a killed ledger (its copies were written by the others). Change: the longest pause between writes is 8 s, not 30 s; oleander-ledger takes its settings as an argument, as entry and steward do. Conclusion: statements are whole a few seconds after an outage ends.

--- a/crates/ledger/src/flush_loop.rs
+++ b/crates/ledger/src/flush_loop.rs
@@ -14,7 +14,7 @@
 use std::time::Duration;
 
 /// Longest pause between attempts to write while the table is out.
-pub const MAX_FLUSH_PAUSE: Duration = Duration::from_secs(30);
+pub const MAX_FLUSH_PAUSE: Duration = Duration::from_secs(8);
 /// Most runs that are copied again in one round.
 pub const MAX_RECOPIES: usize = 16;
 
--- a/src/bin/oleander-ledger/cli.rs
+++ b/src/bin/oleander-ledger/cli.rs
@@ -12,7 +12,6 @@
 #[command(name = "oleander-ledger", version)]
 pub struct Cli {
     /// Settings of the host, JSON with comments
-    #[arg(long, value_name = "FILE")]
     pub settings: PathBuf,
 
     /// Megabytes of records that wait for the table before new requests are refused
--- a/tests/ledger_processes.rs
+++ b/tests/ledger_processes.rs
@@ -43,7 +43,6 @@
         let path = std::env::temp_dir().join(name);
         std::fs::write(&path, serde_json::to_string(settings).unwrap()).unwrap();
         let mut child = Command::new(env!("CARGO_BIN_EXE_oleander-ledger"))
-            .arg("--settings")
             .arg(&path)
             .stdout(Stdio::piped())
             .stderr(Stdio::null())
