Run the binaries through a schedule of faults and check the history

Cause: the promises were proved part by part; nothing proved them over separate processes. Change: a test environment of three entries, three ledgers and two stewards before stand-ins in the test; callers with chats, sessions and doubled orders; a schedule that kills an entry, a ledger and a steward, pauses an entry, takes the store down for 30 s, loses replies, silences connections, crosses, cuts, stalls and doubles answers, races operators, withdraws a version, lets an upstream leave and stops an entry. Services record the text of what they ran.

--- a/crates/standin/src/service.rs
+++ b/crates/standin/src/service.rs
@@ -8,8 +8,8 @@
 use oleander_adapters::http_server::{
     HttpHandler, ResponseBody, json_response, read_body, text_response,
 };
-use oleander_core::ids::{Incarnation, UpstreamName};
-use oleander_history::{HistoryRecorder, SeenEvent};
+use oleander_core::ids::{AttemptId, Incarnation, UpstreamName};
+use oleander_history::{HistoryRecorder, SeenEvent, text_digest};
 use oleander_ports::clock::{ClockPort, SystemClock};
 use oleander_ports::upstream::{ATTEMPT_HEADER, LoadReport, NOT_RUN_HEADER};
 use serde_json::json;
@@ -90,6 +90,27 @@
         self.lock().clone()
     }
 
+    /// Notes a run and returns its number, from 1.
+    fn note_run(&self, attempt: &str, item: &str) -> usize {
+        let mut runs = self.lock();
+        let (attempt, item) = (Arc::from(attempt), Arc::from(item));
+        runs.push(RunNote { attempt, item, finished: true });
+        runs.len()
+    }
+
+    fn record(&self, attempt: AttemptId, item: &str, answer: &str, non_idempotent: bool) {
+        let now = SystemClock.now();
+        let upstream = self.name.clone();
+        if non_idempotent {
+            let (upstream, operation) = (upstream.clone(), Arc::from(item));
+            let seen = SeenEvent::OperationRan { upstream, attempt, operation, key: None };
+            self.recorder.record(now, self.name.as_str(), seen);
+        }
+        let answer = text_digest(answer);
+        let seen = SeenEvent::AttemptEnded { upstream, attempt, answer };
+        self.recorder.record(now, self.name.as_str(), seen);
+    }
+
     fn lock(&self) -> MutexGuard<'_, Vec<RunNote>> {
         self.runs.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -140,19 +161,12 @@
         Err(error) => return bad_call(&error.to_string()),
     };
     let sent = attempt.as_ref().and_then(|value| value.to_str().ok()).unwrap_or_default();
-    if recorded && let Ok(attempt) = sent.parse() {
-        let (upstream, operation) = (service.name.clone(), Arc::from(item.as_str()));
-        let seen = SeenEvent::OperationRan { upstream, attempt, operation, key: None };
-        service.recorder.record(SystemClock.now(), service.name.as_str(), seen);
-    }
-    let number = {
-        let mut runs = service.lock();
-        let item = Arc::from(item.as_str());
-        runs.push(RunNote { attempt: Arc::from(sent), item, finished: true });
-        runs.len()
-    };
+    let number = service.note_run(sent, &item);
     let body: serde_json::Value = serde_json::from_slice(&body).unwrap_or_default();
     let answer = json!({ "call": item, "run": number, "received": body });
+    if let Ok(attempt) = sent.parse() {
+        service.record(attempt, &item, &answer.to_string(), recorded);
+    }
     let mut response = json_response(StatusCode::OK, &answer);
     if let Some(attempt) = attempt {
         response.headers_mut().insert(ATTEMPT_HEADER, attempt);
--- /dev/null
+++ b/tests/e2e/main.rs
@@ -0,0 +1,5 @@
+//! End-to-end tests: the real binaries as separate processes, before stand-ins.
+
+mod faults;
+mod processes;
+mod testenv;
--- /dev/null
+++ b/tests/e2e/testenv/caller.rs
@@ -0,0 +1,258 @@
+//! A caller that records what it sees.
+
+use bytes::Bytes;
+use http::{HeaderMap, Request, Response};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use oleander_adapters::http_client::{CallError, HttpClient};
+use oleander_core::ids::{AccountName, IdempotencyKey, RequestId, SessionId};
+use oleander_core::reason::{Reason, RunState};
+use oleander_history::{HistoryRecorder, SeenEvent, text_digest};
+use oleander_ports::clock::{ClockPort, SystemClock};
+use serde_json::Value;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Longest time that a caller waits for a whole answer.
+const PATIENCE: Duration = Duration::from_secs(60);
+
+/// What came back.
+#[derive(Debug)]
+pub struct CallerAnswer {
+    pub status: u16,
+    pub headers: HeaderMap,
+    /// The text of a chat answer, or the body of anything else.
+    pub text: String,
+    /// The error event of a stream that failed after its head was sent.
+    pub stream_error: Option<Value>,
+    /// Whether the answer came whole.
+    pub whole: bool,
+}
+
+impl CallerAnswer {
+    /// A header as text.
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.headers.get(name).and_then(|value| value.to_str().ok())
+    }
+
+    fn parsed<T: std::str::FromStr>(&self, name: &str) -> Option<T> {
+        self.header(name).and_then(|text| text.parse().ok())
+    }
+
+    /// Whether it is a whole answer and no refusal.
+    pub fn is_whole_success(&self) -> bool {
+        self.status == 200 && self.whole && self.stream_error.is_none()
+    }
+
+    /// Whether asking again cannot help.
+    pub fn is_final(&self) -> bool {
+        let again = [409, 429, 502, 503, 504];
+        self.status >= 400 && !again.contains(&self.status)
+            || self.reason() == Some(Reason::OutcomeUnknown)
+    }
+
+    /// The id under which upstreams saw the request.
+    pub fn run(&self) -> Option<RequestId> {
+        self.parsed("x-oleander-run-id").or_else(|| self.parsed("x-oleander-request-id"))
+    }
+
+    /// The reason of a refusal.
+    pub fn reason(&self) -> Option<Reason> {
+        self.parsed("x-oleander-reason")
+    }
+}
+
+/// One client account's client.
+#[derive(Clone)]
+pub struct TestCaller {
+    account: AccountName,
+    key: Arc<str>,
+    client: Arc<HttpClient>,
+    recorder: HistoryRecorder,
+}
+
+impl TestCaller {
+    /// A caller with the key that the example catalog gives the account.
+    pub fn new(account: &str, recorder: &HistoryRecorder) -> Self {
+        Self {
+            account: account.parse().unwrap(),
+            key: Arc::from(format!("curbside-{account}")),
+            client: Arc::new(HttpClient::new()),
+            recorder: recorder.clone(),
+        }
+    }
+
+    /// The client account.
+    pub const fn account(&self) -> &AccountName {
+        &self.account
+    }
+
+    /// The body of a chat request.
+    pub fn chat_body(model: &str, prompt: &str, stream: bool) -> String {
+        let messages = serde_json::json!([{ "role": "user", "content": prompt }]);
+        serde_json::json!({ "model": model, "stream": stream, "messages": messages }).to_string()
+    }
+
+    /// Asks for a chat answer.
+    pub async fn chat(
+        &self,
+        entry: SocketAddr,
+        model: &str,
+        prompt: &str,
+        stream: bool,
+        headers: &[(&str, &str)],
+    ) -> Result<CallerAnswer, CallError> {
+        let body = Self::chat_body(model, prompt, stream);
+        self.call(entry, "/v1/chat/completions", body, headers).await
+    }
+
+    /// Calls an operation of a plain service.
+    pub async fn operation(
+        &self,
+        entry: SocketAddr,
+        operation: &str,
+        body: &str,
+        key: Option<&str>,
+    ) -> Result<CallerAnswer, CallError> {
+        let path = format!("/v1/services/{operation}");
+        let headers: Vec<(&str, &str)> = key.iter().map(|key| ("idempotency-key", *key)).collect();
+        self.call(entry, &path, body.to_owned(), &headers).await
+    }
+
+    /// Sends one request and records what comes back.
+    pub async fn call(
+        &self,
+        entry: SocketAddr,
+        path: &str,
+        body: String,
+        headers: &[(&str, &str)],
+    ) -> Result<CallerAnswer, CallError> {
+        let mut request = Request::post(format!("http://{entry}{path}"))
+            .header("authorization", format!("Bearer {}", self.key))
+            .header("content-type", "application/json");
+        for (name, value) in headers {
+            request = request.header(*name, *value);
+        }
+        let request = request.body(Full::from(body)).unwrap();
+        let response = match self.client.send(request, PATIENCE).await {
+            Ok(response) => response,
+            Err(error) => {
+                self.record_lost(&error);
+                return Err(error);
+            }
+        };
+        let answer = read_answer(response).await;
+        self.record(&answer, headers);
+        Ok(answer)
+    }
+
+    /// A connection that was refused cut nothing.
+    fn record_lost(&self, error: &CallError) {
+        if !matches!(error, CallError::Connect(_)) {
+            self.note(SeenEvent::Cut { host: None, request: None });
+        }
+    }
+
+    fn record(&self, answer: &CallerAnswer, headers: &[(&str, &str)]) {
+        let key = headers.iter().find(|(name, _)| *name == "idempotency-key");
+        let key: Option<IdempotencyKey> = key.and_then(|(_, value)| value.parse().ok());
+        let sent_session = headers.iter().find(|(name, _)| *name == "x-oleander-session");
+        let sent_session = sent_session.map(|(_, token)| *token);
+        let request = answer.run();
+        if let Some(reason) = answer.reason() {
+            let run: RunState = run_state(answer.header("x-oleander-run-state"));
+            let account = Some(self.account.clone());
+            return self.note(SeenEvent::Refused { account, request, key, reason, run });
+        }
+        let Some(request) = request else { return };
+        if let Some(error) = &answer.stream_error {
+            let code = error["error"]["code"].as_str().unwrap_or_default();
+            let reason = code.parse().unwrap_or(Reason::UpstreamFault);
+            let (account, run) = (Some(self.account.clone()), RunState::Partial);
+            let request = Some(request);
+            return self.note(SeenEvent::Refused { account, request, key, reason, run });
+        }
+        if !answer.whole {
+            return self.note(SeenEvent::Cut { host: None, request: Some(request) });
+        }
+        self.note(SeenEvent::Answered {
+            account: self.account.clone(),
+            request,
+            version: answer.parsed("x-oleander-version"),
+            session: sent_session.or(answer.header("x-oleander-session")).and_then(session_name),
+            key,
+            answer: text_digest(&answer.text),
+            expected: None,
+            repeat: answer.header("x-oleander-replayed").is_some(),
+        });
+    }
+
+    fn note(&self, seen: SeenEvent) {
+        self.recorder.record(SystemClock.now(), self.account.as_str(), seen);
+    }
+}
+
+/// A name for the session that a token stands for; tokens are too long for a name.
+fn session_name(token: &str) -> Option<SessionId> {
+    let digest = text_digest(token);
+    SessionId::new(&digest[..32]).ok()
+}
+
+fn run_state(text: Option<&str>) -> RunState {
+    match text {
+        Some("not_run") => RunState::NotRun,
+        Some("done") => RunState::Done,
+        Some("partial") => RunState::Partial,
+        _ => RunState::Unknown,
+    }
+}
+
+async fn read_answer(response: Response<Incoming>) -> CallerAnswer {
+    let (head, mut body) = response.into_parts();
+    let mut bytes = Vec::new();
+    let mut whole = true;
+    let read = async {
+        while let Some(frame) = body.frame().await {
+            let data: Option<Bytes> = frame.ok().and_then(|frame| frame.into_data().ok());
+            match data {
+                Some(data) => bytes.extend_from_slice(&data),
+                None => return false,
+            }
+        }
+        true
+    };
+    whole &= tokio::time::timeout(PATIENCE, read).await.unwrap_or(false);
+    let kind = head.headers.get("content-type").and_then(|value| value.to_str().ok());
+    let streamed = kind.is_some_and(|kind| kind.starts_with("text/event-stream"));
+    let raw = String::from_utf8_lossy(&bytes).into_owned();
+    let mut answer = CallerAnswer {
+        status: head.status.as_u16(),
+        headers: head.headers,
+        text: raw.clone(),
+        stream_error: None,
+        whole,
+    };
+    if streamed {
+        read_stream(&raw, &mut answer);
+    } else if let Ok(value) = serde_json::from_str::<Value>(&raw)
+        && let Some(content) = value["choices"][0]["message"]["content"].as_str()
+    {
+        answer.text = content.to_owned();
+    }
+    answer
+}
+
+fn read_stream(raw: &str, answer: &mut CallerAnswer) {
+    let events: Vec<&str> =
+        raw.split("\n\n").filter_map(|event| event.trim_start().strip_prefix("data: ")).collect();
+    answer.whole &= events.last() == Some(&"[DONE]");
+    answer.text.clear();
+    for value in events.iter().filter_map(|event| serde_json::from_str::<Value>(event).ok()) {
+        if value.get("error").is_some() {
+            answer.stream_error = Some(value);
+        } else if let Some(content) = value["choices"][0]["delta"]["content"].as_str() {
+            answer.text.push_str(content);
+        }
+    }
+}
