--- a/crates/core/src/ledger/shard.rs
+++ b/crates/core/src/ledger/shard.rs
@@ -30,6 +30,13 @@
         (0..SHARD_COUNT).map(Self)
     }
 
+    /// Stands for all claims when ledgers are ranked. Claims of every client account go to one
+    /// ledger of a region, where they share transactions.
+    #[must_use]
+    pub const fn of_claims() -> Self {
+        Self(SHARD_COUNT)
+    }
+
     /// Rendezvous score of a ledger for this shard; the highest ranks first.
     #[must_use]
     pub fn score(self, host: &HostId) -> u64 {
--- a/crates/ledger/src/claim_keeper.rs
+++ b/crates/ledger/src/claim_keeper.rs
@@ -11,7 +11,7 @@
 use tokio::sync::oneshot;
 
 /// Time that a claim waits for others to share its transaction.
-pub const CLAIM_GROUPING: Duration = Duration::from_millis(4);
+pub const CLAIM_GROUPING: Duration = Duration::from_millis(20);
 /// Most claims that wait at once; more are refused.
 pub const MAX_WAITING_CLAIMS: usize = 4096;
 
--- a/crates/ledger/src/client.rs
+++ b/crates/ledger/src/client.rs
@@ -2,7 +2,7 @@
 
 use crate::ranking::ledgers_for;
 use crate::wire::{ClaimCall, ClaimReply, UsageCall, UsageReply, from_wire, to_wire};
-use oleander_core::ids::{AccountName, HostId, RegionName};
+use oleander_core::ids::{HostId, RegionName};
 use oleander_core::ledger::shard::ShardId;
 use oleander_core::units::Timestamp;
 use oleander_core::usage::UsageRecord;
@@ -67,9 +67,9 @@
         self
     }
 
-    fn candidates(&self, account: &AccountName) -> Vec<Member> {
+    fn candidates(&self, shard: ShardId) -> Vec<Member> {
         let members = self.members.members();
-        let mut ledgers = ledgers_for(&members, ShardId::of(account), self.region.as_ref());
+        let mut ledgers = ledgers_for(&members, shard, self.region.as_ref());
         let (now, penalties) = (self.clock.now(), self.lock());
         ledgers.sort_by_key(|ledger| penalties.worst_until(&ledger.id) > now);
         ledgers
@@ -100,7 +100,7 @@
         let account = record.account.clone();
         let body = to_wire(&UsageCall::Record(record));
         let mut last = UsageError::NotHeld("no ledger is known".to_owned());
-        for ledger in self.candidates(&account) {
+        for ledger in self.candidates(ShardId::of(&account)) {
             if self.clock.now().since(started) >= RECORD_GIVE_UP {
                 break;
             }
@@ -137,14 +137,10 @@
 
     /// Asks ledgers until one answers. A ledger that answers speaks for the table, so its
     /// refusal is final.
-    async fn ask_claim(
-        &self,
-        account: &AccountName,
-        call: &ClaimCall,
-    ) -> Result<ClaimReply, ClaimError> {
+    async fn ask_claim(&self, call: &ClaimCall) -> Result<ClaimReply, ClaimError> {
         let body = to_wire(call);
         let mut last = "no ledger is known".to_owned();
-        for ledger in self.candidates(account).into_iter().take(MAX_CLAIM_TRIES) {
+        for ledger in self.candidates(ShardId::of_claims()).into_iter().take(MAX_CLAIM_TRIES) {
             let call =
                 self.peers.call(ledger.address, PeerChannel::Claims, body.clone(), CLAIM_DEADLINE);
             match call.await.and_then(|bytes| decoded(&bytes)) {
@@ -160,8 +156,7 @@
     }
 
     async fn claim_now(&self, request: ClaimRequest) -> Result<ClaimOutcome, ClaimError> {
-        let account = request.account.clone();
-        let reply = self.ask_claim(&account, &ClaimCall::Claim(request.clone())).await;
+        let reply = self.ask_claim(&ClaimCall::Claim(request.clone())).await;
         match reply {
             Ok(ClaimReply::Outcome(outcome)) => Ok(outcome),
             Ok(_) => Err(ClaimError("a ledger gave the wrong answer".to_owned())),
@@ -176,13 +171,12 @@
     fn release_later(&self, request: ClaimRequest) {
         let client = self.clone();
         tokio::spawn(async move {
-            let account = request.account.clone();
-            let _ = client.ask_claim(&account, &ClaimCall::Release(request)).await;
+            let _ = client.ask_claim(&ClaimCall::Release(request)).await;
         });
     }
 
-    async fn settle(&self, account: &AccountName, call: ClaimCall) -> Result<(), ClaimError> {
-        match self.ask_claim(account, &call).await? {
+    async fn settle(&self, call: ClaimCall) -> Result<(), ClaimError> {
+        match self.ask_claim(&call).await? {
             ClaimReply::Settled => Ok(()),
             _ => Err(ClaimError("a ledger gave the wrong answer".to_owned())),
         }
@@ -221,16 +215,10 @@
     }
 
     fn release(&self, request: ClaimRequest) -> PortFuture<'_, Result<(), ClaimError>> {
-        Box::pin(async move {
-            let account = request.account.clone();
-            self.settle(&account, ClaimCall::Release(request)).await
-        })
+        Box::pin(self.settle(ClaimCall::Release(request)))
     }
 
     fn mark_unknown(&self, request: ClaimRequest) -> PortFuture<'_, Result<(), ClaimError>> {
-        Box::pin(async move {
-            let account = request.account.clone();
-            self.settle(&account, ClaimCall::MarkUnknown(request)).await
-        })
+        Box::pin(self.settle(ClaimCall::MarkUnknown(request)))
     }
 }
--- a/crates/ledger/tests/billing.rs
+++ b/crates/ledger/tests/billing.rs
@@ -2,10 +2,10 @@
 
 mod support;
 
-use oleander_core::ledger::shard::ShardId;
+use oleander_core::ledger::shard::{ShardId, WindowId};
 use oleander_ledger::flush_loop::HandOver;
 use oleander_ledger::fold_keeper::FoldKeeper;
-use oleander_ledger::{LedgerMetrics, NodeConfig};
+use oleander_ledger::{LedgerMetrics, LedgerPorts, NodeConfig};
 use oleander_ports::members::MemberState;
 use oleander_ports::objects::ObjectPort;
 use oleander_ports::table::TablePort;
@@ -13,7 +13,7 @@
 use oleander_standin::memory::table::MemoryFault;
 use std::sync::Arc;
 use std::time::Duration;
-use support::{Fleet, account, address, record, request};
+use support::{Fleet, LateTable, account, address, record, request};
 
 const ROUND: Duration = Duration::from_secs(5);
 const ADOPTION: Duration = Duration::from_secs(20);
@@ -206,7 +206,7 @@
     assert_eq!(fleet.nodes[0].hand_over().await, HandOver::Incomplete);
 }
 
-fn folder(fleet: &Fleet) -> FoldKeeper {
+fn folder(fleet: &Fleet, ports: &LedgerPorts) -> FoldKeeper {
     let member = &fleet.seen[0];
     let config = NodeConfig::new(
         member.id.clone(),
@@ -214,7 +214,7 @@
         member.domain.clone(),
         member.incarnation,
     );
-    FoldKeeper::new(&config, &fleet.ports(), Arc::new(LedgerMetrics::new()))
+    FoldKeeper::new(&config, ports, Arc::new(LedgerMetrics::new()))
 }
 
 #[tokio::test(start_paused = true)]
@@ -241,7 +241,7 @@
     let fleet = Fleet::new(3);
     send(&fleet, 0..10).await;
     tokio::time::sleep(ROUND).await;
-    let folder = folder(&fleet);
+    let folder = folder(&fleet, &fleet.ports());
     let shard = ShardId::of(&account("north-van"));
     tokio::time::sleep(Duration::from_secs(355)).await;
     fleet.table.inject(MemoryFault::ReplyLost);
@@ -251,6 +251,41 @@
     assert_eq!(billed(&fleet).await, 10);
 }
 
+#[tokio::test(start_paused = true)]
+async fn fold_that_was_overtaken_changes_nothing() {
+    let fleet = Fleet::new(3);
+    send(&fleet, 0..10).await;
+    tokio::time::sleep(ROUND).await;
+    let (shard, window) = (ShardId::of(&account("north-van")), WindowId::of(request(0)));
+    let mut ports = fleet.ports();
+    let delay = Duration::from_secs(4);
+    ports.table = Arc::new(LateTable { table: fleet.table.clone(), delay });
+    let slow = folder(&fleet, &ports);
+    let slow = tokio::spawn(async move { slow.fold_window(shard, window).await });
+    tokio::time::sleep(Duration::from_millis(1)).await;
+    send(&fleet, 10..15).await;
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    assert!(folder(&fleet, &fleet.ports()).fold_window(shard, window).await.unwrap());
+    assert_eq!(slow.await.unwrap(), Ok(false));
+    assert_eq!(billed(&fleet).await, 15);
+}
+
+#[tokio::test(start_paused = true)]
+async fn stopping_ledger_hands_on_the_copies_of_a_lost_one() {
+    let mut fleet = Fleet::new(4);
+    fleet.table.set_down(true);
+    send(&fleet, 0..10).await;
+    let first = fleet.first_for(&account("north-van"));
+    let holds = |index: &usize| fleet.nodes[*index].metrics().backlog_bytes.get() > 0;
+    let backup = (0..4).filter(|index| *index != first).find(holds).unwrap();
+    fleet.kill(first);
+    assert_eq!(fleet.nodes[backup].hand_over().await, HandOver::Copied);
+    fleet.kill(backup);
+    fleet.table.set_down(false);
+    tokio::time::sleep(Duration::from_secs(60)).await;
+    assert_eq!(billed(&fleet).await, 10);
+}
+
 #[tokio::test(start_paused = true)]
 async fn statement_cuts_a_period_within_a_window() {
     let fleet = Fleet::new(3);
--- a/crates/ledger/tests/claims.rs
+++ b/crates/ledger/tests/claims.rs
@@ -9,7 +9,7 @@
 use oleander_standin::memory::table::MemoryFault;
 use std::sync::Arc;
 use std::time::Duration;
-use support::{Fleet, account, address, claim, outcome, record};
+use support::{Fleet, LateTable, account, address, claim, outcome, record};
 
 const ROUND: Duration = Duration::from_secs(5);
 
@@ -51,7 +51,7 @@
 #[tokio::test(start_paused = true)]
 async fn lost_reply_of_a_ledger_is_settled_by_another_ledger() {
     let fleet = Fleet::new(3);
-    let first = fleet.first_for(&account("north-van"));
+    let first = fleet.first_for_claims();
     fleet.peers.set_replies_lost(address(first), true);
     let client = fleet.client();
     assert_eq!(client.claim(claim("order-7", 1, 1)).await.unwrap(), ClaimOutcome::Granted);
@@ -148,6 +148,26 @@
     assert_eq!(fleet.table.counts().transactions - before, 2);
 }
 
+#[tokio::test(start_paused = true)]
+async fn ledgers_that_claim_one_key_at_once_grant_it_once() {
+    let fleet = Fleet::new(1);
+    let late = |millis| {
+        let delay = Duration::from_millis(millis);
+        let table = Arc::new(LateTable { table: fleet.table.clone(), delay });
+        ClaimTable::new(table, fleet.clock.clone())
+    };
+    let (left, right) = (late(50), late(60));
+    let (mine, other) = (claim("order-7", 1, 1), claim("order-7", 1, 2));
+    let (first, second) = tokio::join!(left.claim_one(&mine), right.claim_one(&other));
+    assert_eq!(first.unwrap(), ClaimOutcome::Granted);
+    assert_eq!(second.unwrap(), ClaimOutcome::Held { by: mine.request });
+    let group = [claim("order-8", 1, 3), claim("order-9", 1, 4)];
+    let rivals = [claim("order-8", 1, 5), claim("order-9", 1, 6)];
+    let (first, second) = tokio::join!(left.claim_group(&group), right.claim_group(&rivals));
+    assert!(first.iter().all(|result| *result == Ok(ClaimOutcome::Granted)));
+    assert!(second.iter().all(|result| matches!(result, Ok(ClaimOutcome::Held { .. }))));
+}
+
 #[tokio::test(start_paused = true)]
 async fn one_key_twice_in_a_group_is_granted_once() {
     let fleet = Fleet::new(1);
--- a/crates/ledger/tests/support/mod.rs
+++ b/crates/ledger/tests/support/mod.rs
@@ -4,12 +4,15 @@
 use oleander_core::claim::ClaimRequest;
 use oleander_core::ids::{AccountName, Incarnation, RequestId, Revision};
 use oleander_core::ledger::fold::Statement;
+use oleander_core::ledger::shard::ShardId;
 use oleander_core::reason::RunState;
 use oleander_core::units::{Money, Timestamp, TokenCount};
 use oleander_core::usage::{StoredOutcome, UsageRecord, UsedItem};
 use oleander_ledger::{LedgerClient, LedgerNode, LedgerPorts, NodeConfig, StatementReader};
 use oleander_ports::clock::{ClockPort, RuntimeClock};
 use oleander_ports::members::{Member, MemberRole, MemberState};
+use oleander_ports::table::{TablePort, TableRow, TableTransaction, TransactionOutcome};
+use oleander_ports::{PlatformError, PortFuture};
 use oleander_standin::fakes::{FakeMembers, FakePeers};
 use oleander_standin::memory::{MemoryObjects, MemoryTable};
 use std::net::SocketAddr;
@@ -117,7 +120,15 @@
 
     /// The ledger that is asked first about `account`.
     pub fn first_for(&self, account: &AccountName) -> usize {
-        let shard = oleander_core::ledger::shard::ShardId::of(account);
+        self.first_of(ShardId::of(account))
+    }
+
+    /// The ledger that is asked first about claims.
+    pub fn first_for_claims(&self) -> usize {
+        self.first_of(ShardId::of_claims())
+    }
+
+    fn first_of(&self, shard: ShardId) -> usize {
         let ledgers = oleander_ledger::ranking::ledgers_for(&self.seen, shard, None);
         usize::from(ledgers[0].address.port()) - 1
     }
@@ -185,3 +196,34 @@
         body: b"{\"order\":7}".to_vec(),
     }
 }
+
+/// A table whose transactions take effect late.
+pub struct LateTable {
+    pub table: MemoryTable,
+    pub delay: Duration,
+}
+
+impl TablePort for LateTable {
+    fn transact(
+        &self,
+        transaction: TableTransaction,
+    ) -> PortFuture<'_, Result<TransactionOutcome, PlatformError>> {
+        Box::pin(async move {
+            tokio::time::sleep(self.delay).await;
+            self.table.transact(transaction).await
+        })
+    }
+
+    fn get<'a>(&'a self, key: &'a str) -> PortFuture<'a, Result<Option<TableRow>, PlatformError>> {
+        self.table.get(key)
+    }
+
+    fn scan<'a>(
+        &'a self,
+        start: &'a str,
+        end: &'a str,
+        limit: usize,
+    ) -> PortFuture<'a, Result<Vec<TableRow>, PlatformError>> {
+        self.table.scan(start, end, limit)
+    }
+}
