--- a/crates/core/src/ledger/shard.rs
+++ b/crates/core/src/ledger/shard.rs
@@ -29,18 +29,46 @@
     pub fn all() -> impl Iterator<Item = Self> {
         (0..SHARD_COUNT).map(Self)
     }
+}
+
+/// What ledgers are ranked for.
+///
+/// The records of a shard take several routes, so that a client account with much of the
+/// traffic does not load one ledger; a window of a shard has at most as many writers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct LedgerRoute {
+    shard: u16,
+    slot: u8,
+}
+
+/// Routes of the records of one shard.
+pub const ROUTES_PER_SHARD: u8 = 4;
+
+impl LedgerRoute {
+    /// The route of a record.
+    #[must_use]
+    pub fn of(account: &AccountName, request: RequestId) -> Self {
+        let slot = (request.get() % u128::from(ROUTES_PER_SHARD)) as u8;
+        Self { shard: ShardId::of(account).0, slot }
+    }
+
+    /// The route of the work on a whole shard.
+    #[must_use]
+    pub const fn of_shard(shard: ShardId) -> Self {
+        Self { shard: shard.0, slot: 0 }
+    }
 
-    /// Stands for all claims when ledgers are ranked. Claims of every client account go to one
-    /// ledger of a region, where they share transactions.
+    /// The route of every claim: claims go to one ledger of a region, where they share
+    /// transactions.
     #[must_use]
     pub const fn of_claims() -> Self {
-        Self(SHARD_COUNT)
+        Self { shard: SHARD_COUNT, slot: 0 }
     }
 
-    /// Rendezvous score of a ledger for this shard; the highest ranks first.
+    /// Rendezvous score of a ledger; the highest ranks first.
     #[must_use]
     pub fn score(self, host: &HostId) -> u64 {
-        hash_parts(&[&self.to_string(), host.as_str()])
+        hash_parts(&[&self.shard.to_string(), &self.slot.to_string(), host.as_str()])
     }
 }
 
--- a/crates/ledger/examples/slopes.rs
+++ b/crates/ledger/examples/slopes.rs
@@ -272,7 +272,7 @@
 }
 
 /// Fills the ledgers during an outage, as one region's busiest ledger sees it.
-fn outage(seed: u64) {
+fn outage(seed: u64, seconds: u64) {
     paused().block_on(async {
         let fleet = Fleet::new();
         fleet.table.set_down(true);
@@ -280,7 +280,7 @@
             senders: 50,
             requests_per_second: 2_700.0,
             claims_per_second: 0.0,
-            seconds: 120,
+            seconds,
             seed,
         };
         let resident = resident_bytes();
@@ -294,19 +294,19 @@
         let records = load.requests_per_second * load.seconds as f64;
         let counted = fleet.backlog() as f64 / records;
         let grown = (resident_bytes().saturating_sub(resident)) as f64 / records;
-        println!("\n| outage of 120 s at 2700/s, both copies | bytes a record |\n|---|---|");
+        println!("\n| outage of {seconds} s at 2700/s, both copies | bytes a record |\n|---|---|");
         println!("| counted against the bound | {counted:.1} |");
         println!("| growth of the process | {grown:.1} |");
         let before = fleet.table.counts();
         fleet.table.set_down(false);
-        let mut seconds = 0;
-        while fleet.backlog() > 0 && seconds < 600 {
+        let mut drained = 0;
+        while fleet.backlog() > 0 && drained < 600 {
             tokio::time::sleep(Duration::from_secs(1)).await;
-            seconds += 1;
+            drained += 1;
         }
         let after = fleet.table.counts();
         println!(
-            "\ndrained in {seconds} s with {} transactions and {} rows",
+            "\ndrained in {drained} s with {} transactions and {} rows",
             after.transactions - before.transactions,
             after.written_rows - before.written_rows
         );
@@ -338,5 +338,6 @@
     for claims in [20.0, 135.0, 540.0] {
         run(load(370, 2_700.0, claims));
     }
-    outage(seed);
+    outage(seed, 120);
+    outage(seed, 360);
 }
--- a/crates/ledger/src/client.rs
+++ b/crates/ledger/src/client.rs
@@ -3,7 +3,7 @@
 use crate::ranking::ledgers_for;
 use crate::wire::{ClaimCall, ClaimReply, UsageCall, UsageReply, from_wire, to_wire};
 use oleander_core::ids::{HostId, RegionName};
-use oleander_core::ledger::shard::ShardId;
+use oleander_core::ledger::shard::{LedgerRoute, ShardId};
 use oleander_core::units::Timestamp;
 use oleander_core::usage::UsageRecord;
 use oleander_ports::PortFuture;
@@ -67,9 +67,9 @@
         self
     }
 
-    fn candidates(&self, shard: ShardId) -> Vec<Member> {
+    fn candidates(&self, route: LedgerRoute) -> Vec<Member> {
         let members = self.members.members();
-        let mut ledgers = ledgers_for(&members, shard, self.region.as_ref());
+        let mut ledgers = ledgers_for(&members, route, self.region.as_ref());
         let (now, penalties) = (self.clock.now(), self.lock());
         ledgers.sort_by_key(|ledger| penalties.worst_until(&ledger.id) > now);
         ledgers
@@ -97,10 +97,10 @@
 
     async fn record_now(&self, record: UsageRecord) -> Result<(), UsageError> {
         let started = self.clock.now();
-        let account = record.account.clone();
+        let route = LedgerRoute::of(&record.account, record.request);
         let body = to_wire(&UsageCall::Record(record));
         let mut last = UsageError::NotHeld("no ledger is known".to_owned());
-        for ledger in self.candidates(ShardId::of(&account)) {
+        for ledger in self.candidates(route) {
             if self.clock.now().since(started) >= RECORD_GIVE_UP {
                 break;
             }
@@ -140,7 +140,7 @@
     async fn ask_claim(&self, call: &ClaimCall) -> Result<ClaimReply, ClaimError> {
         let body = to_wire(call);
         let mut last = "no ledger is known".to_owned();
-        for ledger in self.candidates(ShardId::of_claims()).into_iter().take(MAX_CLAIM_TRIES) {
+        for ledger in self.candidates(LedgerRoute::of_claims()).into_iter().take(MAX_CLAIM_TRIES) {
             let call =
                 self.peers.call(ledger.address, PeerChannel::Claims, body.clone(), CLAIM_DEADLINE);
             match call.await.and_then(|bytes| decoded(&bytes)) {
@@ -204,7 +204,7 @@
         let shards: Vec<ShardId> = ShardId::all().collect();
         let shard = shards[self.seed as usize % shards.len()];
         let (now, penalties) = (self.clock.now(), self.lock());
-        let ledgers = ledgers_for(&members, shard, self.region.as_ref());
+        let ledgers = ledgers_for(&members, LedgerRoute::of_shard(shard), self.region.as_ref());
         ledgers.iter().any(|ledger| penalties.worst_until(&ledger.id) <= now)
     }
 }
--- a/crates/ledger/src/fold_keeper.rs
+++ b/crates/ledger/src/fold_keeper.rs
@@ -11,7 +11,7 @@
     detail_name, fold_key, shard_prefix, window_of_key, window_prefix,
 };
 use oleander_core::ledger::packed::{pack, unpack};
-use oleander_core::ledger::shard::{ShardId, WindowId};
+use oleander_core::ledger::shard::{LedgerRoute, ShardId, WindowId};
 use oleander_ports::table::{
     RowCondition, TableRow, TableTransaction, TransactionOutcome, prefix_end,
 };
@@ -55,7 +55,7 @@
 
     fn ranks_first(&self, shard: ShardId) -> bool {
         let members = self.ports.members.members();
-        let first = ledgers_for(&members, shard, None).into_iter().next();
+        let first = ledgers_for(&members, LedgerRoute::of_shard(shard), None).into_iter().next();
         first.is_none_or(|ledger| ledger.id == self.host)
     }
 
--- a/crates/ledger/src/ranking.rs
+++ b/crates/ledger/src/ranking.rs
@@ -1,18 +1,22 @@
 //! Which ledgers are asked, in which order.
 
 use oleander_core::ids::{DomainName, HostId, RegionName};
-use oleander_core::ledger::shard::ShardId;
+use oleander_core::ledger::shard::LedgerRoute;
 use oleander_core::stable_hash::hash_parts;
 use oleander_ports::members::{Member, MemberRole, MemberState};
 use std::cmp::Reverse;
 
-/// Ledgers that take records of `shard`: those of `region` first, then by rendezvous score, so
+/// Ledgers that take what goes by `route`: those of `region` first, then by rendezvous score, so
 /// that few ledgers write for a shard and every entry of a region agrees on them.
 #[must_use]
-pub fn ledgers_for(members: &[Member], shard: ShardId, region: Option<&RegionName>) -> Vec<Member> {
+pub fn ledgers_for(
+    members: &[Member],
+    route: LedgerRoute,
+    region: Option<&RegionName>,
+) -> Vec<Member> {
     let mut ledgers: Vec<Member> = members.iter().filter(|m| takes_work(m)).cloned().collect();
     ledgers.sort_by_key(|ledger| {
-        (region.is_some_and(|home| ledger.region != *home), Reverse(shard.score(&ledger.id)))
+        (region.is_some_and(|home| ledger.region != *home), Reverse(route.score(&ledger.id)))
     });
     ledgers
 }
--- a/crates/ledger/src/statement.rs
+++ b/crates/ledger/src/statement.rs
@@ -18,8 +18,10 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-/// Rows that are read at once.
+/// Batches that are read at once.
 pub const SCAN_ROWS: usize = 16;
+/// Rows of sums that are read at once.
+pub const SCAN_FOLDS: usize = 200;
 
 /// Why a statement cannot be made.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
@@ -162,7 +164,7 @@
                 let records = windows.entry(window).or_default();
                 add_records(period, &row.key, &row.value, records)?;
             }
-            match next_cursor(&rows) {
+            match next_cursor(&rows, SCAN_ROWS) {
                 Some(next) => cursor = next,
                 None => return Ok(windows),
             }
@@ -175,13 +177,13 @@
         let end = format!("{}0", fold_key(period.shard, last));
         let mut folds = Vec::new();
         loop {
-            let rows = in_time(self.table.scan(&cursor, &end, SCAN_ROWS)).await?;
+            let rows = in_time(self.table.scan(&cursor, &end, SCAN_FOLDS)).await?;
             for row in &rows {
                 let window = window_of_fold(&row.key).ok_or_else(|| damaged(&row.key))?;
                 let fold = FoldRow::from_bytes(&row.value).map_err(|_| damaged(&row.key))?;
                 folds.push((window, fold));
             }
-            match next_cursor(&rows) {
+            match next_cursor(&rows, SCAN_FOLDS) {
                 Some(next) => cursor = next,
                 None => return Ok(folds),
             }
@@ -225,8 +227,8 @@
 }
 
 /// Where the next scan starts, unless this was the last one.
-pub(crate) fn next_cursor(rows: &[TableRow]) -> Option<String> {
-    if rows.len() < SCAN_ROWS {
+fn next_cursor(rows: &[TableRow], limit: usize) -> Option<String> {
+    if rows.len() < limit {
         return None;
     }
     rows.last().map(|row| format!("{}\0", row.key))
--- a/crates/ledger/tests/billing.rs
+++ b/crates/ledger/tests/billing.rs
@@ -279,7 +279,9 @@
     let holds = |index: &usize| fleet.nodes[*index].metrics().backlog_bytes.get() > 0;
     let backup = (0..4).filter(|index| *index != first).find(holds).unwrap();
     fleet.kill(first);
+    let began = fleet.now();
     assert_eq!(fleet.nodes[backup].hand_over().await, HandOver::Copied);
+    assert!(fleet.now().since(began) < ROUND, "it waited for the silence of the lost one");
     fleet.kill(backup);
     fleet.table.set_down(false);
     tokio::time::sleep(Duration::from_secs(60)).await;
--- a/crates/ledger/tests/support/mod.rs
+++ b/crates/ledger/tests/support/mod.rs
@@ -4,7 +4,7 @@
 use oleander_core::claim::ClaimRequest;
 use oleander_core::ids::{AccountName, Incarnation, RequestId, Revision};
 use oleander_core::ledger::fold::Statement;
-use oleander_core::ledger::shard::ShardId;
+use oleander_core::ledger::shard::{LedgerRoute, ROUTES_PER_SHARD, ShardId};
 use oleander_core::reason::RunState;
 use oleander_core::units::{Money, Timestamp, TokenCount};
 use oleander_core::usage::{StoredOutcome, UsageRecord, UsedItem};
@@ -120,16 +120,16 @@
 
     /// The ledger that is asked first about `account`.
     pub fn first_for(&self, account: &AccountName) -> usize {
-        self.first_of(ShardId::of(account))
+        self.first_of(LedgerRoute::of_shard(ShardId::of(account)))
     }
 
     /// The ledger that is asked first about claims.
     pub fn first_for_claims(&self) -> usize {
-        self.first_of(ShardId::of_claims())
+        self.first_of(LedgerRoute::of_claims())
     }
 
-    fn first_of(&self, shard: ShardId) -> usize {
-        let ledgers = oleander_ledger::ranking::ledgers_for(&self.seen, shard, None);
+    fn first_of(&self, route: LedgerRoute) -> usize {
+        let ledgers = oleander_ledger::ranking::ledgers_for(&self.seen, route, None);
         usize::from(ledgers[0].address.port()) - 1
     }
 
@@ -175,8 +175,9 @@
     }
 }
 
+/// Requests of one route, so that one ledger holds all of them.
 pub fn request(number: u128) -> RequestId {
-    RequestId::new(START, number)
+    RequestId::new(START, number * u128::from(ROUTES_PER_SHARD))
 }
 
 pub fn claim(key: &str, body: u8, number: u128) -> ClaimRequest {
--- a/tests/ledger_processes.rs
+++ b/tests/ledger_processes.rs
@@ -4,7 +4,7 @@
 use oleander_adapters::settings::{HostSettings, PlatformSettings};
 use oleander_core::claim::ClaimRequest;
 use oleander_core::ids::{AccountName, RequestId};
-use oleander_core::ledger::shard::ShardId;
+use oleander_core::ledger::shard::{LedgerRoute, ROUTES_PER_SHARD, ShardId};
 use oleander_core::reason::RunState;
 use oleander_core::units::{Money, TokenCount};
 use oleander_core::usage::{StoredOutcome, UsageRecord, UsedItem};
@@ -93,11 +93,16 @@
     "north-van".parse().unwrap()
 }
 
+/// The route of every record of the test.
+fn route() -> LedgerRoute {
+    LedgerRoute::of_shard(ShardId::of(&account()))
+}
+
 fn usage(number: u128) -> UsageRecord {
     let now = SystemClock.now();
     UsageRecord {
         account: account(),
-        request: RequestId::new(now, number),
+        request: RequestId::new(now, number * u128::from(ROUTES_PER_SHARD)),
         item: UsedItem::Version("small-3".parse().unwrap()),
         run: RunState::Done,
         tokens_in: TokenCount::new(10),
@@ -146,13 +151,13 @@
 
     fn seen(&self) -> usize {
         let members = self.host.members().members();
-        ledgers_for(&members, ShardId::of(&account()), None).len()
+        ledgers_for(&members, route(), None).len()
     }
 
     /// The process that ranks first of those in the list, taken out of it.
     fn take_first(&mut self) -> LedgerProcess {
         let members = self.host.members().members();
-        let ranked = ledgers_for(&members, ShardId::of(&account()), None);
+        let ranked = ledgers_for(&members, route(), None);
         let place =
             |ledger: &LedgerProcess| ranked.iter().position(|m| m.address == ledger.address);
         let places = self.ledgers.iter().map(|ledger| place(ledger).unwrap_or(usize::MAX));
