Keep golden files of whole sessions through the real binaries

Cause: golden sessions ran in one process against fakes only. Change: five sessions through entry, ledger, steward and ctl processes: streamed answer and escalation, session at another entry, refusals, an order repeated under one key, roll-out and withdrawal, drain, a catalog with findings. Engines can be told to give weak answers. Conclusion: what callers and operators see is pinned word for word.

--- a/crates/standin/src/engine/chat.rs
+++ b/crates/standin/src/engine/chat.rs
@@ -28,6 +28,8 @@
 const CHUNK_BUFFER: usize = 16;
 /// Words of the prompt that make up its cacheable prefix.
 const PREFIX_WORDS: usize = 16;
+/// Confidence in an answer that is told to be weak.
+const WEAK_CONFIDENCE: f64 = 0.02;
 /// Carries the confidence that the engine has in a whole answer.
 const CONFIDENCE_HEADER: &str = "x-confidence";
 
@@ -116,6 +118,7 @@
     let wrong_version = engine.faults.take(|plan| &mut plan.wrong_versions);
     let version =
         if wrong_version { other_version(engine, &body.model) } else { body.model.clone() };
+    let weak = engine.faults.take(|plan| &mut plan.weak_answers);
     let prompt = prompt_text(&body.messages);
     let prompt_tokens = prompt.split_whitespace().count() as u32;
     let prefix: Vec<&str> = prompt.split_whitespace().take(PREFIX_WORDS).collect();
@@ -132,7 +135,7 @@
         prompt_tokens,
         cached_tokens: if hit { prompt_tokens } else { 0 },
         resume_from: text(RESUME_HEADER).and_then(|text| text.parse().ok()).unwrap_or(0),
-        confidence: engine.settings.confidence,
+        confidence: if weak { WEAK_CONFIDENCE } else { engine.settings.confidence },
         version,
     }
 }
--- a/crates/standin/src/faults.rs
+++ b/crates/standin/src/faults.rs
@@ -20,6 +20,8 @@
     pub wrong_attempts: u32,
     /// Answers are made by another version than the one asked for, this many times.
     pub wrong_versions: u32,
+    /// Answers say that they are hardly to be relied on, this many times.
+    pub weak_answers: u32,
     /// Streams are cut after [`FaultPlan::cut_after`] tokens, this many times.
     pub cuts: u32,
     /// Tokens that are sent before a stream is cut.
--- a/tests/e2e/main.rs
+++ b/tests/e2e/main.rs
@@ -2,4 +2,5 @@
 
 mod faults;
 mod processes;
+mod sessions;
 mod testenv;
--- a/tests/e2e/testenv/system.rs
+++ b/tests/e2e/testenv/system.rs
@@ -28,11 +28,13 @@
     pub entries: usize,
     pub ledgers: usize,
     pub stewards: usize,
+    /// Share of requests that explore other versions.
+    pub exploration: f64,
 }
 
 impl Default for SystemPlan {
     fn default() -> Self {
-        Self { entries: 3, ledgers: 3, stewards: 2 }
+        Self { entries: 3, ledgers: 3, stewards: 2, exploration: 0.02 }
     }
 }
 
@@ -51,8 +53,10 @@
     /// Starts the system and publishes the catalog.
     pub async fn start(plan: SystemPlan) -> Self {
         let recorder = HistoryRecorder::in_memory();
+        let mut catalog = curbside();
+        catalog.policy.exploration = plan.exploration;
         let standins = StandinDeployment::start_recorded(
-            curbside(),
+            catalog,
             AddressPlan::AnyPort,
             None,
             any_port(),
