Let stewards coordinate the shares of client accounts' rates

Cause: coordinators are chosen among live stewards, but steward processes did not answer the shares channel, so every entry kept its even split for good. Ruled out: the allocation itself (its properties hold) and lost demand reports. Change: RunningHost starts the share service for entries and stewards alike. Conclusion: a rate holds over all entries and is there for whichever entry the balancer picks.

--- a/crates/entry/src/entry_process.rs
+++ b/crates/entry/src/entry_process.rs
@@ -6,15 +6,12 @@
 use oleander_adapters::http_server::HttpServer;
 use oleander_catalog::QualityFollower;
 use oleander_core::choice_mode::ChoiceMode;
-use oleander_core::ids::Revision;
 use oleander_history::HistoryRecorder;
 use oleander_host::RunningHost;
 use oleander_ledger::LedgerClient;
-use oleander_peers::{ShareService, ShareSettings};
+use oleander_peers::ShareService;
 use oleander_ports::catalog::CatalogPort;
 use oleander_ports::claims::ClaimPort;
-use oleander_ports::members::{Member, MemberRole, MemberState};
-use oleander_ports::peers::PeerChannel;
 use oleander_ports::usage::UsagePort;
 use std::future::Future;
 use std::net::SocketAddr;
@@ -56,7 +53,7 @@
         let wanted = settings.caller_address.context("caller_address is missing")?;
         anyhow::ensure!(!settings.session_keys.is_empty(), "session_keys is empty");
         let drain = Duration::from_secs(settings.drain_seconds);
-        let shares = start_shares(&host);
+        let shares = host.start_shares();
         let parts = entry_parts(&host, &shares, mode);
         let server = EntryServer::bind(parts, wanted).await?;
         let server = server.with_drain(drain).with_recorder(recorder);
@@ -114,30 +111,6 @@
     }
 }
 
-/// Starts to report this entry's demand and to take its shares.
-fn start_shares(host: &RunningHost) -> ShareService {
-    let settings = &host.settings;
-    let me = Member {
-        id: settings.id.clone(),
-        incarnation: host.incarnation,
-        role: MemberRole::Entry,
-        region: settings.region.clone(),
-        domain: settings.domain.clone(),
-        address: host.peers.address(),
-        state: MemberState::Alive,
-        revision: Revision::default(),
-    };
-    let shares = ShareService::start(ShareSettings {
-        me,
-        catalog: Arc::clone(&host.catalog) as Arc<dyn CatalogPort>,
-        members: host.members(),
-        calls: host.calls(),
-        clock: Arc::clone(&host.clock),
-    });
-    host.peers.handle(PeerChannel::Shares, shares.handler());
-    shares
-}
-
 fn entry_parts(host: &RunningHost, shares: &ShareService, mode: ChoiceMode) -> EntryParts {
     let (settings, clock) = (&host.settings, Arc::clone(&host.clock));
     let catalog = Arc::clone(&host.catalog) as Arc<dyn CatalogPort>;
--- a/crates/host/src/running_host.rs
+++ b/crates/host/src/running_host.rs
@@ -6,7 +6,8 @@
 use oleander_adapters::traces::TraceExporter;
 use oleander_catalog::{CatalogFollower, FollowerPorts};
 use oleander_core::ids::{Incarnation, Revision};
-use oleander_peers::{PeerKey, PeerNode, PeerSettings};
+use oleander_peers::{PeerKey, PeerNode, PeerSettings, ShareService, ShareSettings};
+use oleander_ports::catalog::CatalogPort;
 use oleander_ports::clock::{ClockPort, SystemClock};
 use oleander_ports::hosts::HostListPort;
 use oleander_ports::members::{Member, MemberRole, MemberState, MembershipPort};
@@ -62,6 +63,7 @@
     pub peers: PeerNode,
     /// The catalog in force.
     pub catalog: Arc<CatalogFollower>,
+    me: Member,
     traces: Option<TraceExporter>,
 }
 
@@ -78,19 +80,20 @@
         let incarnation = Incarnation::new(started_at);
         let seed = seed_of(&settings, started_at);
         let platform = HostPorts::new(&settings.platform);
-        let me = new_member(&settings, role, incarnation);
+        let mut me = new_member(&settings, role, incarnation);
         let keys = settings.peer_keys.iter().map(peer_key).collect();
-        let peer_settings = PeerSettings::new(me, keys, Arc::clone(&clock))
+        let peer_settings = PeerSettings::new(me.clone(), keys, Arc::clone(&clock))
             .with_seeds(settings.seeds.clone())
             .with_seed(seed)
             .with_hosts(Arc::clone(&platform.hosts));
         let peers = PeerNode::start(peer_settings, Vec::new()).await;
         let peers = peers.context("cannot start the peer port")?;
+        me.address = peers.address();
         let catalog = follow_catalog(&settings, &platform, &peers, &clock, seed);
         let collector = settings.trace_collector;
         let traces = collector.map(|to| TraceExporter::start(to, settings.id.as_str()));
         let traces = traces.transpose()?;
-        Ok(Self { settings, incarnation, seed, clock, platform, peers, catalog, traces })
+        Ok(Self { settings, incarnation, seed, clock, platform, peers, catalog, me, traces })
     }
 
     /// The membership.
@@ -105,6 +108,21 @@
         self.peers.calls()
     }
 
+    /// Starts to take part in the shares of client accounts' rates: an entry reports its demand,
+    /// a steward coordinates.
+    #[must_use]
+    pub fn start_shares(&self) -> ShareService {
+        let shares = ShareService::start(ShareSettings {
+            me: self.me.clone(),
+            catalog: Arc::clone(&self.catalog) as Arc<dyn CatalogPort>,
+            members: self.members(),
+            calls: self.calls(),
+            clock: Arc::clone(&self.clock),
+        });
+        self.peers.handle(PeerChannel::Shares, shares.handler());
+        shares
+    }
+
     /// Exports the last spans and leaves the peers.
     pub async fn stop(self) {
         self.catalog.stop();
--- a/crates/steward/src/steward_process.rs
+++ b/crates/steward/src/steward_process.rs
@@ -6,6 +6,7 @@
 use oleander_adapters::admin::{AdminPort, HealthCheck, ProcessHealth};
 use oleander_adapters::settings::MIN_SECRET_BYTES;
 use oleander_host::RunningHost;
+use oleander_peers::ShareService;
 use oleander_ports::catalog::CatalogPort;
 use oleander_ports::peers::PeerChannel;
 use prometheus_client::registry::Registry;
@@ -18,6 +19,7 @@
 pub struct StewardProcess {
     host: RunningHost,
     node: StewardNode,
+    shares: ShareService,
     admin_address: SocketAddr,
     stop_server: oneshot::Sender<()>,
     server: JoinHandle<()>,
@@ -47,11 +49,12 @@
         let admin_address = server.address()?;
         host.peers.handle(PeerChannel::Statistics, node.statistics_handler());
         host.peers.handle(PeerChannel::Status, status_handler(admin_address));
+        let shares = host.start_shares();
         let (stop_server, stopped) = oneshot::channel::<()>();
         let server = tokio::spawn(server.serve(async move {
             let _ = stopped.await;
         }));
-        Ok(Self { host, node, admin_address, stop_server, server })
+        Ok(Self { host, node, shares, admin_address, stop_server, server })
     }
 
     /// Where the admin port listens.
@@ -70,6 +73,7 @@
     pub async fn stop(self) {
         self.host.members().leave();
         self.node.stop().await;
+        drop(self.shares);
         let _ = self.stop_server.send(());
         let _ = self.server.await;
         self.host.stop().await;
--- a/tests/e2e/main.rs
+++ b/tests/e2e/main.rs
@@ -1,6 +1,7 @@
 //! End-to-end tests: the real binaries as separate processes, before stand-ins.
 
 mod faults;
+mod limits;
 mod processes;
 mod sessions;
 mod testenv;
