--- a/crates/catalog/src/follow/actor.rs
+++ b/crates/catalog/src/follow/actor.rs
@@ -30,6 +30,8 @@
 const FIRST_FETCH_WAIT: Duration = Duration::from_millis(200);
 /// Longest wait between tries to fetch a body.
 const LONGEST_FETCH_WAIT: Duration = Duration::from_secs(2);
+/// Longest wait of a process that has come to read the head row often.
+const SOON: Duration = Duration::from_secs(2);
 /// Time between rounds of questions to peers while starting.
 const START_ROUND: Duration = Duration::from_millis(500);
 
@@ -101,9 +103,12 @@
     }
 
     fn poll_store(&mut self, in_contact: bool, now: Timestamp, actor: &ActorRef<Self>) {
-        // Without peers the store alone tells whether this process is cut off.
+        if !in_contact {
+            // Without peers the store alone tells whether this process is cut off.
+            self.store_polls.hasten(now, LONGEST_BACKOFF);
+        }
         if !in_contact || self.reads_often() {
-            self.store_polls.hasten(now, LONGEST_BACKOFF.min(READER_POLL * 2));
+            self.store_polls.hasten_if_well(now, SOON);
         }
         if !self.store_polls.start(now) {
             return;
@@ -260,7 +265,13 @@
                 self.open();
             }
             Err(error) => {
-                self.store_polls.fail(now, READER_POLL, LONGEST_BACKOFF);
+                let urgent = self.reads_often() || !self.ports.members.in_contact();
+                let (first, longest) = if urgent {
+                    (READER_POLL, LONGEST_BACKOFF)
+                } else {
+                    (BACKSTOP_POLL, BACKSTOP_POLL)
+                };
+                self.store_polls.fail(now, first, longest);
                 self.note_store_down(true, &error.to_string());
             }
         }
--- a/crates/catalog/src/follow/schedule.rs
+++ b/crates/catalog/src/follow/schedule.rs
@@ -61,6 +61,13 @@
         self.next_at = self.next_at.min(now + wait);
     }
 
+    /// Makes the next one due within `wait`, unless it waits because of a failure.
+    pub fn hasten_if_well(&mut self, now: Timestamp, wait: Duration) {
+        if self.failures == 0 {
+            self.hasten(now, wait);
+        }
+    }
+
     fn jittered(&mut self, wait: Duration) -> Duration {
         wait.mul_f64(1.0 + self.rng.random_range(0.0..JITTER_SHARE))
     }
--- a/crates/ports/src/lib.rs
+++ b/crates/ports/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod peers;
 pub mod ratings;
 pub mod shares;
+pub mod status;
 pub mod table;
 pub mod upstream;
 pub mod usage;
--- a/crates/steward/src/lib.rs
+++ b/crates/steward/src/lib.rs
@@ -7,9 +7,9 @@
 pub mod host_watcher;
 pub mod lease_actor;
 pub mod lease_table;
+pub mod metrics;
 pub mod operators;
 pub mod order_reconciler;
-pub mod process_status;
 pub mod rollout_driver;
 pub mod statistics_table;
 pub mod steward;
--- a/crates/steward/src/operators/desk.rs
+++ b/crates/steward/src/operators/desk.rs
@@ -3,7 +3,7 @@
 use crate::lease_actor::LeaseHandle;
 use crate::operators::messages::{
     CatalogReply, EditCall, HeldLeaseStatus, MemberStatus, OperatorError, OperatorErrorCode,
-    ProcessStatus, PublishCall, PublishReply, StatusReply,
+    PublishCall, PublishReply, StatusReply,
 };
 use bytes::Bytes;
 use http::Request;
@@ -21,6 +21,7 @@
 use oleander_ledger::StatementReader;
 use oleander_ports::members::{MemberRole, MembershipPort};
 use oleander_ports::peers::{PeerChannel, PeerPort};
+use oleander_ports::status::ProcessStatus;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
--- a/crates/steward/src/operators/messages.rs
+++ b/crates/steward/src/operators/messages.rs
@@ -9,7 +9,6 @@
 use oleander_ports::members::Member;
 use serde::{Deserialize, Serialize};
 use std::fmt;
-use std::net::SocketAddr;
 use std::sync::Arc;
 
 /// Asks to check and publish files.
@@ -91,13 +90,6 @@
     pub catalog: Catalog,
 }
 
-/// What a process says of itself on the status channel.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct ProcessStatus {
-    /// Where its admin port listens.
-    pub admin: SocketAddr,
-}
-
 /// What kind of failure it is.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
--- a/crates/steward/src/steward.rs
+++ b/crates/steward/src/steward.rs
@@ -119,6 +119,12 @@
         operator_handler(Arc::clone(&self.desk), keys)
     }
 
+    /// The leases that the steward seeks.
+    #[must_use]
+    pub fn leases(&self) -> Vec<LeaseHandle> {
+        vec![self.rollout_lease.clone(), self.order_lease.clone()]
+    }
+
     /// What operators ask for, for embedded use.
     #[must_use]
     pub fn desk(&self) -> Arc<OperatorDesk> {
--- a/crates/steward/src/steward_process.rs
+++ b/crates/steward/src/steward_process.rs
@@ -1,6 +1,6 @@
 //! A steward as a process of its own: the node, its admin port and its channels to peers.
 
-use crate::process_status::status_handler;
+use crate::metrics::steward_registry;
 use crate::steward::{StewardNode, StewardParts};
 use anyhow::ensure;
 use oleander_adapters::admin::{AdminPort, HealthCheck, ProcessHealth};
@@ -9,7 +9,7 @@
 use oleander_peers::ShareService;
 use oleander_ports::catalog::CatalogPort;
 use oleander_ports::peers::PeerChannel;
-use prometheus_client::registry::Registry;
+use oleander_ports::status::{ProcessStatus, status_handler};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use tokio::sync::oneshot;
@@ -42,13 +42,16 @@
         }
         let node = StewardNode::start(steward_parts(&host), &host.settings.id, host.seed);
         let handler = node.operator_handler(&host.settings.operator_keys);
+        let catalog = Arc::clone(&host.catalog) as Arc<dyn CatalogPort>;
+        let registry = steward_registry(catalog, node.leases());
         // A steward is ready whatever the catalog: it is what publishes the first one.
         let health: HealthCheck = Arc::new(|| ProcessHealth::Ready);
-        let admin = AdminPort::new(Registry::default(), health).with_other(handler);
+        let admin = AdminPort::new(registry, health).with_other(handler);
         let server = admin.bind(host.settings.admin_address).await?;
         let admin_address = server.address()?;
         host.peers.handle(PeerChannel::Statistics, node.statistics_handler());
-        host.peers.handle(PeerChannel::Status, status_handler(admin_address));
+        host.peers
+            .handle(PeerChannel::Status, status_handler(ProcessStatus { admin: admin_address }));
         let shares = host.start_shares();
         let (stop_server, stopped) = oneshot::channel::<()>();
         let server = tokio::spawn(server.serve(async move {
--- a/crates/steward/tests/rollouts.rs
+++ b/crates/steward/tests/rollouts.rs
@@ -5,7 +5,7 @@
 use oleander_core::catalog::objects::RolloutPhase;
 use oleander_steward::statistics_table::StatisticsTable;
 use std::sync::Arc;
-use support::{World, catalog_with_rollout, pass, rollout_name, small_catalog, version};
+use support::{SlowTable, World, catalog_with_rollout, pass, rollout_name, small_catalog, version};
 
 async fn world_with_rollout(quality_of_new: f64) -> World {
     let world = World::new();
@@ -139,3 +139,50 @@
     world.run(20, 5).await;
     assert_eq!(world.store().head().await.unwrap().revision().get(), 1);
 }
+
+/// The driver's write of the statistics stays in the network; another steward goes on; then the
+/// write arrives. It changes nothing.
+#[tokio::test(start_paused = true)]
+async fn late_write_of_a_replaced_driver_changes_nothing() {
+    let world = world_with_rollout(0.9).await;
+    let table = SlowTable::new(world.table.clone());
+    let first = world.steward_on(&table, 1);
+    world.run(5, 2).await;
+    table.hold_next_statistics();
+    while !table.is_holding() {
+        world.run(1, 2).await;
+    }
+    first.abandon();
+    let second = world.steward(2);
+    world.run(30, 2).await;
+    let statistics = StatisticsTable::new(Arc::new(world.table.clone()));
+    let before = statistics.read().await.unwrap();
+    table.release();
+    tokio::task::yield_now().await;
+    tokio::task::yield_now().await;
+    let after = statistics.read().await.unwrap();
+    assert_eq!(after, before);
+    second.abandon();
+}
+
+/// Two changes by name at once: the one that comes second is decided anew, and both are made.
+#[tokio::test(start_paused = true)]
+async fn changes_by_name_at_once_are_both_made() {
+    let world = World::new();
+    world.publish(&small_catalog()).await;
+    let table = SlowTable::new(world.table.clone());
+    let steward = world.steward_on(&table, 1);
+    let desk = steward.desk();
+    let drain = |number: u32| {
+        let upstream = format!("engine-{number}");
+        serde_json::from_value(serde_json::json!({
+            "publish_id": format!("pub-{number:032x}"),
+            "change": { "edit": "drain", "upstream": upstream, "reason": "heat" },
+        }))
+        .unwrap()
+    };
+    let (one, other) = (drain(1), drain(2));
+    let (first, second) = tokio::join!(desk.edit(&one, "kim"), desk.edit(&other, "lee"));
+    assert_ne!(first.unwrap().revision, second.unwrap().revision);
+    assert_eq!(world.head_catalog().await.drains.len(), 2);
+}
--- a/crates/steward/tests/support/mod.rs
+++ b/crates/steward/tests/support/mod.rs
@@ -14,13 +14,17 @@
 use oleander_ports::catalog::CatalogPort;
 use oleander_ports::clock::{ClockPort, RuntimeClock};
 use oleander_ports::ratings::{AnswerSample, RatingPort};
+use oleander_ports::table::{RowWrite, TablePort, TableRow, TableTransaction, TransactionOutcome};
+use oleander_ports::{PlatformError, PortFuture};
 use oleander_standin::fakes::{FakeMembers, FakePeers};
 use oleander_standin::memory::{
     MemoryHosts, MemoryObjects, MemoryRatings, MemoryTable, MemoryWeights,
 };
 use oleander_steward::{StewardNode, StewardParts};
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
+use tokio::sync::Notify;
 
 const SMALL: &str = include_str!("../../../core/tests/data/small.jsonc");
 
@@ -93,6 +97,13 @@
         }
     }
 
+    /// A steward that reaches the table through a slow network.
+    pub fn steward_on(&self, table: &SlowTable, number: u64) -> StewardNode {
+        let mut parts = self.parts(Arc::new(FixedCatalog::new(Catalog::default())));
+        parts.table = Arc::new(table.clone());
+        StewardNode::start(parts, &host(number), number * 1_000)
+    }
+
     /// A steward that has no upstreams to order.
     pub fn steward(&self, number: u64) -> StewardNode {
         let parts = self.parts(Arc::new(FixedCatalog::new(Catalog::default())));
@@ -156,3 +167,72 @@
 pub async fn pass(seconds: f64) {
     tokio::time::sleep(Duration::from_secs_f64(seconds)).await;
 }
+
+/// A table whose calls take a millisecond, and that can hold a write in the network.
+#[derive(Clone)]
+pub struct SlowTable {
+    inner: MemoryTable,
+    holds_next: Arc<AtomicBool>,
+    release: Arc<Notify>,
+}
+
+impl SlowTable {
+    pub fn new(inner: MemoryTable) -> Self {
+        Self { inner, holds_next: Arc::default(), release: Arc::default() }
+    }
+
+    /// Holds the next write of the statistics; its sender hears nothing.
+    pub fn hold_next_statistics(&self) {
+        self.holds_next.store(true, Ordering::SeqCst);
+    }
+
+    pub fn is_holding(&self) -> bool {
+        !self.holds_next.load(Ordering::SeqCst)
+    }
+
+    /// Lets the held write arrive.
+    pub fn release(&self) {
+        self.release.notify_one();
+    }
+
+    fn holds(&self, transaction: &TableTransaction) -> bool {
+        let statistics = |write: &RowWrite| matches!(write, RowWrite::Put(key, _) if key.starts_with("quality/"));
+        transaction.writes.iter().any(statistics) && self.holds_next.swap(false, Ordering::SeqCst)
+    }
+}
+
+impl TablePort for SlowTable {
+    fn transact(
+        &self,
+        transaction: TableTransaction,
+    ) -> PortFuture<'_, Result<TransactionOutcome, PlatformError>> {
+        Box::pin(async move {
+            if self.holds(&transaction) {
+                let (inner, release) = (self.inner.clone(), Arc::clone(&self.release));
+                tokio::spawn(async move {
+                    release.notified().await;
+                    inner.transact(transaction).await
+                });
+                return Err(PlatformError::Unknown("no reply".to_owned()));
+            }
+            tokio::time::sleep(Duration::from_millis(1)).await;
+            self.inner.transact(transaction).await
+        })
+    }
+
+    fn get<'a>(&'a self, key: &'a str) -> PortFuture<'a, Result<Option<TableRow>, PlatformError>> {
+        Box::pin(async move {
+            tokio::time::sleep(Duration::from_millis(1)).await;
+            self.inner.get(key).await
+        })
+    }
+
+    fn scan<'a>(
+        &'a self,
+        start: &'a str,
+        end: &'a str,
+        limit: usize,
+    ) -> PortFuture<'a, Result<Vec<TableRow>, PlatformError>> {
+        self.inner.scan(start, end, limit)
+    }
+}
