Build oleander-local from the separate processes' own parts

Cause: oleander-local had wiring of its own, no steward, and a bill page that no other process has; oleander-ctl could not be tried against it. Change: one entry, one ledger and one steward in one process, each on a RunningHost; operators are served on oleander-ctl's default address. Conclusion: the first five minutes run the same code as a deployment.

--- a/src/bin/oleander-local/cli.rs
+++ b/src/bin/oleander-local/cli.rs
@@ -19,7 +19,15 @@
     #[arg(long, default_value = "127.0.0.1:8080")]
     pub callers: SocketAddr,
 
-    /// Where health, metrics, statements and records of requests are served
+    /// Where operators are served; the default of oleander-ctl
+    #[arg(long, default_value = "127.0.0.1:8090")]
+    pub operators: SocketAddr,
+
+    /// The operators' key, at least 16 bytes long
+    #[arg(long, default_value = "local-operator-key")]
+    pub operator_key: String,
+
+    /// Where health, metrics and records of requests are served
     #[arg(long, default_value = "127.0.0.1:8081")]
     pub admin: SocketAddr,
 
--- a/src/bin/oleander-local/embedded.rs
+++ b/src/bin/oleander-local/embedded.rs
@@ -1,44 +1,48 @@
-//! The parts of the system, put together in one process.
+//! One entry, one ledger and one steward in one process, before stand-ins.
 
 use crate::cli::Cli;
 use anyhow::{Context, anyhow};
 use oleander_adapters::settings::{HostSettings, PlatformSettings, SecretKey};
-use oleander_catalog::parse_catalog;
 use oleander_catalog::records::PublishId;
-use oleander_catalog::{CatalogFile, CatalogPublisher, PublishRequest, QualityFollower};
+use oleander_catalog::{CatalogFile, CatalogPublisher, PublishRequest, parse_catalog};
 use oleander_core::catalog::Catalog;
 use oleander_core::ids::{DomainName, HostId, KeyId, RegionName, Revision};
-use oleander_entry::{EntryParts, EntryServer};
+use oleander_entry::EntryProcess;
+use oleander_history::HistoryRecorder;
 use oleander_host::RunningHost;
-use oleander_ledger::local::LocalLedger;
-use oleander_ledger::node::{LedgerNode, LedgerPorts, NodeConfig};
+use oleander_ledger::{LedgerNode, LedgerPorts, NodeConfig};
 use oleander_ports::catalog::{CatalogPort, CatalogStanding};
-use oleander_ports::clock::SystemClock;
 use oleander_ports::members::MemberRole;
 use oleander_standin::deployment::{AddressPlan, StandinDeployment};
 use oleander_standin::platform::any_port;
+use oleander_steward::steward_process::StewardProcess;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
-/// Time between two looks at whether the catalog is in force.
+/// Time between two looks at what is awaited.
 const START_POLL: Duration = Duration::from_millis(20);
-/// Longest time for the catalog to come into force.
+/// Longest time for the parts to find each other.
 const START_TIMEOUT: Duration = Duration::from_secs(10);
+/// Processes that the membership must have.
+const MEMBERS: usize = 3;
 
 /// Everything that runs.
 pub struct EmbeddedSystem {
     /// The stand-ins.
     pub standins: StandinDeployment,
-    /// The process as its peers would see it.
-    pub host: RunningHost,
+    /// The steward.
+    pub steward: StewardProcess,
+    /// The ledger's host.
+    pub ledger_host: RunningHost,
     /// The ledger.
     pub ledger: Arc<LedgerNode>,
-    /// The callers' server, not yet serving.
-    pub entry: EntryServer,
+    /// The entry, not yet serving.
+    pub entry: EntryProcess,
 }
 
 impl EmbeddedSystem {
-    /// Starts the stand-ins, publishes the catalog, and binds the callers' port.
+    /// Starts the stand-ins, publishes the catalog, and binds every port.
     ///
     /// # Errors
     ///
@@ -47,13 +51,21 @@
         let catalog = read_catalog(cli)?;
         let standins =
             StandinDeployment::start(catalog, AddressPlan::AnyPort, None, cli.control).await?;
-        let settings = local_settings(cli, &standins.catalog, &standins.platform_addresses)?;
-        let host = RunningHost::start(settings, MemberRole::Entry).await?;
-        publish(&host, &standins.catalog).await?;
-        wait_in_force(&host).await?;
-        let ledger = start_ledger(&host);
-        let entry = EntryServer::bind(entry_parts(cli, &host, &ledger), cli.callers).await?;
-        Ok(Self { standins, host, ledger, entry })
+        let plan = HostPlan::new(cli, &standins.catalog, &standins.platform_addresses)?;
+        let steward_host =
+            RunningHost::start(plan.settings("steward", cli.operators)?, MemberRole::Steward)
+                .await?;
+        publish(&steward_host, &standins.catalog).await?;
+        let plan = plan.with_seed(steward_host.peers.address());
+        let steward = StewardProcess::start(steward_host).await?;
+        let ledger_host =
+            RunningHost::start(plan.settings("ledger", any_port())?, MemberRole::Ledger).await?;
+        let ledger = start_ledger(&ledger_host);
+        let entry_host =
+            RunningHost::start(plan.settings("entry", cli.admin)?, MemberRole::Entry).await?;
+        wait_complete(&entry_host).await?;
+        let entry = EntryProcess::start(entry_host, cli.mode, HistoryRecorder::off()).await?;
+        Ok(Self { standins, steward, ledger_host, ledger, entry })
     }
 }
 
@@ -68,12 +80,64 @@
     Ok(catalog)
 }
 
-/// The process stands in the first region of the catalog.
-fn first_place(catalog: &Catalog) -> anyhow::Result<(RegionName, DomainName)> {
-    let (region, object) =
-        catalog.regions.first_key_value().context("the catalog has no region")?;
-    let domain = object.domains.first().context("a region has no failure domain")?;
-    Ok((region.clone(), domain.clone()))
+/// What the settings of the embedded processes share.
+struct HostPlan {
+    region: RegionName,
+    domain: DomainName,
+    platform: PlatformSettings,
+    callers: SocketAddr,
+    seeds: Vec<SocketAddr>,
+    peer_key: SecretKey,
+    session_key: SecretKey,
+    operator_key: SecretKey,
+    log_level: Arc<str>,
+}
+
+impl HostPlan {
+    /// Every process stands in the first region of the catalog.
+    fn new(cli: &Cli, catalog: &Catalog, platform: &PlatformSettings) -> anyhow::Result<Self> {
+        let (region, object) =
+            catalog.regions.first_key_value().context("the catalog has no region")?;
+        let domain = object.domains.first().context("a region has no failure domain")?;
+        Ok(Self {
+            region: region.clone(),
+            domain: domain.clone(),
+            platform: platform.clone(),
+            callers: cli.callers,
+            seeds: Vec::new(),
+            peer_key: fresh_key("peer-1")?,
+            session_key: fresh_key("session-1")?,
+            operator_key: SecretKey {
+                id: KeyId::new("operator-1")?,
+                secret: Arc::from(cli.operator_key.as_str()),
+            },
+            log_level: Arc::from(cli.log_level.as_str()),
+        })
+    }
+
+    fn with_seed(mut self, seed: SocketAddr) -> Self {
+        self.seeds.push(seed);
+        self
+    }
+
+    fn settings(&self, role: &str, admin_address: SocketAddr) -> anyhow::Result<HostSettings> {
+        Ok(HostSettings {
+            id: HostId::new(&format!("local.{role}"))?,
+            region: self.region.clone(),
+            domain: self.domain.clone(),
+            peer_address: any_port(),
+            admin_address,
+            caller_address: Some(self.callers),
+            seeds: self.seeds.clone(),
+            platform: self.platform.clone(),
+            peer_keys: vec![self.peer_key.clone()],
+            session_keys: vec![self.session_key.clone()],
+            operator_keys: vec![self.operator_key.clone()],
+            trace_collector: None,
+            log_level: Arc::clone(&self.log_level),
+            drain_seconds: 0,
+        })
+    }
 }
 
 /// A key that only this process knows.
@@ -82,30 +146,6 @@
     Ok(SecretKey { id: KeyId::new(id)?, secret: Arc::from(secret) })
 }
 
-fn local_settings(
-    cli: &Cli,
-    catalog: &Catalog,
-    platform: &PlatformSettings,
-) -> anyhow::Result<HostSettings> {
-    let (region, domain) = first_place(catalog)?;
-    Ok(HostSettings {
-        id: HostId::new("local.entry")?,
-        region,
-        domain,
-        peer_address: any_port(),
-        admin_address: cli.admin,
-        caller_address: Some(cli.callers),
-        seeds: Vec::new(),
-        platform: platform.clone(),
-        peer_keys: vec![fresh_key("peer-1")?],
-        session_keys: vec![fresh_key("session-1")?],
-        operator_keys: Vec::new(),
-        trace_collector: None,
-        log_level: Arc::from(cli.log_level.as_str()),
-        drain_seconds: 0,
-    })
-}
-
 async fn publish(host: &RunningHost, catalog: &Catalog) -> anyhow::Result<()> {
     let (table, objects) = (Arc::clone(&host.platform.table), Arc::clone(&host.platform.objects));
     let publisher = CatalogPublisher::new(table, objects, Arc::clone(&host.clock));
@@ -116,14 +156,18 @@
     Ok(())
 }
 
-async fn wait_in_force(host: &RunningHost) -> anyhow::Result<()> {
-    let in_force = async {
-        while host.catalog.standing() != CatalogStanding::InForce {
+/// Waits until the catalog is in force and every process is a member.
+async fn wait_complete(host: &RunningHost) -> anyhow::Result<()> {
+    let members = host.members();
+    let complete = async {
+        while host.catalog.standing() != CatalogStanding::InForce
+            || members.members().len() < MEMBERS
+        {
             tokio::time::sleep(START_POLL).await;
         }
     };
-    let waited = tokio::time::timeout(START_TIMEOUT, in_force).await;
-    waited.context("the catalog did not come into force")
+    let waited = tokio::time::timeout(START_TIMEOUT, complete).await;
+    waited.context("the parts did not find each other in time")
 }
 
 fn start_ledger(host: &RunningHost) -> Arc<LedgerNode> {
@@ -133,29 +177,11 @@
         objects: Arc::clone(&host.platform.objects),
         peers: host.calls(),
         members: host.members(),
-        clock: SystemClock::shared(),
-    };
-    LedgerNode::new(NodeConfig::new(id, region, domain, host.incarnation), ports)
-}
-
-fn entry_parts(cli: &Cli, host: &RunningHost, ledger: &Arc<LedgerNode>) -> EntryParts {
-    let local = Arc::new(LocalLedger::new(Arc::clone(ledger)));
-    EntryParts {
-        id: host.settings.id.clone(),
-        region: host.settings.region.clone(),
-        domain: host.settings.domain.clone(),
-        incarnation: host.incarnation,
-        catalog: Arc::clone(&host.catalog) as Arc<dyn CatalogPort>,
-        usage: Arc::clone(&local) as _,
-        claims: local,
-        members: host.members(),
-        ratings: Arc::clone(&host.platform.ratings),
-        shares: Arc::new(crate::whole_share::WholeShare::new(Arc::clone(&host.catalog) as _)),
-        quality: Arc::new(QualityFollower::new(host.calls(), host.members(), host.seed)),
-        table: Arc::clone(&host.platform.table),
         clock: Arc::clone(&host.clock),
-        session_keys: host.settings.session_keys.clone(),
-        seed: host.seed,
-        mode: cli.mode,
+    };
+    let node = LedgerNode::new(NodeConfig::new(id, region, domain, host.incarnation), ports);
+    for (channel, handler) in node.handlers() {
+        host.peers.handle(channel, handler);
     }
+    node
 }
--- a/src/bin/oleander-local/main.rs
+++ b/src/bin/oleander-local/main.rs
@@ -1,10 +1,8 @@
 //! Starts the whole system in one process.
 
-mod bills;
 mod cli;
 mod embedded;
 mod exit_codes;
-mod whole_share;
 
 use clap::Parser;
 use cli::Cli;
@@ -13,9 +11,10 @@
 use oleander_adapters::logs::start_logs;
 use oleander_adapters::ready::ReadyLine;
 use oleander_adapters::signals::StopSignals;
-use oleander_ledger::statement::StatementReader;
+use oleander_core::catalog::Catalog;
+use oleander_core::ids::HostId;
+use std::net::SocketAddr;
 use std::process::ExitCode;
-use std::sync::Arc;
 
 #[tokio::main]
 async fn main() -> ExitCode {
@@ -31,27 +30,26 @@
 
 async fn serve(cli: &Cli) -> anyhow::Result<()> {
     start_logs(&cli.log_level)?;
-    let system = EmbeddedSystem::start(cli).await?;
+    let EmbeddedSystem { standins, steward, ledger_host, ledger, entry } =
+        EmbeddedSystem::start(cli).await?;
     let mut signals = StopSignals::new()?;
-    let platform = &system.host.platform;
-    let reader = StatementReader::new(Arc::clone(&platform.table), Arc::clone(&platform.objects));
-    let admin = system.entry.admin_port().with_path("/bills/", bills::handler(reader));
-    let admin = admin.bind(cli.admin).await?;
-    let (callers, admin_address) = (system.entry.address()?, admin.address()?);
-    tokio::spawn(admin.serve(std::future::pending()));
-    let line = ReadyLine::new(system.host.settings.id.clone());
-    line.with_callers(callers).with_admin(admin_address).print();
-    print_first_steps(&system, &callers.to_string(), &admin_address.to_string());
-    system.entry.serve(async move { signals.next().await }).await;
-    system.ledger.hand_over().await;
-    system.host.stop().await;
+    let (callers, operators) = (entry.caller_address(), steward.admin_address());
+    log::info!("local_ready entry_admin={}", entry.admin_address());
+    ReadyLine::new(HostId::new("local")?).with_callers(callers).with_admin(operators).print();
+    print_first_steps(&standins.catalog, callers, operators, cli);
+    let stop = async move { signals.next().await };
+    entry.serve(stop, std::future::pending()).await;
+    ledger_host.members().leave();
+    ledger.hand_over().await;
+    ledger_host.stop().await;
+    steward.stop().await;
     Ok(())
 }
 
 /// Prints calls that work against the two example catalogs.
-fn print_first_steps(system: &EmbeddedSystem, callers: &str, admin: &str) {
-    let accounts = &system.standins.catalog.client_accounts;
-    let (key, cascade, account) = if accounts.keys().any(|name| name.as_str() == "tacoma-vans") {
+fn print_first_steps(catalog: &Catalog, callers: SocketAddr, operators: SocketAddr, cli: &Cli) {
+    let curbside = catalog.client_accounts.keys().any(|name| name.as_str() == "tacoma-vans");
+    let (key, cascade, account) = if curbside {
         ("curbside-tacoma-vans", "route-menu-plan", "tacoma-vans")
     } else {
         ("teranga-tenant-portal", "tenant-question", "tenant-portal")
@@ -61,7 +59,9 @@
     println!("    -H 'Authorization: Bearer {key}' -H 'Content-Type: application/json' \\");
     println!(
         "    -d '{{\"model\": \"{cascade}\", \"stream\": true, \"messages\": \
-         [{{\"role\": \"user\", \"content\": \"Plan tomorrow for van 12\"}}]}}'"
+         [{{\"role\": \"user\", \"content\": \"What is planned for tomorrow?\"}}]}}'"
     );
-    println!("\nThen read the bill for it:\n\n  curl http://{admin}/bills/{account}\n");
+    println!("\nThen read the bill for it:\n");
+    println!("  OLEANDER_OPERATOR_KEY={} \\", cli.operator_key);
+    println!("    cargo run --bin oleander-ctl -- --steward {operators} bill {account}\n");
 }
--- a/tests/e2e/main.rs
+++ b/tests/e2e/main.rs
@@ -2,6 +2,7 @@
 
 mod faults;
 mod limits;
+mod local;
 mod processes;
 mod sessions;
 mod testenv;
--- a/tests/e2e/testenv/caller.rs
+++ b/tests/e2e/testenv/caller.rs
@@ -83,6 +83,12 @@
         }
     }
 
+    /// Uses another bearer key.
+    pub fn with_key(mut self, key: &str) -> Self {
+        self.key = Arc::from(key);
+        self
+    }
+
     /// The client account.
     pub const fn account(&self) -> &AccountName {
         &self.account
