Tell a queue from silence; stricter proofs

An engine that queues sends no head until the request runs, and after 20 first token times the wait was taken for a silent connection: two requests at an engine with one slot ended in a fault and a second run of the same work. Now the upstream is asked for its load on a connection of its own, and the attempt waits on while requests wait for a slot, for half of the time left at most.

Four proofs were green without their mechanism and are stricter: the deadline of a stream that flows, the binding of a named session that another host made first, the age of a claim apart from the deadline, the weak answer that is given in need. A withdrawal during an answer is new. What a run used so far and its refusals stand in a module of their own.

--- a/crates/core/src/patience.rs
+++ b/crates/core/src/patience.rs
@@ -17,8 +17,10 @@
 /// Longest silences of one attempt.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct AttemptPatience {
-    /// Until the head of the answer.
+    /// Until the head of the answer, from an upstream that does not say that it queues.
     pub first_byte: Duration,
+    /// Until the head of the answer, from one that does.
+    pub queued: Duration,
     /// Between two chunks.
     pub gap: Duration,
 }
@@ -45,6 +47,7 @@
         let share = if left / 2 < MIN_FIRST_BYTE { left } else { left / 2 };
         Self {
             first_byte: first_byte.clamp(MIN_FIRST_BYTE, MAX_SILENCE).min(share),
+            queued: share,
             gap: gap.clamp(MIN_GAP, MAX_SILENCE).min(left),
         }
     }
--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -1,6 +1,7 @@
 //! One attempt at a model engine: sent, checked, read chunk by chunk.
 
 use crate::engine_chunk::{EngineChunk, EngineUsage};
+use crate::load_report::is_queueing;
 use crate::sse::SseReader;
 use crate::upstream_cell::{UpstreamCell, UpstreamPermit};
 use bytes::Bytes;
@@ -119,8 +120,7 @@
     now: Timestamp,
 ) -> Result<EngineAnswer, AttemptFault> {
     let request = attempt_request(permit.cell(), call)?;
-    let sent = permit.cell().client.send(request, call.patience.first_byte).await;
-    let response = sent.map_err(call_fault)?;
+    let response = patient_send(permit.cell(), request, &call.patience).await?;
     permit.cell().note_headers(response.headers(), now);
     let (head, body) = accept_head(response, call).await?.into_parts();
     let confidence = text_header(&head.headers, CONFIDENCE_HEADER).and_then(|t| t.parse().ok());
@@ -135,6 +135,33 @@
     })
 }
 
+/// Waits for the head of an answer. An engine that queues sends none until the request runs,
+/// so a wait that is longer than usual is followed up on a connection of its own: only where
+/// nothing waits for a slot does the connection count as silent.
+async fn patient_send(
+    cell: &UpstreamCell,
+    request: Request<Full<Bytes>>,
+    patience: &AttemptPatience,
+) -> Result<Response<Incoming>, AttemptFault> {
+    let sending = cell.client.send(request, patience.queued);
+    tokio::pin!(sending);
+    loop {
+        let waited = tokio::time::timeout(patience.first_byte, &mut sending).await;
+        if let Ok(sent) = waited {
+            return sent.map_err(call_fault);
+        }
+        // The answer may come while the upstream is asked.
+        tokio::select! {
+            sent = &mut sending => return sent.map_err(call_fault),
+            queueing = is_queueing(cell) => if !queueing {
+                cell.client.retire_connections();
+                let message = format!("no answer within {:?}", patience.first_byte);
+                return Err(AttemptFault::new(FaultKind::Silent, message));
+            }
+        }
+    }
+}
+
 fn attempt_request(
     cell: &UpstreamCell,
     call: &AttemptCall<'_>,
--- a/crates/entry/src/chat_run.rs
+++ b/crates/entry/src/chat_run.rs
@@ -6,9 +6,10 @@
 use crate::chat_context::ChatContext;
 use crate::refusal::Refusal;
 use crate::request_trace::{RequestTrace, TraceEvent};
+use crate::run_progress::{RunProgress, run_state};
 use crate::sample_queue::SampleText;
 use crate::upstream_pool::{PoolPlace, UpstreamPool};
-use crate::version_run::{RunProgress, VersionEnd, VersionRun};
+use crate::version_run::{VersionEnd, VersionRun};
 use oleander_core::admission::{AdmissionDecision, AdmissionRequest};
 use oleander_core::catalog::objects::Version;
 use oleander_core::chain::{ChainPlan, ChainStep};
@@ -100,7 +101,7 @@
     async fn give_weak(&mut self, weak: Option<WeakAnswer>) -> Result<RunEnd, Refusal> {
         let Some(WeakAnswer { step, pieces, close }) = weak else {
             let message = "no step of the cascade gave an answer";
-            let run = if self.progress.ran { RunState::Partial } else { RunState::NotRun };
+            let run = run_state(&self.progress);
             return Err(Refusal::new(Reason::UpstreamFault, message).with_run(run));
         };
         self.sink.prepare(self.head(step), false);
@@ -145,7 +146,7 @@
     }
 
     fn denial(&self, denied: AdmissionDecision) -> Refusal {
-        let run = if self.progress.ran { RunState::Partial } else { RunState::NotRun };
+        let run = run_state(&self.progress);
         let refusal = match denied {
             AdmissionDecision::TooShort { needed } => {
                 let message = format!("the deadline leaves less than the {needed:?} needed");
--- /dev/null
+++ b/crates/entry/src/load_report.rs
@@ -0,0 +1,31 @@
+//! Asks an upstream for its load.
+
+use crate::upstream_cell::UpstreamCell;
+use bytes::Bytes;
+use http::Request;
+use http_body_util::Full;
+use oleander_adapters::http_client::HttpClient;
+use oleander_ports::upstream::LoadReport;
+use std::time::Duration;
+
+/// Longest time for one report.
+const REPORT_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Largest report that is read, in bytes.
+const MAX_REPORT_BYTES: usize = 64 * 1024;
+
+/// The upstream's report; nothing when it gives none.
+pub async fn read_report(client: &HttpClient, cell: &UpstreamCell) -> Option<LoadReport> {
+    let uri = format!("http://{}/load", cell.address);
+    let request = Request::get(uri).body(Full::new(Bytes::new())).ok()?;
+    let sent = client.send_whole(request, REPORT_TIMEOUT, MAX_REPORT_BYTES).await;
+    let response = sent.inspect_err(|error| {
+        log::debug!("load_report_failed upstream={} {error}", cell.name);
+    });
+    serde_json::from_slice(response.ok()?.body()).ok()
+}
+
+/// Whether an upstream says, on a connection of its own, that requests wait for its slots.
+pub async fn is_queueing(cell: &UpstreamCell) -> bool {
+    let report = read_report(&HttpClient::new(), cell).await;
+    report.is_some_and(|report| report.queued > 0)
+}
--- a/crates/entry/src/load_watch.rs
+++ b/crates/entry/src/load_watch.rs
@@ -1,10 +1,8 @@
 //! Watches the upstreams that this host uses: their load, and whether they leave.
 
+use crate::load_report::read_report;
 use crate::state::EntryState;
 use crate::upstream_cell::UpstreamCell;
-use bytes::Bytes;
-use http::Request;
-use http_body_util::Full;
 use kameo::Actor;
 use kameo::actor::{ActorRef, Spawn};
 use kameo::message::{Context, Message};
@@ -17,10 +15,6 @@
 
 /// Time between two polls of one upstream. Answers carry its load too.
 pub const DEFAULT_POLL_INTERVAL: Duration = Duration::from_millis(2_000);
-/// Longest time for one poll.
-const POLL_TIMEOUT: Duration = Duration::from_millis(1_500);
-/// Largest report that is read, in bytes.
-const MAX_REPORT_BYTES: usize = 64 * 1024;
 
 /// Polls the upstreams that are due.
 struct PollTick;
@@ -140,16 +134,6 @@
 }
 
 async fn poll(cell: Arc<UpstreamCell>, actor: ActorRef<LoadWatcher>) {
-    let report = read_report(&cell).await;
+    let report = read_report(&cell.client, &cell).await;
     let _ = actor.tell(PollEnded { cell, report }).await;
 }
-
-async fn read_report(cell: &UpstreamCell) -> Option<LoadReport> {
-    let uri = format!("http://{}/load", cell.address);
-    let request = Request::get(uri).body(Full::new(Bytes::new())).ok()?;
-    let sent = cell.client.send_whole(request, POLL_TIMEOUT, MAX_REPORT_BYTES).await;
-    let response = sent.inspect_err(|error| {
-        log::debug!("load_poll_failed upstream={} {error}", cell.name);
-    });
-    serde_json::from_slice(response.ok()?.body()).ok()
-}
--- a/crates/entry/src/version_run.rs
+++ b/crates/entry/src/version_run.rs
@@ -7,6 +7,9 @@
 use crate::chat_context::ChatContext;
 use crate::refusal::Refusal;
 use crate::request_trace::{RequestTrace, TraceEvent};
+use crate::run_progress::{
+    FULL_RETRY_AFTER, RunProgress, deadline_refusal, run_state, stop_refusal,
+};
 use crate::upstream_cell::{UpstreamCell, UpstreamPermit};
 use crate::upstream_pool::{UpstreamDraw, UpstreamPool};
 use oleander_core::attempt_retry::{FaultKind, RetryMove, next_move};
@@ -15,8 +18,8 @@
 use oleander_core::ids::{AttemptId, UpstreamName, VersionName};
 use oleander_core::patience::AttemptPatience;
 use oleander_core::price::{TokenUse, version_price};
-use oleander_core::reason::{Reason, RunState};
-use oleander_core::units::{Millis, Money, TokenCount};
+use oleander_core::reason::Reason;
+use oleander_core::units::{Millis, TokenCount};
 use oleander_core::upstream_choice::AttemptWork;
 use std::collections::HashSet;
 use std::sync::Arc;
@@ -29,8 +32,6 @@
 const MAX_ATTEMPTS: u32 = 6;
 const BACKOFF: RetryBackoff =
     RetryBackoff::new(Duration::from_millis(20), Duration::from_millis(500));
-/// When a caller may come back to a pool that refused.
-const FULL_RETRY_AFTER: Duration = Duration::from_secs(1);
 /// Least time left for which another attempt is made.
 const RETRY_RESERVE: Duration = Duration::from_millis(10);
 /// Kept of the time left for the way back.
@@ -56,19 +57,6 @@
     Fault(AttemptFault),
 }
 
-/// What a run used so far.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct RunProgress {
-    /// Attempts that were sent.
-    pub attempts: u16,
-    /// Whether any byte was sent that an engine may have run.
-    pub ran: bool,
-    /// Tokens that came from the version that runs now.
-    pub position: u32,
-    /// What all attempts cost.
-    pub upstream_cost: Money,
-}
-
 /// A run on one version.
 pub struct VersionRun<'a> {
     ctx: &'a ChatContext,
@@ -381,23 +369,3 @@
     tokens: u32,
     prompt: Option<TokenCount>,
 }
-
-const fn run_state(progress: &RunProgress) -> RunState {
-    if progress.ran { RunState::Partial } else { RunState::NotRun }
-}
-
-fn deadline_refusal(progress: &RunProgress) -> Refusal {
-    let message = "the deadline passed before the answer was complete";
-    Refusal::new(Reason::DeadlineExceeded, message).with_run(run_state(progress))
-}
-
-fn stop_refusal(fault: &AttemptFault, progress: &RunProgress) -> Refusal {
-    let (reason, again) = match fault.kind {
-        FaultKind::Rejected => (Reason::BadRequest, false),
-        FaultKind::NotRun => (Reason::Overloaded, true),
-        FaultKind::Connect => (Reason::NoUpstream, true),
-        _ => (Reason::UpstreamFault, true),
-    };
-    let refusal = Refusal::new(reason, fault.to_string()).with_run(run_state(progress));
-    if again { refusal.with_retry_after(FULL_RETRY_AFTER) } else { refusal }
-}
--- a/crates/entry/tests/allowed.rs
+++ b/crates/entry/tests/allowed.rs
@@ -4,7 +4,9 @@
 
 use oleander_core::catalog::objects::Withdrawal;
 use oleander_ports::catalog::CatalogStanding;
+use oleander_standin::faults::FaultPlan;
 use std::sync::Arc;
+use std::time::Duration;
 use support::{STOCK_KEY, TestBed, chat_body};
 use yare::parameterized;
 
@@ -73,6 +75,24 @@
     assert_eq!(runs.iter().filter(|version| *version == "small@1").count(), 1);
 }
 
+#[tokio::test]
+async fn version_withdrawn_during_an_answer_gets_no_further_attempt() {
+    let bed = TestBed::start().await;
+    bed.set_engine_faults(&FaultPlan { stalls: 9, cut_after: 2, ..FaultPlan::default() });
+    let request = bed.post("/v1/chat/completions", &[], &chat_body("small@1", true));
+    let response = bed.client.send(request, Duration::from_secs(5)).await.unwrap();
+    bed.catalog.publish(|catalog| {
+        let withdrawal =
+            Withdrawal { reason: Arc::from("bad"), stranded_accounts: Default::default() };
+        catalog.withdrawals.insert("small@1".parse().unwrap(), withdrawal);
+    });
+    let body = oleander_adapters::http_server::read_body(response.into_body(), 1 << 20).await;
+    let body = String::from_utf8(body.unwrap().to_vec()).unwrap();
+    assert!(body.contains(r#""code":"version_withdrawn""#), "{body}");
+    assert!(!body.contains("[DONE]"));
+    assert_eq!(bed.engine_runs(), ["small@1"]);
+}
+
 #[tokio::test]
 async fn host_without_standing_refuses() {
     let bed = TestBed::start().await;
--- a/crates/entry/tests/cascade.rs
+++ b/crates/entry/tests/cascade.rs
@@ -51,14 +51,16 @@
 #[tokio::test]
 async fn weak_answer_is_given_when_no_better_one_can_be_had() {
     let mut catalog = catalog();
-    // The costly model runs nowhere.
-    let pool = catalog.pools[&"runners".parse().unwrap()].clone();
-    let mut empty = pool.clone();
-    empty.upstreams.clear();
-    catalog.pools.insert("none".parse().unwrap(), empty);
-    catalog.versions.get_mut(&"large@1".parse().unwrap()).unwrap().pool = "none".parse().unwrap();
-    let bed = TestBed::start_with(catalog, SystemClock::shared(), ChoiceMode::CheapThenEscalate);
-    let bed = bed.await;
+    let mut costly = catalog.pools[&"runners".parse().unwrap()].clone();
+    let (_, upstream) = costly.upstreams.pop_first().unwrap();
+    costly.upstreams = [(support::upstream("runner-3"), upstream)].into();
+    catalog.pools.insert("costly".parse().unwrap(), costly);
+    let large = catalog.versions.get_mut(&"large@1".parse().unwrap()).unwrap();
+    large.pool = "costly".parse().unwrap();
+    let clock = SystemClock::shared();
+    let bed = TestBed::start_with(catalog, clock, ChoiceMode::CheapThenEscalate).await;
+    let engine = &bed.deployment.engines[&support::upstream("runner-3")];
+    engine.faults().set_plan(FaultPlan { down: true, ..FaultPlan::default() });
     let reply = bed.chat("menu-plan", true, &[]).await;
     assert_eq!(reply.streamed_text(), expected_text("small@1"), "{}", reply.body);
     assert_eq!(reply.header("x-oleander-cascade-step"), "0");
--- a/crates/entry/tests/orders.rs
+++ b/crates/entry/tests/orders.rs
@@ -2,6 +2,7 @@
 
 mod support;
 
+use oleander_core::units::Millis;
 use oleander_standin::faults::FaultPlan;
 use serde_json::json;
 use std::sync::atomic::Ordering;
@@ -89,6 +90,11 @@
 #[tokio::test]
 async fn host_paused_after_its_claim_sends_nothing_and_releases() {
     let bed = TestBed::start().await;
+    // The deadline alone would let the order go.
+    bed.catalog.publish(|catalog| {
+        let operations = catalog.services.values_mut().flat_map(|s| s.operations.values_mut());
+        operations.for_each(|operation| operation.timeout = Millis::new(20_000));
+    });
     bed.claims.pause_millis.store(2_100, Ordering::SeqCst);
     let reply = bed.call("order", &[KEY], &json!({})).await;
     assert_eq!(reply.header("x-oleander-run-state"), "not_run", "{}", reply.body);
--- a/crates/entry/tests/sessions.rs
+++ b/crates/entry/tests/sessions.rs
@@ -102,6 +102,15 @@
     }
 }
 
+#[tokio::test]
+async fn other_hosts_binding_counts_when_it_was_first() {
+    let bed = TestBed::start().await;
+    bed.rivals.expect_rival(&serde_json::json!({"target": "small", "version": "small@2"}));
+    let reply = bed.chat("small", false, &[("x-oleander-session", "route-1")]).await;
+    assert_eq!(reply.header("x-oleander-version"), "small@2", "{}", reply.body);
+    assert_eq!(bed.engine_runs(), ["small@2"]);
+}
+
 #[tokio::test]
 async fn named_session_is_refused_unrun_while_the_table_is_out() {
     let bed = TestBed::start().await;
--- a/crates/entry/tests/support/mod.rs
+++ b/crates/entry/tests/support/mod.rs
@@ -17,12 +17,13 @@
 use oleander_core::units::Timestamp;
 use oleander_core::usage::{StoredOutcome, UsageRecord};
 use oleander_entry::{EntryParts, EntryServer, EntryView};
-use oleander_ports::PortFuture;
 use oleander_ports::catalog::{CatalogPort, CatalogStanding};
 use oleander_ports::claims::{ClaimError, ClaimOutcome, ClaimPort, ClaimRequest};
 use oleander_ports::clock::{ClockPort, SystemClock};
 use oleander_ports::shares::{AccountShare, QualityPort, SharePort};
+use oleander_ports::table::{TablePort, TableRow, TableTransaction, TransactionOutcome};
 use oleander_ports::usage::{UsageError, UsagePort};
+use oleander_ports::{PlatformError, PortFuture};
 use oleander_standin::deployment::{AddressPlan, StandinDeployment};
 use oleander_standin::engine::EngineStandin;
 use oleander_standin::fakes::FakeMembers;
@@ -279,6 +280,48 @@
     }
 }
 
+/// A table in which another host binds a session between a look-up and the insert.
+pub struct RivalTable {
+    inner: MemoryTable,
+    rival: Mutex<Option<Vec<u8>>>,
+}
+
+impl RivalTable {
+    /// The next look-up that finds nothing is followed by another host's write of `value`.
+    pub fn expect_rival(&self, value: &Value) {
+        *self.rival.lock().unwrap() = Some(value.to_string().into_bytes());
+    }
+}
+
+impl TablePort for RivalTable {
+    fn transact(
+        &self,
+        transaction: TableTransaction,
+    ) -> PortFuture<'_, Result<TransactionOutcome, PlatformError>> {
+        self.inner.transact(transaction)
+    }
+
+    fn get<'a>(&'a self, key: &'a str) -> PortFuture<'a, Result<Option<TableRow>, PlatformError>> {
+        Box::pin(async move {
+            let found = self.inner.get(key).await?;
+            let rival = self.rival.lock().unwrap().take();
+            if let Some(value) = rival {
+                self.inner.transact(TableTransaction::new().with_put(key, value)).await?;
+            }
+            Ok(found)
+        })
+    }
+
+    fn scan<'a>(
+        &'a self,
+        start: &'a str,
+        end: &'a str,
+        limit: usize,
+    ) -> PortFuture<'a, Result<Vec<TableRow>, PlatformError>> {
+        self.inner.scan(start, end, limit)
+    }
+}
+
 /// A clock that stands still.
 pub struct FrozenClock(pub Timestamp);
 
@@ -299,6 +342,7 @@
     pub shares: Arc<FixedShares>,
     pub members: FakeMembers,
     pub table: MemoryTable,
+    pub rivals: Arc<RivalTable>,
     pub view: EntryView,
     pub client: HttpClient,
     stop: Option<oneshot::Sender<()>>,
@@ -321,6 +365,7 @@
         let shares = Arc::new(FixedShares { share: Mutex::new(share) });
         let members = FakeMembers::new();
         let table = MemoryTable::new();
+        let rivals = Arc::new(RivalTable { inner: table.clone(), rival: Mutex::default() });
         let secret = |id: &str| SecretKey {
             id: id.parse().unwrap(),
             secret: Arc::from(format!("{id}: a secret of sixteen bytes")),
@@ -337,7 +382,7 @@
             ratings: Arc::new(deployment.platform.ratings.clone()),
             shares: Arc::clone(&shares) as Arc<dyn SharePort>,
             quality: Arc::new(NoQuality),
-            table: Arc::new(table.clone()),
+            table: Arc::clone(&rivals) as Arc<dyn TablePort>,
             clock,
             session_keys: vec![secret("k1")],
             seed: SEED,
@@ -365,6 +410,7 @@
             shares,
             members,
             table,
+            rivals,
             view,
             client,
             stop,
--- a/crates/entry/tests/whole_answers.rs
+++ b/crates/entry/tests/whole_answers.rs
@@ -106,6 +106,41 @@
     assert!(bed.engine_runs().is_empty());
 }
 
+/// One upstream with one slot that takes more than a second for an answer.
+async fn slow_bed() -> TestBed {
+    let mut catalog = support::catalog();
+    let runners = catalog.pools.get_mut(&"runners".parse().unwrap()).unwrap();
+    runners.upstreams.pop_last();
+    runners.upstreams.values_mut().for_each(|upstream| upstream.slots = 1);
+    for version in catalog.versions.values_mut() {
+        version.token_gap = oleander_core::units::Millis::new(60);
+    }
+    let clock = oleander_ports::clock::SystemClock::shared();
+    TestBed::start_with(catalog, clock, Default::default()).await
+}
+
+#[tokio::test]
+async fn wait_for_a_slot_is_not_taken_for_silence() {
+    let bed = slow_bed().await;
+    let (a, b) = tokio::join!(bed.chat("large", true, &[]), bed.chat("large", true, &[]));
+    for reply in [a, b] {
+        assert!(reply.is_done(), "{}", reply.body);
+        let steps = bed.explain(reply.header("x-oleander-request-id")).await;
+        assert!(steps.iter().all(|(event, _)| event != "fault"), "{steps:?}");
+    }
+    assert_eq!(bed.engine_runs().len(), 2);
+}
+
+#[tokio::test]
+async fn deadline_ends_a_stream_that_still_flows() {
+    let bed = slow_bed().await;
+    let reply = bed.chat("large", true, &[("x-oleander-deadline-ms", "500")]).await;
+    assert!(!reply.is_done());
+    assert!(reply.body.contains(r#""code":"deadline_exceeded""#), "{}", reply.body);
+    assert!(expected_text("large@1").starts_with(&reply.streamed_text()));
+    assert!(bed.usage.billed().is_empty());
+}
+
 #[tokio::test]
 async fn deadline_ends_the_request_and_its_attempt() {
     let bed = TestBed::start().await;
