Drain a backlog and fold windows within a stated rate

All ledgers together now drain 200 rows a second and fold 200 batches a second, each its share by the number of ledgers; a round of writes ends after 4 s so that copies and reports are not late. While the table is out, waiting groups are sealed every 30 s whatever the pause between attempts, so that shorter pauses do not make more and smaller rows.

--- a/crates/ledger/src/flush_loop.rs
+++ b/crates/ledger/src/flush_loop.rs
@@ -8,13 +8,21 @@
 use crate::table_writer::TableWriter;
 use crate::wire::BatchCall;
 use kameo::prelude::*;
+use oleander_core::ledger::book::RunTicket;
 use oleander_core::ledger::keys::OriginId;
 use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
+use tokio::time::Instant;
 
 /// Longest pause between attempts to write while the table is out.
 pub const MAX_FLUSH_PAUSE: Duration = Duration::from_secs(8);
+/// Time after which waiting groups are sealed into a run while older runs wait for the table.
+pub const SEAL_EVERY: Duration = Duration::from_secs(30);
+/// Rows a second that all ledgers together write when they drain a backlog.
+pub const DRAIN_ROWS_PER_SECOND: f64 = 200.0;
+/// Time after which a round of writes ends, so that copies and reports are not late.
+pub const MAX_WRITE_ROUND: Duration = Duration::from_secs(4);
 /// Most runs that are copied again in one round.
 pub const MAX_RECOPIES: usize = 16;
 
@@ -33,6 +41,8 @@
     every: Duration,
     failures: u32,
     told: BTreeSet<OriginId>,
+    sealed_at: Instant,
+    leaving: bool,
 }
 
 impl FlushLoop {
@@ -46,7 +56,18 @@
         every: Duration,
     ) -> Self {
         let told = BTreeSet::new();
-        Self { keeper, holder, writer, metrics, every, failures: 0, told }
+        let sealed_at = Instant::now();
+        Self {
+            keeper,
+            holder,
+            writer,
+            metrics,
+            every,
+            failures: 0,
+            told,
+            sealed_at,
+            leaving: false,
+        }
     }
 
     /// Runs until the task is ended.
@@ -57,7 +78,7 @@
             tokio::time::sleep(self.every).await;
             rounds += 1;
             if rounds >= next_write {
-                self.write_all().await;
+                let _ = self.write_all().await;
                 next_write = rounds + self.pause_rounds();
             }
             self.copy_unprotected().await;
@@ -74,28 +95,64 @@
         (pause.as_millis() / self.every.as_millis().max(1)).max(1) as u64
     }
 
-    /// Writes every run until one fails. Returns whether all are written.
-    pub async fn write_all(&mut self) -> bool {
-        let mut seal = true;
-        while let Ok(Some(ticket)) = self.keeper.ask(NextRun { seal }).await {
-            seal = false;
-            match self.writer.write_run(&ticket.shelf.origin, &ticket.run).await {
-                Ok(transactions) => {
-                    self.failures = 0;
-                    self.metrics.flushes.inc();
-                    self.metrics.flush_transactions.inc_by(transactions);
-                    let (shelf, number) = (ticket.shelf, ticket.number);
-                    let _ = self.keeper.tell(RunWritten { shelf, number }).await;
-                }
-                Err(error) => {
-                    self.failures += 1;
-                    self.metrics.flush_failures.inc();
-                    log::warn!("ledger_flush_failed error={error} failures={}", self.failures);
-                    return false;
-                }
+    /// Writes runs, oldest first, until one fails or the round is over.
+    async fn write_all(&mut self) -> WriteState {
+        let started = Instant::now();
+        let mut sealed = false;
+        let mut last_rows = 0;
+        while let Some(ticket) = self.next_run(&mut sealed).await {
+            if started.elapsed() >= MAX_WRITE_ROUND {
+                return WriteState::SomeLeft;
+            }
+            tokio::time::sleep(self.pause_after(last_rows)).await;
+            last_rows = ticket.run.rows.len();
+            if !self.write_one(ticket).await {
+                return WriteState::Failed;
+            }
+        }
+        WriteState::AllWritten
+    }
+
+    /// The oldest run. Groups are sealed once a round, when no run is left or the last time is
+    /// long ago, so that an outage of the table makes few large runs.
+    async fn next_run(&mut self, sealed: &mut bool) -> Option<RunTicket> {
+        if self.sealed_at.elapsed() < SEAL_EVERY || *sealed {
+            let next = self.keeper.ask(NextRun { seal: false }).await.ok().flatten();
+            if next.is_some() || *sealed {
+                return next;
+            }
+        }
+        *sealed = true;
+        self.sealed_at = Instant::now();
+        self.keeper.ask(NextRun { seal: true }).await.ok().flatten()
+    }
+
+    /// Time by which the ledgers together stay within the rate of a drain.
+    fn pause_after(&self, rows: usize) -> Duration {
+        if self.leaving {
+            return Duration::ZERO;
+        }
+        let ledgers = self.holder.live_ledgers().len() + 1;
+        Duration::from_secs_f64(rows as f64 * ledgers as f64 / DRAIN_ROWS_PER_SECOND)
+    }
+
+    async fn write_one(&mut self, ticket: RunTicket) -> bool {
+        match self.writer.write_run(&ticket.shelf.origin, &ticket.run).await {
+            Ok(transactions) => {
+                self.failures = 0;
+                self.metrics.flushes.inc();
+                self.metrics.flush_transactions.inc_by(transactions);
+                let (shelf, number) = (ticket.shelf, ticket.number);
+                let _ = self.keeper.tell(RunWritten { shelf, number }).await;
+                true
+            }
+            Err(error) => {
+                self.failures += 1;
+                self.metrics.flush_failures.inc();
+                log::warn!("ledger_flush_failed error={error} failures={}", self.failures);
+                false
             }
         }
-        true
     }
 
     async fn copy_unprotected(&self) -> CopyState {
@@ -130,18 +187,20 @@
     /// whether nothing is lost when the process ends now.
     pub async fn hand_over(mut self) -> HandOver {
         let _ = self.keeper.ask(BeginLeave).await;
-        let deadline = tokio::time::Instant::now() + HAND_OVER_DEADLINE;
+        self.leaving = true;
+        let deadline = Instant::now() + HAND_OVER_DEADLINE;
         loop {
-            let written = self.write_all().await;
+            let state = self.write_all().await;
+            let written = state == WriteState::AllWritten;
             if written && self.keeper.ask(IsEmpty).await.unwrap_or(true) {
                 self.report().await;
                 return HandOver::Written;
             }
-            let copied = !written && self.copy_unprotected().await == CopyState::AllCopied;
-            if copied {
+            let failed = state == WriteState::Failed;
+            if failed && self.copy_unprotected().await == CopyState::AllCopied {
                 return HandOver::Copied;
             }
-            if tokio::time::Instant::now() >= deadline {
+            if Instant::now() >= deadline {
                 return HandOver::Incomplete;
             }
             tokio::time::sleep(HAND_OVER_PAUSE).await;
@@ -160,6 +219,13 @@
     Incomplete,
 }
 
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum WriteState {
+    AllWritten,
+    SomeLeft,
+    Failed,
+}
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum CopyState {
     AllCopied,
--- a/crates/ledger/src/fold_keeper.rs
+++ b/crates/ledger/src/fold_keeper.rs
@@ -11,7 +11,7 @@
     detail_name, fold_key, shard_prefix, window_of_key, window_prefix,
 };
 use oleander_core::ledger::packed::{pack, unpack};
-use oleander_core::ledger::shard::{LedgerRoute, ShardId, WindowId};
+use oleander_core::ledger::shard::{LedgerRoute, SHARD_COUNT, ShardId, WindowId};
 use oleander_ports::table::{
     RowCondition, TableRow, TableTransaction, TransactionOutcome, prefix_end,
 };
@@ -23,6 +23,8 @@
 pub const FOLD_AFTER: Duration = Duration::from_secs(300);
 /// Time between looks for windows to fold.
 pub const FOLD_EVERY: Duration = Duration::from_secs(15);
+/// Batches a second that all ledgers together fold.
+pub const FOLD_ROWS_PER_SECOND: f64 = 200.0;
 /// Most windows of a shard that are folded at one look.
 pub const MAX_FOLDS: usize = 64;
 
@@ -59,6 +61,14 @@
         first.is_none_or(|ledger| ledger.id == self.host)
     }
 
+    /// Time by which the ledgers that fold stay together within the rate of folds.
+    fn pause(&self) -> Duration {
+        let members = self.ports.members.members();
+        let ledgers = ledgers_for(&members, LedgerRoute::of_claims(), None).len();
+        let folding = ledgers.clamp(1, usize::from(SHARD_COUNT));
+        Duration::from_secs_f64(SCAN_ROWS as f64 * folding as f64 / FOLD_ROWS_PER_SECOND)
+    }
+
     /// Folds the closed windows of a shard, oldest first. Returns how many folds were written.
     ///
     /// # Errors
@@ -75,6 +85,7 @@
                 return Ok(folds);
             }
             self.fold_window(shard, window).await?;
+            tokio::time::sleep(self.pause()).await;
         }
         Ok(MAX_FOLDS)
     }
--- a/crates/ledger/tests/billing.rs
+++ b/crates/ledger/tests/billing.rs
@@ -122,6 +122,31 @@
     assert!(counted == held || counted == held + 1, "{counted} billed of {held} held");
 }
 
+#[tokio::test(start_paused = true)]
+async fn backlog_drains_within_the_rate_of_a_drain() {
+    let fleet = Fleet::new(3);
+    fleet.table.set_down(true);
+    let client = fleet.client();
+    for number in 0..40 {
+        for payer in 0..40 {
+            let payer = account(&format!("van-{payer}"));
+            client.record(record(&payer, request(number))).await.unwrap();
+        }
+        tokio::time::sleep(Duration::from_secs(32)).await;
+    }
+    fleet.table.set_down(false);
+    let (mut before, mut most) = (fleet.table.counts().written_rows, 0);
+    for _ in 0..60 {
+        tokio::time::sleep(Duration::from_secs(1)).await;
+        let written = fleet.table.counts().written_rows;
+        most = most.max(written - before);
+        before = written;
+    }
+    assert!(before > 400, "only {before} rows were held back");
+    assert!(most < 450, "{most} rows in one second");
+    assert!(fleet.nodes.iter().all(|node| node.metrics().backlog_bytes.get() == 0));
+}
+
 #[tokio::test(start_paused = true)]
 async fn two_ledgers_lost_one_after_the_other_lose_nothing_in_an_outage() {
     let mut fleet = Fleet::new(5);
