--- a/crates/entry/src/entry_process.rs
+++ b/crates/entry/src/entry_process.rs
@@ -12,6 +12,8 @@
 use oleander_peers::ShareService;
 use oleander_ports::catalog::CatalogPort;
 use oleander_ports::claims::ClaimPort;
+use oleander_ports::peers::PeerChannel;
+use oleander_ports::status::{ProcessStatus, status_handler};
 use oleander_ports::usage::UsagePort;
 use std::future::Future;
 use std::net::SocketAddr;
@@ -60,6 +62,8 @@
         let caller_address = server.address()?;
         let admin = server.admin_port().bind(settings.admin_address).await?;
         let admin_address = admin.address()?;
+        let status = status_handler(ProcessStatus { admin: admin_address });
+        host.peers.handle(PeerChannel::Status, status);
         Ok(Self { host, shares, server, admin, caller_address, admin_address })
     }
 
--- a/tests/e2e/processes.rs
+++ b/tests/e2e/processes.rs
@@ -16,13 +16,16 @@
         assert!(answer.whole && answer.stream_error.is_none(), "{answer:?}");
         assert!(!answer.text.is_empty());
     }
+    let answer = caller.chat(system.callers(1), "stock-lookup", "buns", true, &[]).await.unwrap();
+    let explained = system.ctl_ok(&["explain", answer.header("x-oleander-request-id").unwrap()]);
+    assert!(explained.contains(answer.header("x-oleander-version").unwrap()), "{explained}");
     // Ledgers write what they hold every two seconds.
     let billed = async {
-        while billed_requests(&system) != 3 {
+        while billed_requests(&system) != 4 {
             tokio::time::sleep(Duration::from_millis(200)).await;
         }
     };
-    tokio::time::timeout(PATIENCE, billed).await.expect("the three requests are not on the bill");
+    tokio::time::timeout(PATIENCE, billed).await.expect("the four requests are not on the bill");
 }
 
 fn billed_requests(system: &TestSystem) -> u64 {
