--- a/crates/core/src/ejection.rs
+++ b/crates/core/src/ejection.rs
@@ -9,11 +9,14 @@
 const FAILURES_IN_ROW: u32 = 5;
 /// Time of a first ejection; every further one in a row takes as much longer.
 const BASE_EJECTION: Duration = Duration::from_secs(10);
+/// Weight of the latest attempt in the share of failures.
+const FAILING_GAIN: f64 = 0.2;
 const LONGEST_EJECTION: Duration = Duration::from_secs(120);
 
 #[derive(Clone, Copy, Debug, Default)]
 struct OutlierRecord {
     failures: u32,
+    failing: f64,
     ejections: u32,
     until: Option<Timestamp>,
 }
@@ -54,6 +57,7 @@
     pub fn note_success(&mut self, upstream: &UpstreamName) {
         if let Some(record) = self.records.get_mut(upstream) {
             record.failures = 0;
+            record.failing -= record.failing * FAILING_GAIN;
             record.ejections = record.ejections.saturating_sub(u32::from(record.until.is_some()));
             record.until = None;
         }
@@ -64,6 +68,7 @@
         let room = self.ejected(now) < self.most();
         let Some(record) = self.records.get_mut(upstream) else { return false };
         record.failures += 1;
+        record.failing += (1.0 - record.failing) * FAILING_GAIN;
         if record.is_out(now) || record.failures < FAILURES_IN_ROW || !room {
             return false;
         }
@@ -81,6 +86,12 @@
         self.records.get(upstream).is_some_and(|record| record.is_out(now))
     }
 
+    /// Share of an upstream's latest attempts that failed, from 0 to 1.
+    #[must_use]
+    pub fn failing(&self, upstream: &UpstreamName) -> f64 {
+        self.records.get(upstream).map_or(0.0, |record| record.failing)
+    }
+
     /// Number of upstreams that are ejected now.
     #[must_use]
     pub fn ejected(&self, now: Timestamp) -> usize {
--- a/crates/core/src/upstream_choice.rs
+++ b/crates/core/src/upstream_choice.rs
@@ -20,6 +20,8 @@
 const PREFILL_SAVED: f64 = 1.0;
 const MILLIS_PER_SECOND: f64 = 1_000.0;
 const MAX_REDRAWS: u32 = 4;
+/// Least chance of success that is counted with.
+const LEAST_SUCCESS: f64 = 0.01;
 
 /// A load report as the host has it.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -63,6 +65,8 @@
     pub delay: Millis,
     /// Share of full work that it may get while it warms up, from 0 to 1.
     pub slow_start: f64,
+    /// Share of its latest attempts that failed, from 0 to 1.
+    pub failing: f64,
     /// Whether it is ejected as an outlier.
     pub ejected: bool,
     /// Whether it is leaving or drained.
@@ -83,6 +87,7 @@
             region_price: Money::ZERO,
             delay: Millis::new(0),
             slow_start: 1.0,
+            failing: 0.0,
             ejected: false,
             leaving: false,
         }
@@ -193,7 +198,7 @@
     candidates.into_iter().flatten().min_by(|&a, &b| cost(a).total_cmp(&cost(b)))
 }
 
-/// Draws an open upstream other than `not`, one that warms up less often.
+/// Draws an open upstream other than `not`; one that warms up or fails is drawn less often.
 fn draw(views: &[UpstreamView], open: &[usize], random: u64, not: Option<usize>) -> usize {
     let others: Vec<usize> = open.iter().copied().filter(|&index| Some(index) != not).collect();
     let pool = if others.is_empty() { open } else { &others };
@@ -201,7 +206,7 @@
     let mut chosen = pool[pick(word, pool.len())];
     for _ in 0..MAX_REDRAWS {
         word = mix(word);
-        if unit_point(word) < views[chosen].slow_start {
+        if unit_point(word) < views[chosen].slow_start * (1.0 - views[chosen].failing) {
             break;
         }
         word = mix(word);
@@ -257,5 +262,8 @@
 /// Expected cost in millionths: the region's price plus the price of the expected latency.
 fn expected_cost(view: &UpstreamView, work: &AttemptWork, mean_others: f64) -> f64 {
     let seconds = expected_seconds(view, work, mean_others);
-    view.region_price.as_micros() as f64 + seconds * work.price_per_second.as_micros() as f64
+    let money = view.region_price.as_micros() as f64;
+    let cost = money + seconds * work.price_per_second.as_micros() as f64;
+    // An upstream that fails fast looks idle: count the attempts that an answer takes there.
+    cost / (1.0 - view.failing).max(LEAST_SUCCESS)
 }
