--- a/crates/core/src/ejection.rs
+++ b/crates/core/src/ejection.rs
@@ -9,6 +9,8 @@
 const FAILURES_IN_ROW: u32 = 5;
 /// Time of a first ejection; every further one in a row takes as much longer.
 const BASE_EJECTION: Duration = Duration::from_secs(10);
+/// Time without a failure after which the share of failures counts half.
+const FAILING_HALF_LIFE: Duration = Duration::from_secs(3);
 /// Weight of the latest attempt in the share of failures.
 const FAILING_GAIN: f64 = 0.2;
 const LONGEST_EJECTION: Duration = Duration::from_secs(120);
@@ -17,6 +19,7 @@
 struct OutlierRecord {
     failures: u32,
     failing: f64,
+    failed_at: Timestamp,
     ejections: u32,
     until: Option<Timestamp>,
 }
@@ -69,6 +72,7 @@
         let Some(record) = self.records.get_mut(upstream) else { return false };
         record.failures += 1;
         record.failing += (1.0 - record.failing) * FAILING_GAIN;
+        record.failed_at = now;
         if record.is_out(now) || record.failures < FAILURES_IN_ROW || !room {
             return false;
         }
@@ -86,10 +90,13 @@
         self.records.get(upstream).is_some_and(|record| record.is_out(now))
     }
 
-    /// Share of an upstream's latest attempts that failed, from 0 to 1.
+    /// Share of an upstream's latest attempts that failed, from 0 to 1; it fades while none is
+    /// made, so that an upstream that came back is tried again.
     #[must_use]
-    pub fn failing(&self, upstream: &UpstreamName) -> f64 {
-        self.records.get(upstream).map_or(0.0, |record| record.failing)
+    pub fn failing(&self, upstream: &UpstreamName, now: Timestamp) -> f64 {
+        let Some(record) = self.records.get(upstream) else { return 0.0 };
+        let halves = now.since(record.failed_at).as_secs_f64() / FAILING_HALF_LIFE.as_secs_f64();
+        record.failing * 0.5f64.powf(halves)
     }
 
     /// Number of upstreams that are ejected now.
--- a/crates/load/src/simulation/router_model.rs
+++ b/crates/load/src/simulation/router_model.rs
@@ -196,7 +196,7 @@
             let mut view = engine.view.clone();
             view.ejected =
                 Some(index) == not || pool.ejection.is_ejected(&view.name, timestamp(now));
-            view.failing = pool.ejection.failing(&view.name);
+            view.failing = pool.ejection.failing(&view.name, timestamp(now));
             view.report = engine.report.map(|report| ReportedLoad {
                 running: report.running,
                 queued: report.queued,
