Bound the queue in front of a pool, and count with the speed under load

A queue as long as the deadline kept the engines no busier and shut out every request with a short deadline.

--- a/crates/core/src/admission.rs
+++ b/crates/core/src/admission.rs
@@ -7,6 +7,7 @@
 
 use crate::catalog::objects::Priority;
 use crate::ids::AccountName;
+use crate::upstream_choice::BATCH_SLOWDOWN;
 use std::collections::BTreeMap;
 use std::time::Duration;
 
@@ -24,6 +25,9 @@
 const SERVICE_GAIN: f64 = 0.05;
 /// Service time that is assumed before answers are in, in seconds.
 const FIRST_SERVICE_SECONDS: f64 = 1.0;
+/// Longest queue in front of a pool. Slots free up all the time, so a longer queue keeps no
+/// slot busier and only adds latency.
+pub const QUEUE_BOUND: Duration = Duration::from_secs(1);
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(100);
 const LONGEST_RETRY_AFTER: Duration = Duration::from_secs(120);
 
@@ -112,9 +116,9 @@
             return AdmissionDecision::TooShort { needed: request.needed };
         }
         let wait = self.expected_wait();
-        let spare = (request.left - request.needed).mul_f64(waiting_share(request.priority));
-        if wait > spare {
-            return AdmissionDecision::Overloaded { retry_after: bounded(wait - spare) };
+        let room = self.room(request);
+        if wait > room {
+            return AdmissionDecision::Overloaded { retry_after: bounded(wait - room) };
         }
         match self.over_share(request) {
             Some(retry_after) if !wait.is_zero() => AdmissionDecision::OverShare { retry_after },
@@ -122,6 +126,15 @@
         }
     }
 
+    /// The longest wait that a request can stand: what its deadline leaves at the speed of the
+    /// pool's present load, and no more than [`QUEUE_BOUND`]; less for a lower priority.
+    fn room(&self, request: &AdmissionRequest) -> Duration {
+        let load = (f64::from(self.in_flight) / self.slots.max(1.0)).min(1.0);
+        let needed = request.needed.mul_f64(1.0 + BATCH_SLOWDOWN * load);
+        let spare = request.left.saturating_sub(needed);
+        spare.min(QUEUE_BOUND).mul_f64(waiting_share(request.priority))
+    }
+
     /// Notes that a request of an account went on to the pool.
     pub fn start(&mut self, account: &AccountName, weight: u32) {
         self.in_flight += 1;
--- a/crates/load/src/experiments/choice.rs
+++ b/crates/load/src/experiments/choice.rs
@@ -22,6 +22,8 @@
 /// Rate that surely keeps every slot busy, as a multiple of the guess.
 const SATURATION: f64 = 4.0;
 const SATURATION_GUESS: f64 = 8.0;
+/// Length of the saturating run; its arrivals would last longer.
+const SATURATED_SECONDS: f64 = 300.0;
 /// Deadlines of the saturating run never pass.
 const NO_DEADLINE: f64 = 1e3;
 const LOADS: [f64; 2] = [0.8, 1.5];
@@ -31,20 +33,30 @@
     ("least reported", UpstreamRule::LeastReported),
 ];
 
-/// Answers a second of the last tier's pool when every slot is busy, spread evenly at random.
+/// What the last tier's pool does when every slot is busy.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct PoolCapacity {
+    /// Answers a second.
+    pub answers: f64,
+    /// Tokens a second.
+    pub tokens: f64,
+}
+
+/// Measures the capacity of the last tier's pool.
 ///
 /// # Errors
 ///
 /// When the deployment's catalog is not valid.
-pub fn capacity(deployment: &DeploymentModel, seed: u64) -> anyhow::Result<f64> {
+pub fn capacity(deployment: &DeploymentModel, seed: u64) -> anyhow::Result<PoolCapacity> {
     let rate = SATURATION * SATURATION_GUESS;
     let trace = arrivals(deployment, rate, 120.0, true, seed);
     let mut set = SimulationSettings::new(seed);
     set.admission = false;
     set.deadline_factor = NO_DEADLINE;
     set.exploration = 0.0;
+    set.stop_at = SATURATED_SECONDS;
     let tally = simulate(deployment, &trace, &set)?;
-    Ok(tally.goodput())
+    Ok(PoolCapacity { answers: tally.goodput(), tokens: tally.token_goodput() })
 }
 
 /// Runs the experiment.
@@ -63,7 +75,8 @@
         "in time",
         "refused",
         "late",
-        "goodput / capacity",
+        "answers / capacity",
+        "tokens / capacity",
         "p99 refusal ms",
     ];
     let title = format!("Time to the first token, {}", settings.kind.name());
@@ -73,7 +86,7 @@
     for load in LOADS {
         for (name, rule) in RULES {
             for admission in [true, false] {
-                let rate = capacity * load;
+                let rate = capacity.answers * load;
                 let trace = arrivals(&deployment, rate, settings.seconds, true, settings.seed);
                 let mut set = SimulationSettings::new(settings.seed).with_upstream(rule);
                 set.admission = admission;
@@ -85,9 +98,9 @@
         }
     }
     report.note(format!(
-        "capacity {capacity:.2} answers a second, measured with every slot busy; load reports \
-         {} s old; {} s of arrivals",
-        settings.report_lag, settings.seconds
+        "capacity {:.2} answers and {:.0} tokens a second, measured with every slot busy; load \
+         reports {} s old; {} s of arrivals",
+        capacity.answers, capacity.tokens, settings.report_lag, settings.seconds
     ));
     Ok(report)
 }
@@ -97,7 +110,7 @@
     name: &str,
     admission: bool,
     tally: &SimulationTally,
-    capacity: f64,
+    capacity: PoolCapacity,
 ) -> Vec<ReportCell> {
     let arrived = tally.total(|class| class.arrived).max(1) as f64;
     let share = |count: u64| ReportCell::number(count as f64 / arrived, 4);
@@ -113,7 +126,8 @@
         share(tally.total(|class| class.in_time)),
         share(tally.total(|class| class.refused)),
         share(tally.total(|class| class.late)),
-        ReportCell::number(tally.goodput() / capacity, 3),
+        ReportCell::number(tally.goodput() / capacity.answers, 3),
+        ReportCell::number(tally.token_goodput() / capacity.tokens, 3),
         ReportCell::number(tally.refusal.value_at_quantile(0.99) as f64, 0),
     ]
 }
--- a/crates/load/src/experiments/failure.rs
+++ b/crates/load/src/experiments/failure.rs
@@ -43,7 +43,7 @@
     let title = format!("Engines failing in mid-run, {}", settings.kind.name());
     let mut report = ExperimentReport::new(title, settings.seed, &columns);
     let deployment = DeploymentModel::new(settings.kind).with_last_tier_only();
-    let capacity = capacity(&deployment, settings.seed)?;
+    let capacity = capacity(&deployment, settings.seed)?.answers;
     let rate = capacity * settings.load;
     let trace = arrivals(&deployment, rate, settings.seconds, true, settings.seed);
     let runners = deployment.tiers[0].runners;
--- a/crates/load/src/simulation/settings.rs
+++ b/crates/load/src/simulation/settings.rs
@@ -52,6 +52,8 @@
     pub faults: Vec<EngineFault>,
     /// Seconds of the trace that are left out of the tally, while estimates are learned.
     pub warm_up: f64,
+    /// Time at which the simulation ends, in seconds, whatever is open then.
+    pub stop_at: f64,
 }
 
 impl SimulationSettings {
@@ -71,6 +73,7 @@
             report_lag: 1.0,
             faults: Vec::new(),
             warm_up: 0.0,
+            stop_at: f64::INFINITY,
         }
     }
 
--- a/crates/load/src/simulation/tally.rs
+++ b/crates/load/src/simulation/tally.rs
@@ -12,6 +12,8 @@
     pub arrived: u64,
     /// Answers that were complete before their deadline.
     pub in_time: u64,
+    /// Tokens of those.
+    pub tokens: u64,
     /// Sum of true qualities of those.
     pub quality: f64,
     /// What all attempts cost, in millionths.
@@ -97,6 +99,12 @@
         self.total(|class| class.in_time) as f64 / self.seconds.max(f64::EPSILON)
     }
 
+    /// Tokens a second of answers in time.
+    #[must_use]
+    pub fn token_goodput(&self) -> f64 {
+        self.total(|class| class.tokens) as f64 / self.seconds.max(f64::EPSILON)
+    }
+
     /// Retries as a share of first attempts.
     #[must_use]
     pub fn retry_share(&self) -> f64 {
--- a/crates/load/src/simulation/world.rs
+++ b/crates/load/src/simulation/world.rs
@@ -141,6 +141,9 @@
         let mut end = 0;
         while self.left > 0 {
             let Some((now, event)) = self.queue.pop() else { break };
+            if now as f64 > self.settings.stop_at * MICROS {
+                break;
+            }
             end = now;
             self.handle(now, event);
         }
@@ -409,8 +412,10 @@
         let arrived = (self.trace[request].at * MICROS) as u64;
         // A step whose answer may be thrown away is shown only once it is kept.
         let shown = if last { self.attempts[attempt].first_token.unwrap_or(now) } else { now };
+        let tokens = u64::from(self.trace[request].answer);
         if let Some(class) = self.class(request) {
             class.in_time += 1;
+            class.tokens += tokens;
             class.quality += answer.quality;
             record(&mut self.tally.first_token, shown - arrived);
             record(&mut self.tally.whole, now - arrived);
