--- a/crates/core/src/chain.rs
+++ b/crates/core/src/chain.rs
@@ -5,6 +5,7 @@
 //! when its confidence reaches a threshold. A small, bounded share of requests explores a
 //! version that would not be chosen, so that its estimate can get better.
 
+use crate::admission::QUEUE_BOUND;
 use crate::choice_mode::ChoiceMode;
 use crate::confidence::ConfidenceTable;
 use crate::ids::{ModelName, VersionName};
@@ -33,6 +34,8 @@
     pub cost: Money,
     /// Expected time to the whole answer, queue included.
     pub latency: Duration,
+    /// Expected wait for a slot, a part of the latency.
+    pub wait: Duration,
     /// What its confidence is worth.
     pub confidence: ConfidenceTable,
 }
@@ -151,7 +154,7 @@
             return Err(ChainError::DeadlineTooShort { needed });
         }
         let plan = match self.rule {
-            ChainRule::ModelAware => self.model_aware(&fitting, goal, random),
+            ChainRule::ModelAware => self.model_aware(&with_room(&fitting), goal, random),
             ChainRule::AlwaysCostly => costliest(&fitting).map(single),
             ChainRule::CheapThenEscalate { threshold } => escalating(&fitting, goal, threshold),
         };
@@ -172,6 +175,14 @@
     }
 }
 
+/// Candidates whose pool has room, so that work goes on to a costlier version rather than being
+/// refused; all of them when none has.
+fn with_room<'a>(fitting: &[&'a ChainCandidate]) -> Vec<&'a ChainCandidate> {
+    let has_room = |candidate: &&ChainCandidate| candidate.wait <= QUEUE_BOUND;
+    let roomy: Vec<_> = fitting.iter().copied().filter(has_room).collect();
+    if roomy.is_empty() { fitting.to_vec() } else { roomy }
+}
+
 fn single(candidate: &ChainCandidate) -> ChainPlan {
     ChainPlan {
         steps: vec![step(candidate, 0.0)],
--- a/crates/core/src/chain_input.rs
+++ b/crates/core/src/chain_input.rs
@@ -113,12 +113,14 @@
     }
     let prior = version.quality.get(cascade).copied();
     let sum = hints.ratings.get(cascade, name);
+    let wait = (hints.wait)(name);
     Some(ChainCandidate {
         version: name.clone(),
         model: version.model.clone(),
         quality: QualityEstimator::default().estimate(prior, sum),
         cost: expected_price(version, size),
-        latency: idle_latency(version, size.answer) + (hints.wait)(name),
+        latency: idle_latency(version, size.answer) + wait,
+        wait,
         confidence: (hints.confidence)(name),
     })
 }
--- a/crates/load/src/experiments/cost.rs
+++ b/crates/load/src/experiments/cost.rs
@@ -76,7 +76,23 @@
         let tally = measure(ChainRule::CheapThenEscalate { threshold })?;
         add(format!("cheap, then costly below {threshold}"), &tally);
     }
-    add("model aware".to_owned(), &measure(ChainRule::ModelAware)?);
+    let aware = measure(ChainRule::ModelAware)?;
+    add("model aware".to_owned(), &aware);
+    for (index, class) in deployment.classes.iter().enumerate() {
+        let (own, all) = (&aware.classes[index], &costly.classes[index]);
+        report.note(format!(
+            "{} {}: quality {:.3} at target {:.2}, cost {:.3} of always costly, escalated {:.3}, \
+             refused {:.3}, late {:.3}",
+            kind.name(),
+            class.name,
+            own.mean_quality(),
+            class.target,
+            own.cost_per_answer() / all.cost_per_answer(),
+            own.escalated as f64 / own.arrived.max(1) as f64,
+            own.refused as f64 / own.arrived.max(1) as f64,
+            own.late as f64 / own.arrived.max(1) as f64,
+        ));
+    }
     Ok(())
 }
 
