Prove the decisions by properties, and mix plans to just meet the target

A roll-out whose only step is over completed without a single rating; found by the property of the exposure cap, and mended: completing counts as a share of one.

The planner may now draw between two plans so that the target is just met, counts a price of latency when asked (with_latency_price), leaves out chains that cost more than their last step, and keeps one deviation to spare. Ratings of the model are now unbiased: clamped noise had rated the best version too low.

oleander-load run sends a trace to a running entry, and beside it straight to an engine.

--- a/crates/core/src/chain.rs
+++ b/crates/core/src/chain.rs
@@ -7,7 +7,7 @@
 
 use crate::admission::QUEUE_BOUND;
 use crate::choice_mode::ChoiceMode;
-use crate::confidence::ConfidenceTable;
+use crate::confidence::{ConfidenceTable, KeepForecast};
 use crate::ids::{ModelName, VersionName};
 use crate::quality_estimate::QualityEstimate;
 use crate::stable_hash::{mix, unit_point};
@@ -15,7 +15,7 @@
 use std::time::Duration;
 
 /// Deviations of uncertainty that an estimate must have to spare above the target.
-const SAFETY_DEVIATIONS: f64 = 0.5;
+const SAFETY_DEVIATIONS: f64 = 1.0;
 /// Threshold of confidence that no answer reaches.
 pub const ESCALATE_ALL: f64 = 2.0;
 /// Most deviations below the target for a version that is worth exploring.
@@ -119,13 +119,14 @@
 pub struct ChainPlanner {
     rule: ChainRule,
     exploration: f64,
+    latency_price: Money,
 }
 
 impl ChainPlanner {
     /// Plans by a rule, without exploration.
     #[must_use]
     pub const fn new(rule: ChainRule) -> Self {
-        Self { rule, exploration: 0.0 }
+        Self { rule, exploration: 0.0, latency_price: Money::ZERO }
     }
 
     /// Sets the share of requests that explore, from 0 to 1.
@@ -135,6 +136,14 @@
         self
     }
 
+    /// Sets the price of a second of expected latency, so that a chain that saves little money
+    /// and takes long is not chosen.
+    #[must_use]
+    pub const fn with_latency_price(mut self, price_per_second: Money) -> Self {
+        self.latency_price = price_per_second;
+        self
+    }
+
     /// Plans one request. `candidates` go from cheap to costly; `random` decides exploration.
     ///
     /// # Errors
@@ -167,12 +176,38 @@
         goal: &ChainGoal,
         random: u64,
     ) -> Option<ChainPlan> {
-        let best = cheapest_plan(fitting, goal)?;
+        let best = self.cheapest_plan(fitting, goal, random)?;
         if unit_point(mix(random)) >= self.exploration {
             return Some(best);
         }
         Some(explore(fitting, goal, &best, random).unwrap_or(best))
     }
+
+    /// The cheapest plan that meets the target, or the draw between a plan above the target and
+    /// a cheaper one below it that meets it on average; the best plan when none meets it.
+    fn cheapest_plan(
+        &self,
+        fitting: &[&ChainCandidate],
+        goal: &ChainGoal,
+        random: u64,
+    ) -> Option<ChainPlan> {
+        let plans = sure_plans(fitting, goal);
+        let target = goal.quality.get();
+        let (above, below): (Vec<&SurePlan>, Vec<&SurePlan>) =
+            plans.iter().partition(|plan| plan.quality >= target);
+        if above.is_empty() {
+            let best = plans.iter().max_by(|a, b| a.quality.total_cmp(&b.quality));
+            return best.map(|sure| sure.plan.clone());
+        }
+        let mixtures = above.iter().flat_map(|upper| {
+            let alone = PlanMixture { upper, lower: upper, share: 1.0 };
+            let mixed = below.iter().map(|lower| PlanMixture::new(upper, lower, target));
+            std::iter::once(alone).chain(mixed)
+        });
+        let price = |mixture: &PlanMixture<'_>| mixture.price(self.latency_price);
+        let cheapest = mixtures.min_by(|a, b| price(a).total_cmp(&price(b)))?;
+        Some(cheapest.draw(random).plan.clone())
+    }
 }
 
 /// Candidates whose pool has room, so that work goes on to a costlier version rather than being
@@ -183,6 +218,61 @@
     if roomy.is_empty() { fitting.to_vec() } else { roomy }
 }
 
+fn sure_plans(fitting: &[&ChainCandidate], goal: &ChainGoal) -> Vec<SurePlan> {
+    let mut plans: Vec<SurePlan> = fitting.iter().map(|only| sure_single(only)).collect();
+    for first in fitting {
+        for second in fitting.iter().filter(|second| second.cost > first.cost) {
+            plans.extend(pairs(first, second, goal));
+        }
+    }
+    plans
+}
+
+/// A draw between two plans.
+struct PlanMixture<'a> {
+    upper: &'a SurePlan,
+    lower: &'a SurePlan,
+    /// Share of requests that take the upper plan.
+    share: f64,
+}
+
+impl<'a> PlanMixture<'a> {
+    /// The mixture of a plan above the target and one below it that just meets it.
+    fn new(upper: &'a SurePlan, lower: &'a SurePlan, target: f64) -> Self {
+        let share = (target - lower.quality) / (upper.quality - lower.quality);
+        Self { upper, lower, share }
+    }
+
+    fn price(&self, latency_price: Money) -> f64 {
+        let (upper, lower) = (self.upper.price(latency_price), self.lower.price(latency_price));
+        self.share * upper + (1.0 - self.share) * lower
+    }
+
+    fn draw(&self, random: u64) -> &'a SurePlan {
+        if unit_point(mix(random ^ 2)) < self.share { self.upper } else { self.lower }
+    }
+}
+
+/// A plan with the quality that it reaches with some certainty.
+struct SurePlan {
+    quality: f64,
+    /// Mean latency; the plan's own is that of every step taken.
+    seconds: f64,
+    plan: ChainPlan,
+}
+
+impl SurePlan {
+    /// Expected price in millionths, latency included.
+    fn price(&self, latency_price: Money) -> f64 {
+        self.plan.cost.as_micros() as f64 + self.seconds * latency_price.as_micros() as f64
+    }
+}
+
+fn sure_single(candidate: &ChainCandidate) -> SurePlan {
+    let seconds = candidate.latency.as_secs_f64();
+    SurePlan { quality: safe_quality(candidate), seconds, plan: single(candidate) }
+}
+
 fn single(candidate: &ChainCandidate) -> ChainPlan {
     ChainPlan {
         steps: vec![step(candidate, 0.0)],
@@ -205,49 +295,32 @@
     candidate.quality.lower_bound(SAFETY_DEVIATIONS)
 }
 
-/// The cheapest plan that meets the target; the best that there is when none does.
-fn cheapest_plan(fitting: &[&ChainCandidate], goal: &ChainGoal) -> Option<ChainPlan> {
-    let target = goal.quality.get();
-    let singles = fitting.iter().map(|candidate| (safe_quality(candidate), single(candidate)));
-    let mut plans: Vec<(f64, ChainPlan)> = singles.collect();
-    for first in fitting {
-        for second in fitting.iter().filter(|second| second.cost > first.cost) {
-            plans.extend(pairs(first, second, goal));
-        }
-    }
-    let meets = |(quality, _): &&(f64, ChainPlan)| *quality >= target;
-    let cheapest = plans.iter().filter(meets).min_by_key(|(_, plan)| plan.cost);
-    let best = || plans.iter().max_by(|a, b| a.0.total_cmp(&b.0));
-    cheapest.or_else(best).map(|(_, plan)| plan.clone())
-}
-
 /// Chains of two, one for each threshold, with the quality that they surely reach.
-fn pairs(
-    first: &ChainCandidate,
-    second: &ChainCandidate,
-    goal: &ChainGoal,
-) -> Vec<(f64, ChainPlan)> {
-    let latency = first.latency + second.latency;
-    if latency > goal.left {
+fn pairs(first: &ChainCandidate, second: &ChainCandidate, goal: &ChainGoal) -> Vec<SurePlan> {
+    if first.latency + second.latency > goal.left {
         return Vec::new();
     }
     let forecasts = first.confidence.forecasts(first.quality.mean);
     let useful = forecasts.filter(|forecast| forecast.kept > 0.0 && forecast.threshold > 0.0);
-    let plan = |forecast: crate::confidence::KeepForecast| {
-        let escalated = 1.0 - forecast.kept;
-        let quality = forecast.kept * forecast.quality + escalated * second.quality.mean;
-        let spread = forecast.kept * first.quality.deviation + escalated * second.quality.deviation;
-        let micros = second.cost.as_micros() as f64 * escalated;
-        let plan = ChainPlan {
-            steps: vec![step(first, forecast.threshold), step(second, 0.0)],
-            cost: first.cost + Money::from_micros(micros as u64),
-            quality,
-            latency,
-            explored: false,
-        };
-        (quality - SAFETY_DEVIATIONS * spread, plan)
+    let chains = useful.map(|forecast| pair(first, second, &forecast));
+    // A chain that costs more than its last step alone is no saving.
+    chains.filter(|sure| sure.plan.cost < second.cost).collect()
+}
+
+fn pair(first: &ChainCandidate, second: &ChainCandidate, forecast: &KeepForecast) -> SurePlan {
+    let escalated = 1.0 - forecast.kept;
+    let quality = forecast.kept * forecast.quality + escalated * second.quality.mean;
+    let spread = forecast.kept * first.quality.deviation + escalated * second.quality.deviation;
+    let micros = second.cost.as_micros() as f64 * escalated;
+    let plan = ChainPlan {
+        steps: vec![step(first, forecast.threshold), step(second, 0.0)],
+        cost: first.cost + Money::from_micros(micros as u64),
+        quality,
+        latency: first.latency + second.latency,
+        explored: false,
     };
-    useful.map(plan).collect()
+    let seconds = first.latency.as_secs_f64() + escalated * second.latency.as_secs_f64();
+    SurePlan { quality: quality - SAFETY_DEVIATIONS * spread, seconds, plan }
 }
 
 fn escalating(fitting: &[&ChainCandidate], goal: &ChainGoal, threshold: f64) -> Option<ChainPlan> {
--- a/crates/core/src/rollout.rs
+++ b/crates/core/src/rollout.rs
@@ -60,7 +60,7 @@
         return RolloutDecision::Hold(Arc::from("it is paused"));
     }
     let Some(step) = rollout.steps.get(rollout.step as usize) else {
-        return RolloutDecision::Complete;
+        return advance(rollout, evidence, policy);
     };
     if now.since(step_since) < step.hold.as_duration() {
         return RolloutDecision::Hold(Arc::from("the step's time is not over"));
@@ -74,11 +74,13 @@
 
 fn advance(rollout: &Rollout, evidence: &RolloutEvidence, policy: &Policy) -> RolloutDecision {
     let next = rollout.step + 1;
-    let Some(step) = rollout.steps.get(next as usize) else { return RolloutDecision::Complete };
-    if evidence.ratings == 0 && step.share > policy.unrated_share {
+    let step = rollout.steps.get(next as usize);
+    // A completed roll-out serves the new version to everyone.
+    let share = step.map_or(1.0, |step| step.share);
+    if evidence.ratings == 0 && share > policy.unrated_share {
         return RolloutDecision::Hold(Arc::from("no rating is in yet"));
     }
-    RolloutDecision::Advance(next)
+    if step.is_some() { RolloutDecision::Advance(next) } else { RolloutDecision::Complete }
 }
 
 /// Share of new sessions that the new version gets in the step in force: the step's share,
--- /dev/null
+++ b/crates/core/tests/limit_properties.rs
@@ -0,0 +1,230 @@
+//! Properties of admission, retry budgets, rates, hedges, hints, detection and placement.
+
+use oleander_core::admission::{AdmissionDecision, AdmissionRequest, PoolAdmission, QUEUE_BOUND};
+use oleander_core::alarm_threshold::alarm_threshold;
+use oleander_core::backoff::RetryBackoff;
+use oleander_core::catalog::objects::Priority;
+use oleander_core::detect::{MeanChangeTest, RatingBaseline};
+use oleander_core::hedge::{HedgeDecision, HedgePolicy};
+use oleander_core::ids::{AccountName, UpstreamName, VersionName};
+use oleander_core::placement::{PlacementHost, PlacementOrder, PlacementPlanner, VersionDemand};
+use oleander_core::prefix_hints::{PrefixDigest, PrefixHints};
+use oleander_core::retry_budget::RetryBudget;
+use oleander_core::token_bucket::TokenBucket;
+use oleander_core::units::{Timestamp, TokenCount};
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use std::time::Duration;
+use yare::parameterized;
+
+const SEED: u64 = 13;
+
+fn config() -> ProptestConfig {
+    ProptestConfig {
+        rng_seed: RngSeed::Fixed(SEED),
+        failure_persistence: None,
+        cases: 128,
+        ..ProptestConfig::default()
+    }
+}
+
+fn request(account: &str, priority: Priority) -> AdmissionRequest {
+    AdmissionRequest {
+        account: AccountName::new(account).unwrap(),
+        weight: 1,
+        priority,
+        left: Duration::from_secs(30),
+        needed: Duration::from_secs(5),
+    }
+}
+
+/// Offers requests of both accounts in turn until neither is let in; returns what each got.
+fn fill(admission: &mut PoolAdmission, offers: &[(&str, u32)]) -> Vec<u32> {
+    let mut got = vec![0; offers.len()];
+    for round in 0..200 {
+        for (index, &(account, each)) in offers.iter().enumerate() {
+            for _ in 0..each {
+                let ask = request(account, Priority::High);
+                if matches!(admission.decide(&ask), AdmissionDecision::Admit { .. }) {
+                    admission.start(&ask.account, ask.weight);
+                    got[index] += 1;
+                }
+            }
+        }
+        if round == 100 {
+            // One slot of each frees up, so that shares and not the first come are seen.
+            for &(account, _) in offers {
+                admission.finish(&AccountName::new(account).unwrap(), None);
+            }
+        }
+    }
+    got
+}
+
+#[test]
+fn a_large_account_does_not_shut_out_a_small_one() {
+    let mut admission = PoolAdmission::new(40.0);
+    let got = fill(&mut admission, &[("large", 20), ("small", 1)]);
+    assert!(got[1] >= 10, "the small account got {} beside {}", got[1], got[0]);
+}
+
+#[parameterized(
+    low = { Priority::Low, false },
+    normal = { Priority::Normal, false },
+    high = { Priority::High, true },
+)]
+fn the_last_room_is_for_high_priority(priority: Priority, admitted: bool) {
+    let mut admission = PoolAdmission::new(10.0);
+    let ask = request("one", Priority::High);
+    // With one second of service, 18 in flight are 0.9 s of queue: beyond the share of normal.
+    (0..18).for_each(|_| admission.start(&ask.account, 1));
+    let decision = admission.decide(&request("one", priority));
+    assert_eq!(matches!(decision, AdmissionDecision::Admit { .. }), admitted, "{decision:?}");
+}
+
+#[test]
+fn work_that_is_not_idempotent_is_never_hedged() {
+    let mut budget = RetryBudget::new(1.0);
+    (0..10).for_each(|_| budget.note_attempt());
+    let policy = HedgePolicy::new(Duration::from_millis(100));
+    let long = Duration::from_secs(9);
+    let decide = |idempotent, budget: &mut RetryBudget| {
+        policy.decide(idempotent, Duration::from_secs(1), long, Duration::from_secs(1), budget)
+    };
+    assert_eq!(decide(false, &mut budget), HedgeDecision::Never);
+    assert_eq!(decide(true, &mut budget), HedgeDecision::Start);
+}
+
+#[test]
+fn a_solved_threshold_detects_a_fall_and_bears_healthy_ratings() {
+    let baseline = RatingBaseline::new(0.85, 0.018, 0.1);
+    let threshold = alarm_threshold(&baseline, 10_000.0);
+    let alarm = |scores: [f64; 2]| {
+        let mut test = MeanChangeTest::new(baseline, threshold).with_head_start();
+        (0..2_000).position(|number| test.add(scores[number % 2]))
+    };
+    assert_eq!(alarm([0.7, 1.0]), None);
+    assert!(alarm([0.5, 0.9]).is_some_and(|at| at < 40), "{:?}", alarm([0.5, 0.9]));
+}
+
+fn upstream(number: usize) -> UpstreamName {
+    UpstreamName::new(&format!("runner-{number}")).unwrap()
+}
+
+proptest! {
+    #![proptest_config(config())]
+
+    #[test]
+    fn retries_stay_below_their_share_with_a_third_of_the_pool_failing(
+        share in 0.0f64..0.09,
+        random in prop::collection::vec(any::<u16>(), 2_000..4_000),
+    ) {
+        let mut budget = RetryBudget::new(share);
+        let mut retries = 0;
+        for word in &random {
+            budget.note_attempt();
+            let mut fails = word % 3 == 0;
+            let mut tries = 0;
+            while fails && tries < 3 && budget.try_spend() {
+                retries += 1;
+                tries += 1;
+                fails = (word >> tries) % 3 == 0;
+            }
+        }
+        prop_assert!(f64::from(retries) <= share * random.len() as f64);
+    }
+
+    #[test]
+    fn what_is_admitted_waits_no_longer_than_bound_and_deadline(
+        slots in 1.0f64..200.0,
+        loaded in 0u32..600,
+        (left, needed) in (0u64..60_000, 1u64..20_000),
+    ) {
+        let mut admission = PoolAdmission::new(slots);
+        let mut ask = request("one", Priority::High);
+        (0..loaded).for_each(|_| admission.start(&ask.account, 1));
+        ask.left = Duration::from_millis(left);
+        ask.needed = Duration::from_millis(needed);
+        match admission.decide(&ask) {
+            AdmissionDecision::Admit { wait } => {
+                prop_assert!(wait <= QUEUE_BOUND && wait + ask.needed <= ask.left);
+            }
+            AdmissionDecision::TooShort { needed } => prop_assert!(needed > ask.left),
+            AdmissionDecision::Overloaded { retry_after }
+            | AdmissionDecision::OverShare { retry_after } => {
+                prop_assert!(retry_after > Duration::ZERO);
+            }
+        }
+    }
+
+    #[test]
+    fn a_bucket_never_gives_more_than_burst_and_rate(
+        (rate, burst) in (0.1f64..100.0, 1.0f64..50.0),
+        waits in prop::collection::vec(0u64..200, 1..400),
+    ) {
+        let mut bucket = TokenBucket::new(rate, burst, Timestamp::from_millis(0));
+        let (mut now, mut taken) = (0, 0u32);
+        for wait in waits {
+            now += wait;
+            let at = Timestamp::from_millis(now);
+            match bucket.try_take(at) {
+                Ok(()) => taken += 1,
+                // One millisecond more, as timestamps have whole ones.
+                Err(back) => {
+                    let mut later = bucket;
+                    prop_assert!(later.try_take(at + back + Duration::from_millis(1)).is_ok());
+                }
+            }
+        }
+        prop_assert!(f64::from(taken) <= burst + rate * now as f64 / 1_000.0 + 1e-6);
+    }
+
+    #[test]
+    fn a_backoff_is_bounded(retry in any::<u32>(), random in any::<u64>()) {
+        let longest = Duration::from_secs(2);
+        let backoff = RetryBackoff::new(Duration::from_millis(50), longest);
+        prop_assert!(backoff.wait(retry, random) <= longest);
+    }
+
+    #[test]
+    fn hints_stay_within_their_capacity(
+        capacity in 0usize..50,
+        notes in prop::collection::vec((0usize..4, 0u64..200, any::<bool>()), 0..400),
+    ) {
+        let mut hints = PrefixHints::new(capacity);
+        for (number, (index, prefix, cached)) in notes.into_iter().enumerate() {
+            let now = Timestamp::from_millis(number as u64);
+            let (name, prefix) = (upstream(index), PrefixDigest::new(&prefix.to_string()));
+            hints.note_dispatch(&name, prefix, TokenCount::new(100), now);
+            hints.note_event(&name, number as u64, prefix, cached, now);
+            prop_assert!(hints.len() <= capacity);
+            prop_assert!((0.0..=1.0).contains(&hints.chance(&name, prefix, now)));
+        }
+    }
+
+    #[test]
+    fn placement_never_loads_more_of_a_pool_than_its_share(
+        states in prop::collection::vec((0usize..3, 0usize..3, any::<bool>(), any::<bool>()), 1..30),
+        (share, loads) in (0.0f64..=1.0, 0usize..10),
+    ) {
+        let version = |number: usize| VersionName::new(&format!("v{number}")).unwrap();
+        let hosts: Vec<PlacementHost> = states
+            .iter()
+            .enumerate()
+            .map(|(index, &(loaded, loading, is_loading, open))| PlacementHost {
+                name: upstream(index),
+                loaded: vec![version(loaded)],
+                loading: is_loading.then(|| version(loading)),
+                open,
+            })
+            .collect();
+        let demand = |number| VersionDemand { version: version(number), demand: 3.0, least: 1 };
+        let demands: Vec<VersionDemand> = (0..3).map(demand).collect();
+        let orders = PlacementPlanner::new(1).with_loading_share(share).orders(&hosts, &demands, loads);
+        let started = orders.iter().filter(|order| matches!(order, PlacementOrder::Load(..)));
+        let started = started.count();
+        let loading = hosts.iter().filter(|host| host.loading.is_some()).count();
+        let most = ((hosts.len() as f64 * share) as usize).max(1);
+        prop_assert!(started <= loads && started <= most.saturating_sub(loading));
+    }
+}
--- a/crates/load/src/experiments/cost.rs
+++ b/crates/load/src/experiments/cost.rs
@@ -18,6 +18,8 @@
     pub seconds: f64,
     /// Seconds at the start that are not counted.
     pub warm_up: f64,
+    /// Price of a second of latency in the planning of chains, in millionths.
+    pub latency_price: u64,
 }
 
 const THRESHOLDS: [f64; 6] = [0.3, 0.4, 0.5, 0.6, 0.7, 0.8];
@@ -47,8 +49,8 @@
     }
     report.note(format!(
         "mean {} requests a second over {} s, the first {} s not counted; 5% of answers rated, \
-         60 s later on average; exploration 2%",
-        settings.rate, settings.seconds, settings.warm_up
+         60 s later on average; exploration 2%; a second of latency counts {} millionths",
+        settings.rate, settings.seconds, settings.warm_up, settings.latency_price
     ));
     Ok(report)
 }
@@ -63,6 +65,7 @@
     let measure = |chain: ChainRule| {
         let mut set = SimulationSettings::new(settings.seed).with_chain(chain);
         set.warm_up = settings.warm_up;
+        set.latency_price = settings.latency_price;
         simulate(&deployment, &trace, &set)
     };
     let costly = measure(ChainRule::AlwaysCostly)?;
--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod arrival_trace;
 pub mod deployment;
 pub mod experiments;
+pub mod live;
 pub mod plot;
 pub mod report;
 pub mod seeded_source;
--- a/crates/load/src/simulation/answer_model.rs
+++ b/crates/load/src/simulation/answer_model.rs
@@ -11,7 +11,9 @@
 /// Correlation of confidence with quality.
 const CONFIDENCE_WEIGHT: f64 = 0.7;
 const CONFIDENCE_SCALE: f64 = 1.3;
-const RATING_NOISE: f64 = 0.1;
+/// Sum of the parameters of the Beta that a rating is drawn from, with the quality as its mean.
+const RATING_CONCENTRATION: f64 = 15.0;
+const LEAST_MEAN: f64 = 0.02;
 
 /// One answer.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -36,7 +38,7 @@
     let quality = (mean + QUALITY_SPREAD * standard).clamp(0.0, 1.0);
     let sureness = mix(standard, source.normal(), CONFIDENCE_WEIGHT);
     let confidence = 1.0 / (1.0 + (-CONFIDENCE_SCALE * sureness).exp());
-    let rating = (quality + RATING_NOISE * source.normal()).clamp(0.0, 1.0);
+    let rating = source.beta(quality.clamp(LEAST_MEAN, 1.0 - LEAST_MEAN), RATING_CONCENTRATION);
     ModelAnswer { quality, confidence, rating }
 }
 
--- a/crates/load/src/simulation/router_model.rs
+++ b/crates/load/src/simulation/router_model.rs
@@ -101,7 +101,9 @@
             hints: PrefixHints::new(HINT_CAPACITY),
             ratings: QualityTable::default(),
             confidence: vec![vec![ConfidenceTable::default(); tiers]; deployment.classes.len()],
-            planner: ChainPlanner::new(set.chain).with_exploration(set.exploration),
+            planner: ChainPlanner::new(set.chain)
+                .with_exploration(set.exploration)
+                .with_latency_price(Money::from_micros(set.latency_price)),
             upstream: set.upstream,
             use_ejection: set.ejection,
             use_hints: set.prefix_hints,
--- a/crates/load/src/simulation/settings.rs
+++ b/crates/load/src/simulation/settings.rs
@@ -34,6 +34,8 @@
     pub chain: ChainRule,
     /// How upstreams are chosen.
     pub upstream: UpstreamRule,
+    /// Price of a second of latency in the planning of chains, in millionths.
+    pub latency_price: u64,
     /// Share of requests that explore.
     pub exploration: f64,
     /// Whether requests that cannot be met are refused.
@@ -64,6 +66,7 @@
             seed,
             chain: ChainRule::ModelAware,
             upstream: UpstreamRule::ExpectedCost,
+            latency_price: 0,
             exploration: 0.02,
             admission: true,
             retry: RetryRule::Budget,
--- a/src/bin/oleander-load/cli.rs
+++ b/src/bin/oleander-load/cli.rs
@@ -7,8 +7,10 @@
 use oleander_load::experiments::cost::{self, CostSettings};
 use oleander_load::experiments::exposure::{self, ExposureSettings};
 use oleander_load::experiments::failure::{self, FailureSettings};
+use oleander_load::live::{self, LiveSettings};
 use oleander_load::plot::write_plot;
 use oleander_load::report::ExperimentReport;
+use std::net::SocketAddr;
 use std::path::PathBuf;
 
 /// Measures the router's decisions and running entries.
@@ -24,6 +26,8 @@
     /// Experiments over the decisions, against models of the engines; no traffic.
     #[command(subcommand)]
     Decide(DecideCommand),
+    /// Load over HTTP against a running entry.
+    Run(RunArgs),
 }
 
 #[derive(Debug, Subcommand)]
@@ -69,6 +73,36 @@
     plot: Option<PathBuf>,
 }
 
+#[derive(Debug, Args)]
+struct RunArgs {
+    #[command(flatten)]
+    output: OutputArgs,
+    /// The entry's callers' port.
+    #[arg(long)]
+    target: SocketAddr,
+    /// Bearer key of a client account.
+    #[arg(long)]
+    key: String,
+    /// The deployment whose arrivals are sent.
+    #[arg(long, value_enum, default_value = "curbside")]
+    trace: TraceName,
+    /// Mean requests a second.
+    #[arg(long, default_value_t = 20.0)]
+    rate: f64,
+    /// Seconds of arrivals.
+    #[arg(long, default_value_t = 30.0)]
+    seconds: f64,
+    /// Names this version instead of the trace's task classes.
+    #[arg(long = "model-version")]
+    model_version: Option<String>,
+    /// Tokens of every answer instead of the trace's.
+    #[arg(long)]
+    tokens: Option<u32>,
+    /// An engine to which every second request goes directly.
+    #[arg(long)]
+    direct: Option<SocketAddr>,
+}
+
 #[derive(Debug, Args)]
 struct CostArgs {
     #[command(flatten)]
@@ -82,6 +116,9 @@
     /// Seconds at the start that are not counted.
     #[arg(long, default_value_t = 1_200.0)]
     warm_up: f64,
+    /// Price of a second of latency in the planning of chains, in millionths.
+    #[arg(long, default_value_t = 0)]
+    latency_price: u64,
 }
 
 #[derive(Debug, Args)]
@@ -134,15 +171,38 @@
 pub fn run(line: &CommandLine) -> anyhow::Result<()> {
     match &line.command {
         LoadCommand::Decide(command) => decide(command),
+        LoadCommand::Run(args) => run_load(args),
     }
 }
 
+fn run_load(args: &RunArgs) -> anyhow::Result<()> {
+    let settings = LiveSettings {
+        seed: args.output.seed,
+        target: args.target,
+        key: args.key.clone(),
+        kind: args.trace.kind(),
+        rate: args.rate,
+        seconds: args.seconds,
+        version: args.model_version.clone(),
+        tokens: args.tokens,
+        direct: args.direct,
+    };
+    let runtime = tokio::runtime::Runtime::new().context("cannot start the runtime")?;
+    let report = runtime.block_on(live::run(&settings))?;
+    show(&report, &args.output)
+}
+
 fn decide(command: &DecideCommand) -> anyhow::Result<()> {
     match command {
         DecideCommand::Cost(args) => {
-            let seed = args.output.seed;
-            let (rate, seconds, warm_up) = (args.rate, args.seconds, args.warm_up);
-            let report = cost::run(&CostSettings { seed, rate, seconds, warm_up })?;
+            let settings = CostSettings {
+                seed: args.output.seed,
+                rate: args.rate,
+                seconds: args.seconds,
+                warm_up: args.warm_up,
+                latency_price: args.latency_price,
+            };
+            let report = cost::run(&settings)?;
             show(&report, &args.output)
         }
         DecideCommand::Choice(args) => {
