Bound how many upstreams the order reconciler asks a second

Cause: every pool was asked at each look: 600 upstreams would be 300 calls a second from one process. Changed: pools are taken in turn, 60 upstreams a look on average (crates/core/src/pool_rotation.rs); a small deployment is still looked at whole each time. Conclusion: at most 30 calls a second whatever the size; 600 upstreams are seen about every 20 s.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -30,6 +30,7 @@
 pub mod order_book;
 pub mod patience;
 pub mod placement;
+pub mod pool_rotation;
 pub mod prefix_hints;
 pub mod price;
 pub mod quality;
--- a/crates/steward/src/order_reconciler.rs
+++ b/crates/steward/src/order_reconciler.rs
@@ -21,6 +21,7 @@
 use oleander_core::ids::{PoolName, UpstreamName, VersionName};
 use oleander_core::order_book::{OrderBook, VersionReport, demands_of_pool};
 use oleander_core::placement::{PlacementOrder, PlacementPlanner};
+use oleander_core::pool_rotation::PoolRotation;
 use oleander_core::units::Timestamp;
 use oleander_ports::catalog::CatalogPort;
 use oleander_ports::clock::ClockPort;
@@ -41,6 +42,8 @@
 const MAX_ANSWER: usize = 64 * 1024;
 /// Upstreams that are asked at the same time.
 const CALLS_AT_ONCE: usize = 16;
+/// Upstreams that are asked at each look, on average.
+const ASKS_PER_LOOK: u32 = 60;
 /// Versions that one upstream holds at once.
 const VERSIONS_PER_UPSTREAM: usize = 4;
 /// Most loads that are ordered in one look at a pool.
@@ -66,6 +69,7 @@
         parts,
         client: Arc::new(HttpClient::new()),
         book: OrderBook::new(),
+        rotation: PoolRotation::new(ASKS_PER_LOOK),
         weights_after: Timestamp::default(),
     });
     spawn_ticks(&actor, TICK);
@@ -78,6 +82,7 @@
     parts: ReconcilerParts,
     client: Arc<HttpClient>,
     book: OrderBook,
+    rotation: PoolRotation,
     weights_after: Timestamp,
 }
 
@@ -88,7 +93,7 @@
             return;
         }
         let snapshot = self.parts.catalog.snapshot();
-        for pool in model_pools(&snapshot) {
+        for pool in self.rotation.take(&model_pools(&snapshot)) {
             self.reconcile(&snapshot, &pool).await;
         }
     }
@@ -183,9 +188,12 @@
     }
 }
 
-/// The pools that run versions of models.
-fn model_pools(snapshot: &Snapshot) -> BTreeSet<PoolName> {
-    snapshot.catalog().versions.values().map(|version| version.pool.clone()).collect()
+/// The pools that run versions of models, with their numbers of upstreams.
+fn model_pools(snapshot: &Snapshot) -> Vec<(PoolName, usize)> {
+    let versions = snapshot.catalog().versions.values();
+    let pools: BTreeSet<&PoolName> = versions.map(|version| &version.pool).collect();
+    let size = |pool| snapshot.pool(pool).map_or(0, |object| object.upstreams.len());
+    pools.into_iter().map(|pool| (pool.clone(), size(pool))).collect()
 }
 
 async fn ask_load(client: &HttpClient, address: SocketAddr) -> Option<LoadReport> {
