Start stand-ins by a plan; set length of answers and slowdown of batches

Cause: the entry's cost per token cannot be measured against answers of 12 to 35 tokens from engines that slow down with every request; start took four arguments and a recorded twin.

--- a/crates/entry/tests/support/mod.rs
+++ b/crates/entry/tests/support/mod.rs
@@ -24,7 +24,7 @@
 use oleander_ports::table::{TablePort, TableRow, TableTransaction, TransactionOutcome};
 use oleander_ports::usage::{UsageError, UsagePort};
 use oleander_ports::{PlatformError, PortFuture};
-use oleander_standin::deployment::{AddressPlan, StandinDeployment};
+use oleander_standin::deployment::{DeploymentPlan, StandinDeployment};
 use oleander_standin::engine::EngineStandin;
 use oleander_standin::fakes::FakeMembers;
 use oleander_standin::faults::FaultPlan;
@@ -356,7 +356,8 @@
 
     pub async fn start_with(catalog: Catalog, clock: Arc<dyn ClockPort>, mode: ChoiceMode) -> Self {
         let control = SocketAddr::from(([127, 0, 0, 1], 0));
-        let started = StandinDeployment::start(catalog, AddressPlan::AnyPort, None, control);
+        let started =
+            StandinDeployment::start(catalog, DeploymentPlan::anywhere().with_control(control));
         let deployment = started.await.unwrap();
         let catalog = Arc::new(FixedCatalog::new(deployment.catalog.clone()));
         let usage = Arc::new(FakeUsage::default());
--- a/crates/standin/src/deployment.rs
+++ b/crates/standin/src/deployment.rs
@@ -1,7 +1,7 @@
 //! Stand-ins for every upstream of a catalog, and the platform beside them.
 
 use crate::control::{self, ControlTargets};
-use crate::engine::{EngineSettings, EngineStandin};
+use crate::engine::{DEFAULT_BATCH_SLOWDOWN, EngineSettings, EngineStandin};
 use crate::platform::{PlatformStandin, any_port};
 use crate::service::ServiceStandin;
 use oleander_adapters::settings::PlatformSettings;
@@ -26,6 +26,58 @@
     AnyPort,
 }
 
+/// How stand-ins are started.
+#[derive(Clone)]
+pub struct DeploymentPlan {
+    /// Where upstreams listen.
+    pub addresses: AddressPlan,
+    /// Where the platform listens; on free ports when left out.
+    pub platform: Option<PlatformSettings>,
+    /// Where faults are set.
+    pub control: SocketAddr,
+    /// Records what upstreams run.
+    pub recorder: HistoryRecorder,
+    /// Tokens of every answer; drawn by its prompt when left out.
+    pub answer_tokens: Option<u32>,
+    /// Share of the gap between tokens that each further running request adds.
+    pub batch_slowdown: f64,
+}
+
+impl DeploymentPlan {
+    /// Everything on free ports of the loopback interface, nothing recorded.
+    #[must_use]
+    pub fn anywhere() -> Self {
+        Self {
+            addresses: AddressPlan::AnyPort,
+            platform: None,
+            control: any_port(),
+            recorder: HistoryRecorder::off(),
+            answer_tokens: None,
+            batch_slowdown: DEFAULT_BATCH_SLOWDOWN,
+        }
+    }
+
+    /// Upstreams where the catalog says, the platform where `platform` says.
+    #[must_use]
+    pub fn as_written(platform: PlatformSettings) -> Self {
+        Self { addresses: AddressPlan::AsWritten, platform: Some(platform), ..Self::anywhere() }
+    }
+
+    /// Sets where faults are set.
+    #[must_use]
+    pub const fn with_control(mut self, control: SocketAddr) -> Self {
+        self.control = control;
+        self
+    }
+
+    /// Records what upstreams run.
+    #[must_use]
+    pub fn with_recorder(mut self, recorder: &HistoryRecorder) -> Self {
+        self.recorder = recorder.clone();
+        self
+    }
+}
+
 /// Running stand-ins.
 pub struct StandinDeployment {
     /// The platform.
@@ -48,38 +100,17 @@
     /// # Errors
     ///
     /// When an address cannot be bound.
-    pub async fn start(
-        catalog: Catalog,
-        plan: AddressPlan,
-        platform_wanted: Option<&PlatformSettings>,
-        control_wanted: SocketAddr,
-    ) -> anyhow::Result<Self> {
-        let off = HistoryRecorder::off();
-        Self::start_recorded(catalog, plan, platform_wanted, control_wanted, &off).await
-    }
-
-    /// As [`StandinDeployment::start`]; the upstreams record what they run.
-    ///
-    /// # Errors
-    ///
-    /// When an address cannot be bound.
-    pub async fn start_recorded(
-        mut catalog: Catalog,
-        plan: AddressPlan,
-        platform_wanted: Option<&PlatformSettings>,
-        control_wanted: SocketAddr,
-        recorder: &HistoryRecorder,
-    ) -> anyhow::Result<Self> {
+    pub async fn start(mut catalog: Catalog, plan: DeploymentPlan) -> anyhow::Result<Self> {
         let platform = PlatformStandin::new();
         set_true_quality(&platform, &catalog);
-        let platform_addresses = match platform_wanted {
+        let platform_addresses = match &plan.platform {
             Some(wanted) => platform.start(wanted).await?,
             None => platform.start_anywhere().await?,
         };
-        let engines = start_engines(&mut catalog, plan, recorder).await?;
-        let services = start_services(&mut catalog, plan, recorder).await?;
+        let engines = start_engines(&mut catalog, &plan).await?;
+        let services = start_services(&mut catalog, &plan).await?;
         let targets = ControlTargets::new(&platform, &engines, &services);
-        let control_address = control::start(control_wanted, targets).await?;
+        let control_address = control::start(plan.control, targets).await?;
         Ok(Self { platform, platform_addresses, engines, services, catalog, control_address })
     }
 }
@@ -110,8 +141,7 @@
 
 async fn start_engines(
     catalog: &mut Catalog,
-    plan: AddressPlan,
-    recorder: &HistoryRecorder,
+    plan: &DeploymentPlan,
 ) -> anyhow::Result<BTreeMap<UpstreamName, EngineStandin>> {
     let mut engines = BTreeMap::new();
     for (pool, versions) in versions_by_pool(catalog) {
@@ -121,9 +151,11 @@
             let mut settings = engine_settings(name, &versions, &first);
             settings.slots = upstream.slots;
             settings.checks_fencing = upstream.checks_fencing;
-            settings.recorder = recorder.clone();
+            settings.recorder = plan.recorder.clone();
+            settings.answer_tokens = plan.answer_tokens;
+            settings.batch_slowdown = plan.batch_slowdown;
             let engine = EngineStandin::new(settings);
-            upstream.address = engine.start(bind_address(plan, upstream.address)).await?;
+            upstream.address = engine.start(bind_address(plan.addresses, upstream.address)).await?;
             engines.insert(name.clone(), engine);
         }
     }
@@ -154,8 +186,7 @@
 
 async fn start_services(
     catalog: &mut Catalog,
-    plan: AddressPlan,
-    recorder: &HistoryRecorder,
+    plan: &DeploymentPlan,
 ) -> anyhow::Result<BTreeMap<UpstreamName, ServiceStandin>> {
     let pools: BTreeSet<PoolName> =
         catalog.services.values().map(|service| service.pool.clone()).collect();
@@ -165,8 +196,9 @@
         let Some(pool) = catalog.pools.get_mut(&pool) else { continue };
         for (name, upstream) in &mut pool.upstreams {
             let service = ServiceStandin::new(name.clone())
-                .with_recorder(recorder.clone(), Arc::clone(&paths));
-            upstream.address = service.start(bind_address(plan, upstream.address)).await?;
+                .with_recorder(plan.recorder.clone(), Arc::clone(&paths));
+            upstream.address =
+                service.start(bind_address(plan.addresses, upstream.address)).await?;
             services.insert(name.clone(), service);
         }
     }
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -12,7 +12,7 @@
 mod queue;
 mod server;
 
-pub use answer::answer_words;
+pub use answer::{answer_length, answer_words, long_answer};
 
 use crate::faults::FaultSwitch;
 use oleander_core::ids::{AttemptId, FencingNumber, Incarnation, UpstreamName, VersionName};
@@ -27,6 +27,9 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
+/// Share of the gap between tokens that each further running request adds.
+pub const DEFAULT_BATCH_SLOWDOWN: f64 = 0.03;
+
 /// How an engine behaves when nothing is wrong.
 #[derive(Clone)]
 pub struct EngineSettings {
@@ -46,6 +49,8 @@
     pub token_gap: Duration,
     /// Share of the gap that each further running request adds.
     pub batch_slowdown: f64,
+    /// Tokens of every answer; drawn by its prompt when left out.
+    pub answer_tokens: Option<u32>,
     /// Time to load a version.
     pub load_time: Duration,
     /// Prompt prefixes that are cached at the most.
@@ -72,7 +77,8 @@
             first_token: Duration::from_millis(20),
             prefill_per_thousand: Duration::from_millis(50),
             token_gap: Duration::from_millis(5),
-            batch_slowdown: 0.03,
+            batch_slowdown: DEFAULT_BATCH_SLOWDOWN,
+            answer_tokens: None,
             load_time: Duration::from_millis(200),
             cached_prefixes: 64,
             checks_fencing: true,
--- a/crates/standin/src/engine/answer.rs
+++ b/crates/standin/src/engine/answer.rs
@@ -37,8 +37,19 @@
 /// ```
 #[must_use]
 pub fn answer_words(version: &VersionName, prompt: &str, limit: u32) -> Vec<String> {
-    let seed = hash_parts(&[version.as_str().as_bytes(), prompt.as_bytes()]);
-    let length = SHORTEST_ANSWER + (seed % ANSWER_LENGTHS) as u32;
+    long_answer(version, prompt, answer_length(version, prompt).min(limit))
+}
+
+/// Tokens of the answer of `version` to `prompt` when nothing cuts it.
+#[must_use]
+pub fn answer_length(version: &VersionName, prompt: &str) -> u32 {
+    SHORTEST_ANSWER + (answer_seed(version, prompt) % ANSWER_LENGTHS) as u32
+}
+
+/// The first `length` words of an answer without an end.
+#[must_use]
+pub fn long_answer(version: &VersionName, prompt: &str, length: u32) -> Vec<String> {
+    let seed = answer_seed(version, prompt);
     let word = |position: u32| {
         let drawn = hash_parts(&[&seed.to_le_bytes(), &position.to_le_bytes()]);
         WORDS[(drawn >> 16) as usize % WORDS.len()]
@@ -47,11 +58,9 @@
         0 => word(0).to_owned(),
         _ => format!(" {}", word(position)),
     };
-    (0..length.min(limit)).map(spaced).collect()
+    (0..length).map(spaced).collect()
 }
 
-/// Whether an answer of `tokens` was cut by the caller's limit.
-pub(super) fn was_cut(version: &VersionName, prompt: &str, tokens: usize) -> bool {
-    let seed = hash_parts(&[version.as_str().as_bytes(), prompt.as_bytes()]);
-    (tokens as u32) < SHORTEST_ANSWER + (seed % ANSWER_LENGTHS) as u32
+fn answer_seed(version: &VersionName, prompt: &str) -> u64 {
+    hash_parts(&[version.as_str().as_bytes(), prompt.as_bytes()])
 }
--- a/crates/standin/src/engine/chat.rs
+++ b/crates/standin/src/engine/chat.rs
@@ -1,6 +1,6 @@
 //! Chat completions, whole and streamed.
 
-use crate::engine::answer::{answer_words, hash_parts, was_cut};
+use crate::engine::answer::{answer_length, hash_parts, long_answer};
 use crate::engine::queue::SlotPermit;
 use crate::engine::{EngineStandin, server};
 use crate::platform::bad_call;
@@ -126,11 +126,13 @@
     let digest: Arc<str> = Arc::from(format!("{digest:016x}"));
     let hit = engine.lock().prefixes.touch(&digest);
     let limit = body.max_tokens.unwrap_or(DEFAULT_MAX_TOKENS);
-    let words = answer_words(&version, &prompt, limit);
+    let full = engine.settings.answer_tokens;
+    let full = full.unwrap_or_else(|| answer_length(&version, &prompt));
+    let words = long_answer(&version, &prompt, full.min(limit));
     ChatJob {
         attempt: sent.parse().ok(),
         attempt_text,
-        cut_by_limit: was_cut(&version, &prompt, words.len()),
+        cut_by_limit: (words.len() as u32) < full,
         words,
         prompt_tokens,
         cached_tokens: if hit { prompt_tokens } else { 0 },
--- a/src/bin/oleander-local/embedded.rs
+++ b/src/bin/oleander-local/embedded.rs
@@ -13,7 +13,7 @@
 use oleander_ledger::{LedgerNode, LedgerPorts, NodeConfig};
 use oleander_ports::catalog::{CatalogPort, CatalogStanding};
 use oleander_ports::members::MemberRole;
-use oleander_standin::deployment::{AddressPlan, StandinDeployment};
+use oleander_standin::deployment::{DeploymentPlan, StandinDeployment};
 use oleander_standin::platform::any_port;
 use oleander_steward::steward_process::StewardProcess;
 use std::net::SocketAddr;
@@ -49,8 +49,8 @@
     /// When the catalog has findings or an address is taken.
     pub async fn start(cli: &Cli) -> anyhow::Result<Self> {
         let catalog = read_catalog(cli)?;
-        let standins =
-            StandinDeployment::start(catalog, AddressPlan::AnyPort, None, cli.control).await?;
+        let plan = DeploymentPlan::anywhere().with_control(cli.control);
+        let standins = StandinDeployment::start(catalog, plan).await?;
         let plan = HostPlan::new(cli, &standins.catalog, &standins.platform_addresses)?;
         let steward_host =
             RunningHost::start(plan.settings("steward", cli.operators)?, MemberRole::Steward)
--- a/src/bin/oleander-standin/cli.rs
+++ b/src/bin/oleander-standin/cli.rs
@@ -1,6 +1,7 @@
 //! Flags of `oleander-standin`.
 
 use clap::Parser;
+use oleander_standin::engine::DEFAULT_BATCH_SLOWDOWN;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 
@@ -35,6 +36,14 @@
     #[arg(long, default_value_t = 1000)]
     pub rating_lag: u64,
 
+    /// Tokens of every answer; drawn by its prompt when left out
+    #[arg(long)]
+    pub answer_tokens: Option<u32>,
+
+    /// Share of the gap between tokens that each further running request adds
+    #[arg(long, default_value_t = DEFAULT_BATCH_SLOWDOWN)]
+    pub batch_slowdown: f64,
+
     /// Least level that is logged
     #[arg(long, default_value = "info")]
     pub log_level: String,
--- a/src/bin/oleander-standin/main.rs
+++ b/src/bin/oleander-standin/main.rs
@@ -12,7 +12,7 @@
 use oleander_adapters::signals::StopSignals;
 use oleander_core::catalog::Catalog;
 use oleander_core::ids::HostId;
-use oleander_standin::deployment::{AddressPlan, StandinDeployment};
+use oleander_standin::deployment::{DeploymentPlan, StandinDeployment};
 use std::net::SocketAddr;
 use std::process::ExitCode;
 use std::time::Duration;
@@ -33,9 +33,10 @@
     start_logs(&cli.log_level)?;
     let catalog: Catalog = read_settings(&cli.catalog)?;
     let platform = platform_addresses(cli.platform)?;
-    let standins =
-        StandinDeployment::start(catalog, AddressPlan::AsWritten, Some(&platform), cli.control)
-            .await?;
+    let plan = DeploymentPlan::as_written(platform).with_control(cli.control);
+    let (answer_tokens, batch_slowdown) = (cli.answer_tokens, cli.batch_slowdown);
+    let plan = DeploymentPlan { answer_tokens, batch_slowdown, ..plan };
+    let standins = StandinDeployment::start(catalog, plan).await?;
     standins.platform.hosts.set_lag(Duration::from_millis(cli.host_list_lag));
     let late = Duration::from_millis(cli.rating_lag);
     standins.platform.ratings.set_sampling(cli.rated_share, late);
--- a/tests/e2e/testenv/system.rs
+++ b/tests/e2e/testenv/system.rs
@@ -6,8 +6,7 @@
 use oleander_catalog::{CatalogFile, parse_catalog};
 use oleander_core::catalog::Catalog;
 use oleander_history::{History, HistoryEvent, HistoryRecorder};
-use oleander_standin::deployment::{AddressPlan, StandinDeployment};
-use oleander_standin::platform::any_port;
+use oleander_standin::deployment::{DeploymentPlan, StandinDeployment};
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::{Command, Output};
@@ -55,13 +54,8 @@
         let recorder = HistoryRecorder::in_memory();
         let mut catalog = curbside();
         catalog.policy.exploration = plan.exploration;
-        let standins = StandinDeployment::start_recorded(
-            catalog,
-            AddressPlan::AnyPort,
-            None,
-            any_port(),
-            &recorder,
-        );
+        let standins = DeploymentPlan::anywhere().with_recorder(&recorder);
+        let standins = StandinDeployment::start(catalog, standins);
         let mut system = Self {
             folder: tempfile::tempdir_in(env!("CARGO_TARGET_TMPDIR")).unwrap(),
             standins: standins.await.unwrap(),
--- a/tests/operators.rs
+++ b/tests/operators.rs
@@ -1,7 +1,7 @@
 //! Operators' sessions through the real `oleander-steward` and `oleander-ctl`, over loopback.
 
 use oleander_core::catalog::Catalog;
-use oleander_standin::deployment::{AddressPlan, StandinDeployment};
+use oleander_standin::deployment::{DeploymentPlan, StandinDeployment};
 use std::io::{BufRead, BufReader};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
@@ -38,8 +38,11 @@
 impl Session {
     async fn start(name: &str) -> Self {
         let any = SocketAddr::from(([127, 0, 0, 1], 0));
-        let standins =
-            StandinDeployment::start(Catalog::default(), AddressPlan::AnyPort, None, any).await;
+        let standins = StandinDeployment::start(
+            Catalog::default(),
+            DeploymentPlan::anywhere().with_control(any),
+        )
+        .await;
         let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
         std::fs::create_dir_all(&folder).unwrap();
         let (stewards, transcript) = (Vec::new(), String::new());
