--- a/crates/adapters/src/lib.rs
+++ b/crates/adapters/src/lib.rs
@@ -1,5 +1,7 @@
 //! Adapters that several binaries share: HTTP by hyper, settings, logs.
 
+#![warn(clippy::unwrap_used)]
+
 pub mod admin;
 pub mod http_client;
 pub mod http_server;
--- a/crates/catalog/src/lib.rs
+++ b/crates/catalog/src/lib.rs
@@ -4,6 +4,8 @@
 //! the newest head, [`quality`] keeps the estimates of quality. [`store`] reads both stores,
 //! [`records`] are the rows and messages.
 
+#![warn(clippy::unwrap_used)]
+
 pub mod fixed;
 pub mod follow;
 pub mod publish;
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -4,6 +4,8 @@
 //! every decision is a plain struct with functions of `(state, input, now)`. The adapters and
 //! the binaries carry inputs in and outputs out.
 
+#![warn(clippy::unwrap_used)]
+
 pub mod admission;
 pub mod alarm_threshold;
 pub mod attempt_retry;
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -3,6 +3,8 @@
 //! [`EntryServer`] is made from [`EntryParts`]. Decisions stand in `oleander-core`; this crate
 //! carries inputs to them and their outputs out.
 
+#![warn(clippy::unwrap_used)]
+
 mod account;
 mod account_limits;
 mod admin;
--- a/crates/history/src/lib.rs
+++ b/crates/history/src/lib.rs
@@ -3,6 +3,8 @@
 //! Callers, upstreams, hosts, operators and readers of statements each record what they saw in a
 //! [`HistoryRecorder`]; [`check_history`] reads a whole run and verifies every promise.
 
+#![warn(clippy::unwrap_used)]
+
 pub mod checks;
 pub mod digest;
 pub mod event;
--- a/crates/ledger/src/lib.rs
+++ b/crates/ledger/src/lib.rs
@@ -4,6 +4,8 @@
 //! that holds everything itself uses a [`LocalLedger`]. Statements are read by a
 //! [`StatementReader`] straight from the table.
 
+#![warn(clippy::unwrap_used)]
+
 pub mod batch_keeper;
 pub mod claim_keeper;
 pub mod claim_table;
--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -3,6 +3,8 @@
 //! [`simulation`] drives one router's decisions against models of the engines that it sends
 //! work to; [`experiments`] holds one measurement each, with its baselines in the same run.
 
+#![warn(clippy::unwrap_used)]
+
 pub mod arrival_trace;
 pub mod deployment;
 pub mod experiments;
--- a/crates/peers/src/lib.rs
+++ b/crates/peers/src/lib.rs
@@ -2,6 +2,8 @@
 //!
 //! [`PeerNode`] binds UDP and TCP on one port and gives the ports that the other crates use.
 
+#![warn(clippy::unwrap_used)]
+
 pub mod calls;
 pub mod connection;
 pub mod counters;
--- a/crates/ports/src/lib.rs
+++ b/crates/ports/src/lib.rs
@@ -3,6 +3,8 @@
 //! Each trait documents the contract that an adapter meets. A port returns boxed futures, so
 //! that it can be held as `Arc<dyn …>` and replaced by a small fake in tests.
 
+#![warn(clippy::unwrap_used)]
+
 pub mod catalog;
 pub mod claims;
 pub mod clock;
--- a/crates/steward/src/lib.rs
+++ b/crates/steward/src/lib.rs
@@ -4,6 +4,8 @@
 //! collects ratings and drives roll-outs under one, [`order_reconciler`] gives orders under
 //! another, [`host_watcher`] spreads who leaves, [`operators`] serves `oleander-ctl`.
 
+#![warn(clippy::unwrap_used)]
+
 pub mod host_watcher;
 pub mod lease_actor;
 pub mod lease_table;
