Use the solved alarm threshold, the share of failures and the latency price

Cause: three mechanisms were measured in the model and not called by the running system: the roll-out's test used the closed-form threshold without head start, the choice of an upstream did not know its latest failures, and chains were planned without a price of latency. Change: the three calls. The other two are covered by the properties of their modules; their effect on a running entry is not measured.

--- a/crates/core/src/fleet_statistics.rs
+++ b/crates/core/src/fleet_statistics.rs
@@ -3,9 +3,10 @@
 //! The state is one row in the table, with the cursor of the rating service: a rating counts
 //! once, whoever collects, and another collector goes on where the last one stopped.
 
+use crate::alarm_threshold::alarm_threshold;
 use crate::catalog::Catalog;
 use crate::catalog::objects::{Policy, Rollout, RolloutPhase};
-use crate::detect::{MeanChangeTest, RatingBaseline, mct_threshold};
+use crate::detect::{MeanChangeTest, RatingBaseline};
 use crate::ids::{CascadeName, RolloutName, VersionName};
 use crate::quality::QualityTable;
 use crate::rollout::RolloutEvidence;
@@ -147,6 +148,6 @@
         variance.unwrap_or(ASSUMED_VARIANCE),
         policy.rating_drop,
     );
-    let threshold = mct_threshold(&baseline, f64::from(policy.false_alarm_ratings));
-    MeanChangeTest::new(baseline, threshold)
+    let threshold = alarm_threshold(&baseline, f64::from(policy.false_alarm_ratings));
+    MeanChangeTest::new(baseline, threshold).with_head_start()
 }
--- a/crates/entry/src/chat_plan.rs
+++ b/crates/entry/src/chat_plan.rs
@@ -69,8 +69,10 @@
     let confidence = |version: &VersionName| state.confidence_of(cascade, version);
     let hints = CandidateHints { ratings: &ratings, wait: &wait, confidence: &confidence };
     let found = candidates(snapshot, account, cascade, ctx.size(), point, &hints);
+    let policy = &snapshot.catalog().policy;
     let planner = ChainPlanner::new(ChainRule::from(state.parts.mode))
-        .with_exploration(snapshot.catalog().policy.exploration);
+        .with_exploration(policy.exploration)
+        .with_latency_price(policy.price_per_second);
     let goal = ChainGoal { quality: ctx.quality, left: ctx.deadline.left(ctx.now()) };
     planner.plan(&found, &goal, state.words.next()).map_err(|error| plan_refusal(ctx, &error))
 }
--- a/crates/entry/src/upstream_pool.rs
+++ b/crates/entry/src/upstream_pool.rs
@@ -163,7 +163,10 @@
         view.region_price = member.traffic_price(work);
         view.delay = member.delay;
         view.cached = (draw.cached)(name);
-        view.ejected = self.ledger.lock().ejection.is_ejected(name, draw.now);
+        let ledger = self.ledger.lock();
+        view.ejected = ledger.ejection.is_ejected(name, draw.now);
+        view.failing = ledger.ejection.failing(name, draw.now);
+        drop(ledger);
         view.leaving = not.contains(name) || (draw.is_leaving)(name);
         view
     }
