--- a/crates/entry/tests/support/mod.rs
+++ b/crates/entry/tests/support/mod.rs
@@ -2,37 +2,32 @@
 
 #![allow(dead_code, reason = "each test file uses its own part")]
 
-use arc_swap::ArcSwap;
+mod fakes;
+
+pub use fakes::*;
+
 use bytes::Bytes;
 use http::{HeaderMap, Request, StatusCode};
 use http_body_util::Full;
 use oleander_adapters::http_client::HttpClient;
 use oleander_adapters::settings::SecretKey;
-use oleander_core::catalog::{Catalog, Snapshot};
+use oleander_core::catalog::Catalog;
 use oleander_core::choice_mode::ChoiceMode;
-use oleander_core::ids::{
-    AccountName, IdempotencyKey, Incarnation, RequestId, Revision, UpstreamName, VersionName,
-};
-use oleander_core::quality::QualityTable;
-use oleander_core::units::Timestamp;
-use oleander_core::usage::{StoredOutcome, UsageRecord};
+use oleander_core::ids::{Incarnation, UpstreamName, VersionName};
 use oleander_entry::{EntryParts, EntryServer, EntryView};
-use oleander_ports::catalog::{CatalogPort, CatalogStanding};
-use oleander_ports::claims::{ClaimError, ClaimOutcome, ClaimPort, ClaimRequest};
+use oleander_ports::catalog::CatalogPort;
+use oleander_ports::claims::ClaimPort;
 use oleander_ports::clock::{ClockPort, SystemClock};
-use oleander_ports::shares::{AccountShare, QualityPort, SharePort};
-use oleander_ports::table::{TablePort, TableRow, TableTransaction, TransactionOutcome};
-use oleander_ports::usage::{UsageError, UsagePort};
-use oleander_ports::{PlatformError, PortFuture};
+use oleander_ports::shares::{AccountShare, SharePort};
+use oleander_ports::table::TablePort;
+use oleander_ports::usage::UsagePort;
 use oleander_standin::deployment::{DeploymentPlan, StandinDeployment};
 use oleander_standin::engine::EngineStandin;
 use oleander_standin::fakes::FakeMembers;
 use oleander_standin::faults::FaultPlan;
 use oleander_standin::memory::MemoryTable;
 use serde_json::{Value, json};
-use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use tokio::sync::oneshot;
@@ -98,239 +93,6 @@
     .unwrap()
 }
 
-/// A catalog in force that a test replaces.
-pub struct FixedCatalog {
-    snapshot: ArcSwap<Snapshot>,
-    standing: Mutex<CatalogStanding>,
-}
-
-impl FixedCatalog {
-    pub fn new(catalog: Catalog) -> Self {
-        let snapshot = Snapshot::new(Revision::new(1), catalog);
-        Self {
-            snapshot: ArcSwap::from_pointee(snapshot),
-            standing: Mutex::new(CatalogStanding::InForce),
-        }
-    }
-
-    pub fn publish(&self, change: impl FnOnce(&mut Catalog)) {
-        let old = self.snapshot.load();
-        let mut catalog = old.catalog().clone();
-        change(&mut catalog);
-        self.snapshot.store(Arc::new(Snapshot::new(old.revision().next(), catalog)));
-    }
-
-    pub fn set_standing(&self, standing: CatalogStanding) {
-        *self.standing.lock().unwrap() = standing;
-    }
-}
-
-impl CatalogPort for FixedCatalog {
-    fn snapshot(&self) -> Arc<Snapshot> {
-        self.snapshot.load_full()
-    }
-
-    fn standing(&self) -> CatalogStanding {
-        *self.standing.lock().unwrap()
-    }
-}
-
-/// Usage that is held in memory, or not.
-#[derive(Default)]
-pub struct FakeUsage {
-    records: Mutex<Vec<UsageRecord>>,
-    pub not_held: AtomicBool,
-    pub full: AtomicBool,
-    pub slow_millis: AtomicU64,
-}
-
-impl FakeUsage {
-    /// Records, each request once.
-    pub fn billed(&self) -> Vec<UsageRecord> {
-        let mut seen = std::collections::HashSet::new();
-        let records = self.records.lock().unwrap();
-        records.iter().filter(|r| seen.insert((r.account.clone(), r.request))).cloned().collect()
-    }
-}
-
-impl UsagePort for FakeUsage {
-    fn record(&self, record: UsageRecord) -> PortFuture<'_, Result<(), UsageError>> {
-        Box::pin(async move {
-            let slow = self.slow_millis.load(Ordering::SeqCst);
-            tokio::time::sleep(Duration::from_millis(slow)).await;
-            if self.not_held.load(Ordering::SeqCst) {
-                return Err(UsageError::NotHeld("no peer answers".to_owned()));
-            }
-            self.records.lock().unwrap().push(record);
-            Ok(())
-        })
-    }
-
-    fn has_room(&self) -> bool {
-        !self.full.load(Ordering::SeqCst)
-    }
-}
-
-#[derive(Clone)]
-enum ClaimState {
-    Held(RequestId),
-    Unknown,
-}
-
-/// Claims in memory; done outcomes come from the usage records.
-#[derive(Default)]
-pub struct FakeClaims {
-    rows: Mutex<HashMap<(AccountName, IdempotencyKey), (ClaimRequest, ClaimState)>>,
-    usage: Arc<FakeUsage>,
-    pub down: AtomicBool,
-    pub pause_millis: AtomicU64,
-}
-
-impl FakeClaims {
-    fn new(usage: &Arc<FakeUsage>) -> Self {
-        Self { usage: Arc::clone(usage), ..Self::default() }
-    }
-
-    fn outcome(&self, claim: &ClaimRequest) -> Option<StoredOutcome> {
-        let records = self.usage.records.lock().unwrap();
-        let mut stored = records.iter().filter(|record| record.account == claim.account);
-        stored.find_map(|record| record.outcome.clone().filter(|o| o.key == claim.key))
-    }
-
-    fn check(&self) -> Result<(), ClaimError> {
-        if self.down.load(Ordering::SeqCst) {
-            return Err(ClaimError("the table is down".to_owned()));
-        }
-        Ok(())
-    }
-
-    /// Number of claims that are neither released nor settled as unknown.
-    pub fn held(&self) -> usize {
-        let rows = self.rows.lock().unwrap();
-        rows.values().filter(|(_, state)| matches!(state, ClaimState::Held(_))).count()
-    }
-}
-
-impl ClaimPort for FakeClaims {
-    fn claim(&self, claim: ClaimRequest) -> PortFuture<'_, Result<ClaimOutcome, ClaimError>> {
-        Box::pin(async move {
-            self.check()?;
-            let key = (claim.account.clone(), claim.key.clone());
-            let outcome = {
-                let mut rows = self.rows.lock().unwrap();
-                match rows.get(&key) {
-                    None => {
-                        let held = ClaimState::Held(claim.request);
-                        rows.insert(key, (claim, held));
-                        ClaimOutcome::Granted
-                    }
-                    Some((first, _)) if first.body_digest != claim.body_digest => {
-                        ClaimOutcome::KeyReused
-                    }
-                    Some((_, ClaimState::Unknown)) => ClaimOutcome::OutcomeUnknown,
-                    Some((_, ClaimState::Held(by))) => match self.outcome(&claim) {
-                        Some(stored) => ClaimOutcome::Done(stored),
-                        None => ClaimOutcome::Held { by: *by },
-                    },
-                }
-            };
-            let pause = self.pause_millis.load(Ordering::SeqCst);
-            tokio::time::sleep(Duration::from_millis(pause)).await;
-            Ok(outcome)
-        })
-    }
-
-    fn release(&self, claim: ClaimRequest) -> PortFuture<'_, Result<(), ClaimError>> {
-        Box::pin(async move {
-            self.check()?;
-            self.rows.lock().unwrap().remove(&(claim.account, claim.key));
-            Ok(())
-        })
-    }
-
-    fn mark_unknown(&self, claim: ClaimRequest) -> PortFuture<'_, Result<(), ClaimError>> {
-        Box::pin(async move {
-            self.check()?;
-            let key = (claim.account.clone(), claim.key.clone());
-            self.rows.lock().unwrap().insert(key, (claim, ClaimState::Unknown));
-            Ok(())
-        })
-    }
-}
-
-/// Shares as wide as the test says.
-pub struct FixedShares {
-    pub share: Mutex<AccountShare>,
-}
-
-impl SharePort for FixedShares {
-    fn share(&self, _: &AccountName) -> Option<AccountShare> {
-        Some(*self.share.lock().unwrap())
-    }
-
-    fn note_demand(&self, _: &AccountName) {}
-}
-
-/// No ratings.
-pub struct NoQuality;
-
-impl QualityPort for NoQuality {
-    fn estimates(&self) -> Arc<QualityTable> {
-        Arc::default()
-    }
-}
-
-/// A table in which another host binds a session between a look-up and the insert.
-pub struct RivalTable {
-    inner: MemoryTable,
-    rival: Mutex<Option<Vec<u8>>>,
-}
-
-impl RivalTable {
-    /// The next look-up that finds nothing is followed by another host's write of `value`.
-    pub fn expect_rival(&self, value: &Value) {
-        *self.rival.lock().unwrap() = Some(value.to_string().into_bytes());
-    }
-}
-
-impl TablePort for RivalTable {
-    fn transact(
-        &self,
-        transaction: TableTransaction,
-    ) -> PortFuture<'_, Result<TransactionOutcome, PlatformError>> {
-        self.inner.transact(transaction)
-    }
-
-    fn get<'a>(&'a self, key: &'a str) -> PortFuture<'a, Result<Option<TableRow>, PlatformError>> {
-        Box::pin(async move {
-            let found = self.inner.get(key).await?;
-            let rival = self.rival.lock().unwrap().take();
-            if let Some(value) = rival {
-                self.inner.transact(TableTransaction::new().with_put(key, value)).await?;
-            }
-            Ok(found)
-        })
-    }
-
-    fn scan<'a>(
-        &'a self,
-        start: &'a str,
-        end: &'a str,
-        limit: usize,
-    ) -> PortFuture<'a, Result<Vec<TableRow>, PlatformError>> {
-        self.inner.scan(start, end, limit)
-    }
-}
-
-/// A clock that stands still.
-pub struct FrozenClock(pub Timestamp);
-
-impl ClockPort for FrozenClock {
-    fn now(&self) -> Timestamp {
-        self.0
-    }
-}
-
 /// An entry before stand-ins.
 pub struct TestBed {
     pub address: SocketAddr,
@@ -366,7 +128,7 @@
         let shares = Arc::new(FixedShares { share: Mutex::new(share) });
         let members = FakeMembers::new();
         let table = MemoryTable::new();
-        let rivals = Arc::new(RivalTable { inner: table.clone(), rival: Mutex::default() });
+        let rivals = Arc::new(RivalTable::new(table.clone()));
         let secret = |id: &str| SecretKey {
             id: id.parse().unwrap(),
             secret: Arc::from(format!("{id}: a secret of sixteen bytes")),
--- a/crates/ports/src/upstream.rs
+++ b/crates/ports/src/upstream.rs
@@ -10,7 +10,8 @@
 //! | `GET /kv/{prefix}` and `PUT /kv/{prefix}` | export and import of the KV cache of a prompt prefix |
 //!
 //! Requests carry [`ATTEMPT_HEADER`], [`PRIORITY_HEADER`] and, when a stream is resumed,
-//! [`RESUME_HEADER`] with the number of tokens that the router has. Answers carry
+//! [`RESUME_HEADER`] with the number of tokens that the router has; `x-deadline-ms` tells the time
+//! that is left. Answers carry
 //! [`ATTEMPT_HEADER`], [`VERSION_HEADER`] with the version that really ran, and
 //! [`LOAD_HEADER`] with the requests that are running and queued (`running/queued`).
 //!
