Keep a session on the version that is withdrawn, so that its check can fail

Cause: with withdrawals ignored by every entry the fault run stayed green: sessions were shorter than the five seconds that a withdrawal has, and the roll-out ends with it anyway. Change: a session on the rolled-out version goes on until the router ends it.

--- a/tests/e2e/faults/load.rs
+++ b/tests/e2e/faults/load.rs
@@ -16,6 +16,8 @@
 const MAX_TRIES: usize = 12;
 /// Time between two requests of a caller, and between two tries.
 const PAUSE: Duration = Duration::from_millis(60);
+/// The version that the schedule rolls out and withdraws.
+const WITHDRAWN_LATER: &str = "menu-writer-small@5";
 /// Further requests of one session.
 const SESSION_LENGTH: usize = 5;
 
@@ -128,14 +130,23 @@
         while !self.stopped() {
             let prompt = format!("first of session {}", self.number());
             let first = self.ask(caller, "menu-writer-small", &prompt, true, None).await;
-            let token =
-                first.and_then(|answer| answer.header("x-oleander-session").map(String::from));
-            let Some(token) = token else { continue };
-            for turn in 0..SESSION_LENGTH {
-                let prompt = format!("turn {turn} of session {}", self.number());
-                self.ask(caller, "menu-writer-small", &prompt, true, Some(&token)).await;
-                tokio::time::sleep(PAUSE).await;
+            let Some(first) = first else { continue };
+            let Some(token) = first.header("x-oleander-session") else { continue };
+            // A session on the version that is going to be withdrawn goes on until it is ended.
+            let lasts = first.header("x-oleander-version") == Some(WITHDRAWN_LATER);
+            let turns = if lasts { usize::MAX } else { SESSION_LENGTH };
+            self.go_on(caller, token, turns).await;
+        }
+    }
+
+    async fn go_on(&self, caller: &TestCaller, token: &str, turns: usize) {
+        for turn in 0..turns {
+            let prompt = format!("turn {turn} of session {}", self.number());
+            let answer = self.ask(caller, "menu-writer-small", &prompt, true, Some(token)).await;
+            if answer.is_none() || self.stopped() {
+                return;
             }
+            tokio::time::sleep(PAUSE).await;
         }
     }
 
