Stop an entry while streams are under way, so that its check can fail

Cause: an entry that exits at once on SIGTERM left the fault run green: nothing was certain to be in flight, and a cut could not be laid to a host. Change: six streams are under way at the entry when it is told to stop; their caller names it.

--- a/tests/e2e/faults/schedule.rs
+++ b/tests/e2e/faults/schedule.rs
@@ -2,12 +2,17 @@
 
 use crate::faults::load::LoadDriver;
 use crate::faults::watch::RunWatch;
-use crate::testenv::TestSystem;
+use crate::testenv::system::PATIENCE;
+use crate::testenv::{TestCaller, TestSystem};
 use oleander_core::ids::{HostId, UpstreamName};
 use oleander_history::SeenEvent;
 use oleander_ports::clock::{ClockPort, SystemClock};
 use oleander_standin::faults::FaultPlan;
 use std::time::Duration;
+use tokio::task::JoinHandle;
+
+/// Streams under way when an entry is told to stop.
+const STREAMS: usize = 6;
 
 async fn seconds(count: u64) {
     tokio::time::sleep(Duration::from_secs(count)).await;
@@ -161,15 +166,44 @@
 
 async fn stop_entry(system: &mut TestSystem, driver: &LoadDriver, watch: &RunWatch, index: usize) {
     let host = system.entries[index].ready.ready.clone();
+    let streams = start_streams(system, index, &host);
+    wait_in_flight(system, index).await;
     note(system, SeenEvent::ShutdownBegan { host: host.clone() });
     system.entries[index].terminate();
     // The balancer takes it out when its health check fails.
     driver.take_out(index);
     let code = system.entries[index].wait().await;
     assert_eq!(code, Some(0), "the entry did not end gracefully");
+    for stream in streams {
+        stream.await.unwrap();
+    }
     end_shutdown(system, watch, host);
 }
 
+/// Streams that are under way when the entry is told to stop.
+fn start_streams(system: &TestSystem, index: usize, host: &HostId) -> Vec<JoinHandle<()>> {
+    let entry = system.callers(index);
+    let stream = |number: usize| {
+        let caller = TestCaller::new("eugene-vans", &system.recorder).with_host(host);
+        tokio::spawn(async move {
+            let prompt = format!("stream {number} during the stop");
+            // What comes back, or that nothing does, is in the history.
+            let _ = caller.chat(entry, "menu-writer-large", &prompt, true, &[]).await;
+        })
+    };
+    (0..STREAMS).map(stream).collect()
+}
+
+async fn wait_in_flight(system: &TestSystem, index: usize) {
+    let admin = system.entries[index].ready.admin.unwrap();
+    let busy = async {
+        while system.metric(admin, "oleander_entry_in_flight").await < Some(STREAMS as f64) {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    };
+    tokio::time::timeout(PATIENCE, busy).await.expect("the streams did not begin");
+}
+
 fn end_shutdown(system: &TestSystem, watch: &RunWatch, host: HostId) {
     watch.down(&host);
     note(system, SeenEvent::ShutdownEnded { host });
--- a/tests/e2e/testenv/caller.rs
+++ b/tests/e2e/testenv/caller.rs
@@ -5,7 +5,7 @@
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use oleander_adapters::http_client::{CallError, HttpClient};
-use oleander_core::ids::{AccountName, IdempotencyKey, RequestId, SessionId};
+use oleander_core::ids::{AccountName, HostId, IdempotencyKey, RequestId, SessionId};
 use oleander_core::reason::{Reason, RunState};
 use oleander_history::{HistoryRecorder, SeenEvent, text_digest};
 use oleander_ports::clock::{ClockPort, SystemClock};
@@ -70,6 +70,7 @@
     key: Arc<str>,
     client: Arc<HttpClient>,
     recorder: HistoryRecorder,
+    host: Option<HostId>,
 }
 
 impl TestCaller {
@@ -80,6 +81,7 @@
             key: Arc::from(format!("curbside-{account}")),
             client: Arc::new(HttpClient::new()),
             recorder: recorder.clone(),
+            host: None,
         }
     }
 
@@ -89,6 +91,12 @@
         self
     }
 
+    /// Asks one host only, so that a cut can be laid to it.
+    pub fn with_host(mut self, host: &HostId) -> Self {
+        self.host = Some(host.clone());
+        self
+    }
+
     /// The client account.
     pub const fn account(&self) -> &AccountName {
         &self.account
@@ -156,7 +164,7 @@
     /// A connection that was refused cut nothing.
     fn record_lost(&self, error: &CallError) {
         if !matches!(error, CallError::Connect(_)) {
-            self.note(SeenEvent::Cut { host: None, request: None });
+            self.note(SeenEvent::Cut { host: self.host.clone(), request: None });
         }
     }
 
@@ -180,7 +188,8 @@
             return self.note(SeenEvent::Refused { account, request, key, reason, run });
         }
         if !answer.whole {
-            return self.note(SeenEvent::Cut { host: None, request: Some(request) });
+            let host = self.host.clone();
+            return self.note(SeenEvent::Cut { host, request: Some(request) });
         }
         self.note(SeenEvent::Answered {
             account: self.account.clone(),
