--- a/tests/e2e/sessions.rs
+++ b/tests/e2e/sessions.rs
@@ -3,12 +3,21 @@
 mod transcript;
 
 use crate::testenv::{SystemPlan, TestSystem};
+use oleander_core::choice_mode::ChoiceMode;
 use oleander_core::ids::UpstreamName;
 use oleander_standin::faults::FaultPlan;
 use transcript::Transcript;
 
 /// No exploration, so that every run takes the same way.
-const SMALL: SystemPlan = SystemPlan { entries: 2, ledgers: 2, stewards: 1, exploration: 0.0 };
+const SMALL: SystemPlan = SystemPlan {
+    entries: 2,
+    ledgers: 2,
+    stewards: 1,
+    exploration: 0.0,
+    mode: ChoiceMode::ModelAware,
+};
+/// Always the first step first: the router's own plans are drawn from a mixture.
+const FIRST_STEP_FIRST: SystemPlan = SystemPlan { mode: ChoiceMode::CheapThenEscalate, ..SMALL };
 
 fn small_engines(system: &TestSystem) -> impl Iterator<Item = &UpstreamName> {
     system.standins.engines.keys().filter(|name| name.as_str().starts_with("menu-small"))
@@ -16,7 +25,7 @@
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_van_plans_its_route() {
-    let system = TestSystem::start(SMALL).await;
+    let system = TestSystem::start(FIRST_STEP_FIRST).await;
     let mut log = Transcript::new(&system);
     log.title("a streamed answer");
     log.chat("tacoma-vans", "route-menu-plan", "Plan tomorrow for van 12", &[]).await;
@@ -25,8 +34,7 @@
         let weak = FaultPlan { weak_answers: 1, ..FaultPlan::default() };
         system.standins.engines[name].faults().set_plan(weak);
     }
-    let cheap = [("x-oleander-quality-target", "0.80")];
-    log.chat("tacoma-vans", "route-menu-plan", "Plan Friday for van 7", &cheap).await;
+    log.chat("tacoma-vans", "route-menu-plan", "Plan Friday for van 7", &[]).await;
     log.title("a session goes on at the other entry with its version");
     let token = log.chat("eugene-vans", "menu-writer-small", "Start a plan", &[]).await;
     log.use_entry(1);
--- a/tests/e2e/testenv/system.rs
+++ b/tests/e2e/testenv/system.rs
@@ -5,6 +5,7 @@
 use oleander_adapters::http_client::HttpClient;
 use oleander_catalog::{CatalogFile, parse_catalog};
 use oleander_core::catalog::Catalog;
+use oleander_core::choice_mode::ChoiceMode;
 use oleander_history::{History, HistoryEvent, HistoryRecorder};
 use oleander_standin::deployment::{DeploymentPlan, StandinDeployment};
 use std::net::SocketAddr;
@@ -29,17 +30,26 @@
     pub stewards: usize,
     /// Share of requests that explore other versions.
     pub exploration: f64,
+    /// How the entries choose versions and upstreams.
+    pub mode: ChoiceMode,
 }
 
 impl Default for SystemPlan {
     fn default() -> Self {
-        Self { entries: 3, ledgers: 3, stewards: 2, exploration: 0.02 }
+        Self {
+            entries: 3,
+            ledgers: 3,
+            stewards: 2,
+            exploration: 0.02,
+            mode: ChoiceMode::ModelAware,
+        }
     }
 }
 
 /// A running system with the catalog of Cascade Curbside in force.
 pub struct TestSystem {
     pub folder: TempDir,
+    pub mode: ChoiceMode,
     pub standins: StandinDeployment,
     pub recorder: HistoryRecorder,
     pub entries: Vec<TestProcess>,
@@ -57,6 +67,7 @@
         let standins = DeploymentPlan::anywhere().with_recorder(&recorder);
         let standins = StandinDeployment::start(catalog, standins);
         let mut system = Self {
+            mode: plan.mode,
             folder: tempfile::tempdir_in(env!("CARGO_TARGET_TMPDIR")).unwrap(),
             standins: standins.await.unwrap(),
             recorder,
@@ -94,6 +105,7 @@
         let mut arguments = vec![settings.to_str().unwrap()];
         if role == "entry" {
             arguments.extend(["--history", history.to_str().unwrap()]);
+            arguments.extend(["--mode", self.mode.name()]);
         }
         TestProcess::start(binary, &arguments, &log)
     }
