--- /dev/null
+++ b/crates/adapters/src/bounded_log.rs
@@ -0,0 +1,131 @@
+//! Logs as JSON lines on standard output that never make the caller wait.
+//!
+//! Lines go through a bounded queue to a thread that writes them. A line that finds the queue
+//! full, or the rate above its bound, is counted and left out; the next line that is written is
+//! followed by one with that count.
+
+use anyhow::Context;
+use log::{LevelFilter, Record};
+use log4rs::append::Append;
+use log4rs::config::{Appender, Config, Root};
+use log4rs::encode::Encode;
+use log4rs::encode::json::JsonEncoder;
+use log4rs::encode::writer::simple::SimpleWriter;
+use std::fmt;
+use std::io::Write;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::mpsc::{Receiver, SyncSender, sync_channel};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{Duration, Instant};
+
+/// Lines that may wait; at 400 bytes a line, less than half a megabyte.
+const QUEUE_LINES: usize = 1_024;
+/// Lines a second: a line for each request of a host at 40 times the users' rate.
+const LINES_PER_SECOND: u32 = 400;
+/// Longest wait for the queue to be written when the process ends.
+const FLUSH_TIMEOUT: Duration = Duration::from_millis(500);
+
+enum LogItem {
+    Line(Vec<u8>),
+    Flush(SyncSender<()>),
+}
+
+struct RateWindow {
+    since: Instant,
+    lines: u32,
+}
+
+/// Appends lines to a bounded queue.
+struct BoundedAppender {
+    encoder: JsonEncoder,
+    items: SyncSender<LogItem>,
+    dropped: Arc<AtomicU64>,
+    window: Mutex<RateWindow>,
+}
+
+impl fmt::Debug for BoundedAppender {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("BoundedAppender")
+    }
+}
+
+impl BoundedAppender {
+    fn has_room(&self) -> bool {
+        let mut window = self.window.lock().unwrap_or_else(PoisonError::into_inner);
+        if window.since.elapsed() >= Duration::from_secs(1) {
+            *window = RateWindow { since: Instant::now(), lines: 0 };
+        }
+        window.lines += 1;
+        window.lines <= LINES_PER_SECOND
+    }
+}
+
+impl Append for BoundedAppender {
+    fn append(&self, record: &Record<'_>) -> anyhow::Result<()> {
+        if !self.has_room() {
+            self.dropped.fetch_add(1, Ordering::Relaxed);
+            return Ok(());
+        }
+        let mut line = Vec::with_capacity(256);
+        self.encoder.encode(&mut SimpleWriter(&mut line), record)?;
+        if self.items.try_send(LogItem::Line(line)).is_err() {
+            self.dropped.fetch_add(1, Ordering::Relaxed);
+        }
+        Ok(())
+    }
+
+    fn flush(&self) {
+        let (written, wait) = sync_channel(1);
+        if self.items.try_send(LogItem::Flush(written)).is_ok() {
+            // A reader that takes no lines must not keep the process.
+            let _ = wait.recv_timeout(FLUSH_TIMEOUT);
+        }
+    }
+}
+
+fn write_items(items: &Receiver<LogItem>, dropped: &AtomicU64) {
+    let mut out = std::io::stdout();
+    while let Ok(item) = items.recv() {
+        // Without a reader there is nobody to tell.
+        match item {
+            LogItem::Line(line) => {
+                let _ = out.write_all(&line);
+                let lost = dropped.swap(0, Ordering::Relaxed);
+                if lost > 0 {
+                    let _ = writeln!(out, "{{\"target\":\"log\",\"dropped\":{lost}}}");
+                }
+                let _ = out.flush();
+            }
+            LogItem::Flush(written) => {
+                let _ = written.send(());
+            }
+        }
+    }
+}
+
+/// Starts logging at `level` to standard output.
+///
+/// # Errors
+///
+/// When `level` is no level, or logging was started before.
+pub fn start_bounded_logs(level: &str) -> anyhow::Result<()> {
+    let level: LevelFilter = level.parse().with_context(|| {
+        format!("{level:?} is not a log level; use error, warn, info, debug or trace")
+    })?;
+    let (items, queue) = sync_channel(QUEUE_LINES);
+    let dropped = Arc::new(AtomicU64::new(0));
+    let lost = Arc::clone(&dropped);
+    let writer = std::thread::Builder::new().name("log".to_owned());
+    writer.spawn(move || write_items(&queue, &lost)).context("cannot start the log's thread")?;
+    let appender = BoundedAppender {
+        encoder: JsonEncoder::new(),
+        items,
+        dropped,
+        window: Mutex::new(RateWindow { since: Instant::now(), lines: 0 }),
+    };
+    let config = Config::builder()
+        .appender(Appender::builder().build("stdout", Box::new(appender)))
+        .build(Root::builder().appender("stdout").build(level))?;
+    log4rs::init_config(config)?;
+    Ok(())
+}
--- a/crates/adapters/src/http_client.rs
+++ b/crates/adapters/src/http_client.rs
@@ -19,6 +19,15 @@
 const IDLE_TIMEOUT: Duration = Duration::from_secs(20);
 /// Longest time for a TCP connect.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+/// Silence after which a connection is probed, so that one that went silent for good fails
+/// within about two seconds even while a long poll waits on it.
+const KEEPALIVE_IDLE: Duration = Duration::from_secs(1);
+/// Time between probes.
+const KEEPALIVE_INTERVAL: Duration = Duration::from_millis(500);
+/// Probes without an answer after which a connection is dead.
+const KEEPALIVE_PROBES: u32 = 2;
+/// Longest time that bytes stay unacknowledged on a connection that is not dead.
+const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_secs(2);
 /// Most unused connections kept per address.
 const MAX_IDLE_PER_ADDRESS: usize = 32;
 
@@ -121,6 +130,10 @@
     let mut connector = HttpConnector::new();
     connector.set_nodelay(true);
     connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
+    connector.set_keepalive(Some(KEEPALIVE_IDLE));
+    connector.set_keepalive_interval(Some(KEEPALIVE_INTERVAL));
+    connector.set_keepalive_retries(Some(KEEPALIVE_PROBES));
+    connector.set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT));
     Client::builder(TokioExecutor::new())
         .pool_timer(TokioTimer::new())
         .pool_idle_timeout(IDLE_TIMEOUT)
--- a/crates/adapters/src/lib.rs
+++ b/crates/adapters/src/lib.rs
@@ -3,6 +3,7 @@
 #![warn(clippy::unwrap_used)]
 
 pub mod admin;
+pub mod bounded_log;
 pub mod http_client;
 pub mod http_server;
 pub mod logs;
--- a/crates/core/src/ejection.rs
+++ b/crates/core/src/ejection.rs
@@ -6,9 +6,9 @@
 use std::time::Duration;
 
 /// Failures in a row after which an upstream is ejected.
-const FAILURES_IN_ROW: u32 = 5;
+pub const FAILURES_IN_ROW: u32 = 5;
 /// Time of a first ejection; every further one in a row takes as much longer.
-const BASE_EJECTION: Duration = Duration::from_secs(10);
+pub const BASE_EJECTION: Duration = Duration::from_secs(10);
 /// Time without a failure after which the share of failures counts half.
 const FAILING_HALF_LIFE: Duration = Duration::from_secs(3);
 /// Weight of the latest attempt in the share of failures.
@@ -34,6 +34,7 @@
 #[derive(Clone, Debug)]
 pub struct OutlierEjection {
     share: f64,
+    base: Duration,
     records: BTreeMap<UpstreamName, OutlierRecord>,
 }
 
@@ -41,7 +42,14 @@
     /// Ejects at most `share` of the pool at once, and always leaves one upstream.
     #[must_use]
     pub const fn new(share: f64) -> Self {
-        Self { share, records: BTreeMap::new() }
+        Self { share, base: BASE_EJECTION, records: BTreeMap::new() }
+    }
+
+    /// Sets the time of a first ejection.
+    #[must_use]
+    pub const fn with_base(mut self, base: Duration) -> Self {
+        self.base = base;
+        self
     }
 
     /// Changes the share, as when the catalog changes.
@@ -68,16 +76,22 @@
 
     /// Notes that an upstream failed; `true` when it is ejected for that.
     pub fn note_failure(&mut self, upstream: &UpstreamName, now: Timestamp) -> bool {
+        self.note_failures(upstream, 1, now)
+    }
+
+    /// Notes a failure that says as much as `weight` of them, as a connection that is never
+    /// opened does; `true` when the upstream is ejected for that.
+    pub fn note_failures(&mut self, upstream: &UpstreamName, weight: u32, now: Timestamp) -> bool {
         let room = self.ejected(now) < self.most();
         let Some(record) = self.records.get_mut(upstream) else { return false };
-        record.failures += 1;
+        record.failures = record.failures.saturating_add(weight);
         record.failing += (1.0 - record.failing) * FAILING_GAIN;
         record.failed_at = now;
         if record.is_out(now) || record.failures < FAILURES_IN_ROW || !room {
             return false;
         }
         record.ejections += 1;
-        let span = BASE_EJECTION.saturating_mul(record.ejections).min(LONGEST_EJECTION);
+        let span = self.base.saturating_mul(record.ejections).min(LONGEST_EJECTION);
         record.until = Some(now + span);
         // One failure after coming back is enough to eject again.
         record.failures = FAILURES_IN_ROW - 1;
@@ -90,6 +104,13 @@
         self.records.get(upstream).is_some_and(|record| record.is_out(now))
     }
 
+    /// Whether an upstream is back from an ejection and has not answered since: it gets one
+    /// request at a time until it does.
+    #[must_use]
+    pub fn is_returning(&self, upstream: &UpstreamName, now: Timestamp) -> bool {
+        self.records.get(upstream).is_some_and(|record| record.until.is_some() && !record.is_out(now))
+    }
+
     /// Share of an upstream's latest attempts that failed, from 0 to 1; it fades while none is
     /// made, so that an upstream that came back is tried again.
     #[must_use]
--- /dev/null
+++ b/crates/gateway/src/beliefs.rs
@@ -0,0 +1,333 @@
+//! What this process believes of configuration, upstreams and roll-outs.
+//!
+//! [`BeliefBook`] takes news in and gives out [`Beliefs`], an immutable picture that requests
+//! read. Nothing ever steps back: each key keeps the highest row version that was seen, and the
+//! configuration its highest version. A store that was away may have let entries lapse whose
+//! upstreams live; such entries are kept for a while after it is back.
+
+use crate::control_port::{Topic, TopicChange, TopicRow, TopicValue};
+use crate::rollout_plan::{RolloutDecision, RolloutOrder, VersionRule, version_rule};
+use crate::routes::RouteTable;
+use crate::upstream_entry::{UpstreamEntry, UpstreamState};
+use oleander_core::ids::ServiceName;
+use oleander_core::units::Timestamp;
+use std::collections::{BTreeMap, HashSet};
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Time after the store's return in which lapsed entries come back; the platform names it.
+pub const LAPSE_GRACE: Duration = Duration::from_millis(2_000);
+
+/// What requests read. It does not change; a change of beliefs makes a new one.
+#[derive(Clone, Debug, Default)]
+pub struct Beliefs {
+    /// The configuration in force; none until one is known.
+    pub routes: Option<Arc<RouteTable>>,
+    /// Upstreams that take new work, by service.
+    pub upstreams: BTreeMap<ServiceName, Vec<Arc<UpstreamEntry>>>,
+    /// Roll-outs, by service.
+    pub rollouts: BTreeMap<ServiceName, RolloutBelief>,
+    /// Whether every topic was read since the process started.
+    pub complete: bool,
+    /// Difference of the store's steady clock to this process's, in milliseconds.
+    pub store_offset: i64,
+}
+
+/// The newest roll-out of a service.
+#[derive(Clone, Debug, PartialEq)]
+pub struct RolloutBelief {
+    /// The order.
+    pub order: RolloutOrder,
+    /// What was decided on it, if anything.
+    pub decision: Option<RolloutDecision>,
+    /// Row version of the decision's row; 0 when there is none.
+    pub decision_version: u64,
+}
+
+impl Beliefs {
+    /// Which versions a request of a session may go to.
+    #[must_use]
+    pub fn version_rule(&self, service: &ServiceName, session: &str) -> VersionRule {
+        let Some(belief) = self.rollouts.get(service) else { return VersionRule::Any };
+        version_rule(&belief.order, belief.decision.as_ref(), session)
+    }
+
+    /// The store's steady clock.
+    #[must_use]
+    pub fn store_time(&self, now: Timestamp) -> Timestamp {
+        Timestamp::from_millis(now.as_millis().saturating_add_signed(self.store_offset))
+    }
+}
+
+#[derive(Clone, Debug)]
+struct UpstreamRecord {
+    entry: Arc<UpstreamEntry>,
+    version: u64,
+    /// When an entry that lapsed while the store was away is gone for good.
+    lapses_at: Option<Timestamp>,
+}
+
+/// How a topic stands.
+#[derive(Clone, Copy, Debug, Default)]
+struct TopicStanding {
+    cursor: u64,
+    read: bool,
+    lost: bool,
+    regained_at: Option<Timestamp>,
+}
+
+/// Something worth a log line that came with news.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum BeliefNote {
+    /// A configuration is in force.
+    Configuration(u64),
+    /// An upstream takes new work.
+    UpstreamAdded(Arc<str>),
+    /// An upstream takes no new work, for the stated reason.
+    UpstreamLeft(Arc<str>, &'static str),
+    /// A roll-out was ordered or decided on.
+    Rollout(Arc<str>),
+    /// A row could not be used, for the stated reason.
+    Skipped(Arc<str>, Arc<str>),
+    /// An answer was older than what was known; it was left out.
+    Stale(Topic),
+}
+
+/// Takes news in.
+#[derive(Debug, Default)]
+pub struct BeliefBook {
+    routes: Option<Arc<RouteTable>>,
+    rows: BTreeMap<(Topic, Arc<str>), u64>,
+    upstreams: BTreeMap<Arc<str>, UpstreamRecord>,
+    orders: BTreeMap<Arc<str>, RolloutOrder>,
+    decisions: BTreeMap<Arc<str>, (u64, RolloutDecision)>,
+    topics: BTreeMap<Topic, TopicStanding>,
+    store_offset: i64,
+}
+
+impl BeliefBook {
+    /// A book that knows nothing.
+    #[must_use]
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Notes that a topic could not be followed.
+    pub fn note_lost(&mut self, topic: Topic) {
+        self.topics.entry(topic).or_default().lost = true;
+    }
+
+    /// Takes in what changed in a topic; returns what is worth a log line.
+    pub fn take(&mut self, topic: Topic, change: &TopicChange, now: Timestamp) -> Vec<BeliefNote> {
+        let standing = self.topics.entry(topic).or_default();
+        if change.cursor < standing.cursor {
+            return vec![BeliefNote::Stale(topic)];
+        }
+        standing.cursor = change.cursor;
+        standing.read |= change.whole;
+        if standing.lost {
+            standing.lost = false;
+            standing.regained_at = Some(now);
+        }
+        self.store_offset = change.store_now.as_millis() as i64 - now.as_millis() as i64;
+        let mut notes = Vec::new();
+        for row in &change.rows {
+            self.take_row(topic, row, now, &mut notes);
+        }
+        if change.whole {
+            self.remove_missing(topic, change, now, &mut notes);
+        }
+        notes
+    }
+
+    fn take_row(
+        &mut self,
+        topic: Topic,
+        row: &TopicRow,
+        now: Timestamp,
+        notes: &mut Vec<BeliefNote>,
+    ) {
+        let known = self.rows.entry((topic, Arc::clone(&row.key))).or_default();
+        if row.version <= *known {
+            return;
+        }
+        *known = row.version;
+        match &row.value {
+            TopicValue::Routes(table) => self.take_routes(table, notes),
+            TopicValue::Rollout(order) => {
+                self.orders.insert(Arc::clone(&row.key), order.clone());
+                notes.push(BeliefNote::Rollout(
+                    format!("{} to {} ordered", order.service, order.to).into(),
+                ));
+            }
+            TopicValue::Upstream(entry) => self.take_upstream(row, entry, notes),
+            TopicValue::Decision(decision) => {
+                let text = format!("{} to {} {}", decision.service, decision.to, decision.phase);
+                notes.push(BeliefNote::Rollout(text.into()));
+                self.decisions.insert(Arc::clone(&row.key), (row.version, decision.clone()));
+            }
+            TopicValue::Unreadable(reason) => {
+                notes.push(BeliefNote::Skipped(Arc::clone(&row.key), Arc::clone(reason)));
+                self.forget(topic, &row.key, None, notes);
+            }
+            TopicValue::Removed => {
+                let lapse = self.lapse_end(topic, now);
+                self.forget(topic, &row.key, lapse, notes);
+            }
+        }
+    }
+
+    fn take_routes(&mut self, table: &Arc<RouteTable>, notes: &mut Vec<BeliefNote>) {
+        let newer = self.routes.as_ref().is_none_or(|known| table.version() > known.version());
+        if newer {
+            notes.push(BeliefNote::Configuration(table.version()));
+            self.routes = Some(Arc::clone(table));
+        }
+    }
+
+    fn take_upstream(
+        &mut self,
+        row: &TopicRow,
+        entry: &Arc<UpstreamEntry>,
+        notes: &mut Vec<BeliefNote>,
+    ) {
+        let was_ready = self.upstreams.get(&row.key).map(|record| record.entry.state);
+        match (was_ready, entry.state) {
+            (Some(UpstreamState::Ready), UpstreamState::Draining) => {
+                notes.push(BeliefNote::UpstreamLeft(Arc::clone(&row.key), "draining"));
+            }
+            (None | Some(UpstreamState::Draining), UpstreamState::Ready) => {
+                notes.push(BeliefNote::UpstreamAdded(Arc::clone(&row.key)));
+            }
+            _ => {}
+        }
+        let record =
+            UpstreamRecord { entry: Arc::clone(entry), version: row.version, lapses_at: None };
+        self.upstreams.insert(Arc::clone(&row.key), record);
+    }
+
+    /// When a removed entry is gone, if it may have lapsed because the store was away.
+    fn lapse_end(&self, topic: Topic, now: Timestamp) -> Option<Timestamp> {
+        let standing = self.topics.get(&topic)?;
+        let end = standing.regained_at? + LAPSE_GRACE;
+        (now < end).then_some(end)
+    }
+
+    fn forget(
+        &mut self,
+        topic: Topic,
+        key: &Arc<str>,
+        lapse: Option<Timestamp>,
+        notes: &mut Vec<BeliefNote>,
+    ) {
+        match topic {
+            Topic::Upstreams => {
+                let Some(record) = self.upstreams.get_mut(key) else { return };
+                if lapse.is_some() && record.entry.state == UpstreamState::Ready {
+                    record.lapses_at = lapse;
+                    return;
+                }
+                self.upstreams.remove(key);
+                notes.push(BeliefNote::UpstreamLeft(Arc::clone(key), "removed"));
+            }
+            Topic::Orders => {
+                self.orders.remove(key);
+            }
+            Topic::Decisions => {
+                self.decisions.remove(key);
+            }
+        }
+    }
+
+    /// Rows that a whole read lacks were removed while nothing could be heard.
+    fn remove_missing(
+        &mut self,
+        topic: Topic,
+        change: &TopicChange,
+        now: Timestamp,
+        notes: &mut Vec<BeliefNote>,
+    ) {
+        let present: HashSet<&str> = change.rows.iter().map(|row| &*row.key).collect();
+        let missing = |key: &Arc<str>| !present.contains(&**key);
+        let keys: Vec<Arc<str>> = match topic {
+            Topic::Upstreams => self.upstreams.keys().filter(|key| missing(key)).cloned().collect(),
+            Topic::Orders => self.orders.keys().filter(|key| missing(key)).cloned().collect(),
+            Topic::Decisions => self.decisions.keys().filter(|key| missing(key)).cloned().collect(),
+        };
+        let lapse = self.lapse_end(topic, now);
+        for key in keys {
+            // A row that was written after the read is news of its own.
+            let known = self.rows.get(&(topic, Arc::clone(&key))).copied().unwrap_or(0);
+            if known <= change.cursor {
+                self.forget(topic, &key, lapse, notes);
+            }
+        }
+    }
+
+    /// Drops entries whose grace is over; returns what is worth a log line.
+    pub fn expire(&mut self, now: Timestamp) -> Vec<BeliefNote> {
+        let over = |record: &UpstreamRecord| record.lapses_at.is_some_and(|end| now >= end);
+        let gone: Vec<Arc<str>> = self
+            .upstreams
+            .iter()
+            .filter(|(_, record)| over(record))
+            .map(|(key, _)| Arc::clone(key))
+            .collect();
+        for key in &gone {
+            self.upstreams.remove(key);
+        }
+        gone.into_iter().map(|key| BeliefNote::UpstreamLeft(key, "lapsed")).collect()
+    }
+
+    /// The next time at which [`BeliefBook::expire`] has something to do.
+    #[must_use]
+    pub fn next_expiry(&self) -> Option<Timestamp> {
+        self.upstreams.values().filter_map(|record| record.lapses_at).min()
+    }
+
+    /// The picture for requests.
+    #[must_use]
+    pub fn beliefs(&self) -> Beliefs {
+        let mut upstreams: BTreeMap<ServiceName, Vec<Arc<UpstreamEntry>>> = BTreeMap::new();
+        for record in newest_by_address(&self.upstreams) {
+            let entry = &record.entry;
+            if entry.state == UpstreamState::Ready {
+                upstreams.entry(entry.service.clone()).or_default().push(Arc::clone(entry));
+            }
+        }
+        let read = |topic: &Topic| self.topics.get(topic).is_some_and(|standing| standing.read);
+        Beliefs {
+            routes: self.routes.clone(),
+            upstreams,
+            rollouts: self.rollouts(),
+            complete: Topic::ALL.iter().all(read) && self.routes.is_some(),
+            store_offset: self.store_offset,
+        }
+    }
+
+    fn rollouts(&self) -> BTreeMap<ServiceName, RolloutBelief> {
+        let belief = |order: &RolloutOrder| {
+            let found = self.decisions.values().find(|(_, found)| found.service == order.service);
+            RolloutBelief {
+                order: order.clone(),
+                decision: found
+                    .map(|(_, decision)| decision.clone())
+                    .filter(|decision| decision.order == order.order),
+                decision_version: found.map_or(0, |(version, _)| *version),
+            }
+        };
+        self.orders.values().map(|order| (order.service.clone(), belief(order))).collect()
+    }
+}
+
+/// Records without those whose address was given to another upstream later.
+fn newest_by_address(records: &BTreeMap<Arc<str>, UpstreamRecord>) -> Vec<&UpstreamRecord> {
+    let mut newest = BTreeMap::new();
+    for record in records.values() {
+        let slot = newest.entry(record.entry.address).or_insert(record);
+        if record.version > slot.version {
+            *slot = record;
+        }
+    }
+    newest.into_values().collect()
+}
--- /dev/null
+++ b/crates/gateway/src/caller_server.rs
@@ -0,0 +1,129 @@
+//! Callers' connections: served until the process stops, then ended without cutting a request.
+
+use crate::exchange::answer;
+use crate::state::GatewayState;
+use http::Request;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use std::convert::Infallible;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+
+/// Largest head of a request that is read at all, in bytes; the configuration's limit, which
+/// decides, is lower.
+const MAX_HEAD_BYTES: usize = 64 * 1024;
+/// Times the configured idle time that a connection stays open, so that none is closed in a
+/// caller's face: callers may use nearly all of that time.
+const IDLE_FACTOR: f64 = 1.5;
+/// Wait after a failed accept, as when descriptors run out.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+/// Time between looks at the connections that are left while stopping.
+const STOP_POLL: Duration = Duration::from_millis(20);
+
+/// Serves callers' connections.
+pub struct CallerServer {
+    state: Arc<GatewayState>,
+    listener: TcpListener,
+    closing: watch::Sender<bool>,
+    open: Arc<AtomicUsize>,
+}
+
+impl CallerServer {
+    /// Serves the connections of a bound listener.
+    #[must_use]
+    pub fn new(state: Arc<GatewayState>, listener: TcpListener) -> Self {
+        Self { state, listener, closing: watch::Sender::new(false), open: Arc::default() }
+    }
+
+    /// Accepts connections for as long as it is polled.
+    pub async fn accept(&self) {
+        loop {
+            match self.listener.accept().await {
+                Ok((socket, _)) => self.spawn(socket),
+                Err(error) => {
+                    log::warn!(target: "connection", error:% = error; "cannot accept");
+                    tokio::time::sleep(ACCEPT_PAUSE).await;
+                }
+            }
+        }
+    }
+
+    /// Ends idle connections now and the others after their request, and waits until none is
+    /// left, at most `patience`. Returns how many were left.
+    pub async fn close(&self, patience: Duration) -> usize {
+        self.closing.send_replace(true);
+        let none_left = async {
+            while self.open.load(Ordering::Relaxed) > 0 {
+                tokio::time::sleep(STOP_POLL).await;
+            }
+        };
+        tokio::select! {
+            () = none_left => {}
+            () = tokio::time::sleep(patience) => {}
+            // Whoever still connects is served; the balancer may not know yet.
+            () = self.accept() => {}
+        }
+        self.open.load(Ordering::Relaxed)
+    }
+
+    fn spawn(&self, socket: TcpStream) {
+        let state = Arc::clone(&self.state);
+        let closing = self.closing.subscribe();
+        let open = OpenCount::new(&self.open);
+        tokio::spawn(async move {
+            serve(state, socket, closing).await;
+            drop(open);
+        });
+    }
+}
+
+/// Counts a connection while it is open.
+struct OpenCount(Arc<AtomicUsize>);
+
+impl OpenCount {
+    fn new(open: &Arc<AtomicUsize>) -> Self {
+        open.fetch_add(1, Ordering::Relaxed);
+        Self(Arc::clone(open))
+    }
+}
+
+impl Drop for OpenCount {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+async fn serve(state: Arc<GatewayState>, socket: TcpStream, mut closing: watch::Receiver<bool>) {
+    crate::link::watch_silence(&socket);
+    let limits = state.beliefs.load().routes.as_ref().map(|table| *table.limits());
+    let idle = limits.unwrap_or_default().idle_time.mul_f64(IDLE_FACTOR);
+    let service = service_fn(move |request: Request<Incoming>| {
+        let state = Arc::clone(&state);
+        async move { Ok::<_, Infallible>(answer(state, request).await) }
+    });
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(idle)
+        .max_buf_size(MAX_HEAD_BYTES)
+        .serve_connection(TokioIo::new(socket), service);
+    tokio::pin!(connection);
+    let closes = async move {
+        // The sender outlives every connection.
+        let _ = closing.wait_for(|closing| *closing).await.is_ok();
+    };
+    let ended = tokio::select! {
+        ended = connection.as_mut() => ended,
+        () = closes => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+    };
+    if let Err(error) = ended {
+        log::debug!(target: "connection", error:% = error; "caller's connection ended");
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/event_splitter.rs
@@ -0,0 +1,114 @@
+//! Cuts a stream of server-sent events at the ends of events, so that a stream that breaks in
+//! the middle of one leaves nothing half behind.
+
+use bytes::{Bytes, BytesMut};
+
+/// Largest single event, in bytes; an upstream that sends more is not sending events.
+pub const MAX_EVENT_BYTES: usize = 256 * 1024;
+
+/// An event is larger than [`MAX_EVENT_BYTES`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("an event is larger than {MAX_EVENT_BYTES} bytes")]
+pub struct EventTooLarge;
+
+/// Cuts bytes into whole events.
+///
+/// ```
+/// use oleander_gateway::event_splitter::EventSplitter;
+///
+/// let mut splitter = EventSplitter::after(None);
+/// splitter.push(b"id: 1\ndata: a\n\nid: 2\nda").unwrap();
+/// assert_eq!(splitter.take_whole().unwrap(), "id: 1\ndata: a\n\n");
+/// assert_eq!(splitter.last_id(), Some(1));
+/// assert!(splitter.has_partial());
+/// ```
+#[derive(Debug, Default)]
+pub struct EventSplitter {
+    buffer: BytesMut,
+    /// Bytes of the buffer in which no end of an event is.
+    searched: usize,
+    last: Option<u64>,
+}
+
+impl EventSplitter {
+    /// A splitter of a stream that goes on after the event with this id.
+    #[must_use]
+    pub fn after(last: Option<u64>) -> Self {
+        Self { last, ..Self::default() }
+    }
+
+    /// Adds bytes as they come.
+    ///
+    /// # Errors
+    ///
+    /// [`EventTooLarge`] when an event does not end in time.
+    pub fn push(&mut self, bytes: &[u8]) -> Result<(), EventTooLarge> {
+        if self.buffer.len() + bytes.len() > MAX_EVENT_BYTES {
+            return Err(EventTooLarge);
+        }
+        self.buffer.extend_from_slice(bytes);
+        Ok(())
+    }
+
+    /// All whole events that are there and that were not passed on before; `None` when there
+    /// is none.
+    pub fn take_whole(&mut self) -> Option<Bytes> {
+        let mut passed = BytesMut::new();
+        while let Some(event) = self.next_event() {
+            let id = event_id(&event);
+            let is_news = match (id, self.last) {
+                (Some(id), Some(last)) => id > last,
+                _ => true,
+            };
+            if is_news {
+                self.last = id.or(self.last);
+                passed.extend_from_slice(&event);
+            }
+        }
+        (!passed.is_empty()).then(|| passed.freeze())
+    }
+
+    fn next_event(&mut self) -> Option<BytesMut> {
+        let end = event_end(&self.buffer, self.searched.saturating_sub(3));
+        let Some(end) = end else {
+            self.searched = self.buffer.len();
+            return None;
+        };
+        self.searched = 0;
+        Some(self.buffer.split_to(end))
+    }
+
+    /// Id of the last event that was passed on.
+    #[must_use]
+    pub const fn last_id(&self) -> Option<u64> {
+        self.last
+    }
+
+    /// Whether a part of an event is there.
+    #[must_use]
+    pub fn has_partial(&self) -> bool {
+        !self.buffer.is_empty()
+    }
+}
+
+/// Where the first event ends: after an empty line.
+fn event_end(bytes: &[u8], from: usize) -> Option<usize> {
+    let mut index = from;
+    while index < bytes.len() {
+        if bytes[index..].starts_with(b"\n\n") {
+            return Some(index + 2);
+        }
+        if bytes[index..].starts_with(b"\r\n\r\n") {
+            return Some(index + 4);
+        }
+        index += 1;
+    }
+    None
+}
+
+fn event_id(event: &[u8]) -> Option<u64> {
+    let lines = event.split(|&byte| byte == b'\n');
+    let mut ids = lines.filter_map(|line| line.strip_prefix(b"id:"));
+    let text = std::str::from_utf8(ids.next()?).ok()?;
+    text.trim().parse().ok()
+}
--- /dev/null
+++ b/crates/gateway/src/exchange.rs
@@ -0,0 +1,161 @@
+//! One request of a caller, from its head to its answer.
+
+use crate::admitted::admit;
+use crate::attempt::{LiveAnswer, remove_hop_headers};
+use crate::fault::AttemptFault;
+use crate::refusal::Refusal;
+use crate::request_record::RequestRecord;
+use crate::request_run::{RequestRun, RunEnd};
+use crate::state::GatewayState;
+use crate::stream_relay::StreamRelay;
+use bytes::Bytes;
+use http::header::{CONNECTION, CONTENT_LENGTH};
+use http::{HeaderMap, HeaderValue, Request, Response, StatusCode};
+use hyper::body::Incoming;
+use oleander_adapters::http_server::{BodyReadError, ResponseBody, full_body, read_body};
+use oleander_core::attempt_retry::FaultKind;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+
+/// Largest answer of a plain service, in bytes: a sixteenth of the least memory of a host.
+const MAX_ANSWER_BYTES: usize = 5 * 1024 * 1024;
+
+/// Answers one request.
+pub async fn answer(state: Arc<GatewayState>, request: Request<Incoming>) -> Response<ResponseBody> {
+    let mut response = answer_open(Arc::clone(&state), request).await;
+    if state.stopping.load(Ordering::Relaxed) {
+        response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+    }
+    response
+}
+
+async fn answer_open(
+    state: Arc<GatewayState>,
+    request: Request<Incoming>,
+) -> Response<ResponseBody> {
+    let head = (state.wire.read_caller)(request.headers());
+    let id = head.request.as_ref().and_then(|id| id.to_str().ok()).unwrap_or("");
+    let mut record = RequestRecord::new(Arc::clone(&state), id);
+    match admit(&state, request, &mut record).await {
+        Ok(admitted) => {
+            let run = RequestRun::new(state, admitted, record);
+            if run.request.route.repeat.is_stream() {
+                stream_answer(run).await
+            } else {
+                whole_answer(run).await
+            }
+        }
+        Err(refusal) => {
+            record.note_end(refusal.outcome(), refusal.status.as_u16(), refusal.reason);
+            refusal.response()
+        }
+    }
+}
+
+/// Reads an answer whole before it is passed on, so that it can be asked for again.
+async fn whole_answer(mut run: RequestRun) -> Response<ResponseBody> {
+    loop {
+        let answer = match run.next_answer(None).await {
+            Ok(answer) => answer,
+            Err(end) => return refuse(run, &end),
+        };
+        let entry = Arc::clone(&answer.permit.cell.entry);
+        match read_whole(&run, answer).await {
+            Ok(response) => {
+                let status = response.status().as_u16();
+                run.record.note_end("answered", status, "");
+                return response;
+            }
+            Err(fault) => {
+                run.note_fault(&entry, &fault);
+                run.record.note_attempt(entry.name.as_str(), None, &fault.to_string());
+                if !run.may_go_on(&fault) {
+                    let timed_out = run.left().is_zero();
+                    let end = if timed_out { RunEnd::TimedOut } else { RunEnd::Failed(fault) };
+                    return refuse(run, &end);
+                }
+            }
+        }
+    }
+}
+
+async fn read_whole(
+    run: &RequestRun,
+    mut answer: LiveAnswer,
+) -> Result<Response<ResponseBody>, AttemptFault> {
+    let stated = answer.headers.get(CONTENT_LENGTH).cloned();
+    let read = read_body(&mut answer.body, MAX_ANSWER_BYTES);
+    let body: Bytes = match tokio::time::timeout(run.left(), read).await {
+        Ok(Ok(body)) => body,
+        Ok(Err(error @ BodyReadError::TooLarge(_))) => {
+            return Err(AttemptFault::new(FaultKind::Wrong, error.to_string()));
+        }
+        Ok(Err(error)) => return Err(AttemptFault::new(FaultKind::Cut, error.to_string())),
+        Err(_) => return Err(AttemptFault::new(FaultKind::Silent, "the answer did not end")),
+    };
+    let mut response = Response::new(full_body(body));
+    *response.status_mut() = answer.status;
+    *response.headers_mut() = answer_headers(&answer.headers);
+    if let Some(length) = stated {
+        response.headers_mut().insert(CONTENT_LENGTH, length);
+    }
+    if run.request.outgoing.may_reuse {
+        let now = run.state.clock.now();
+        tokio::spawn(answer.keep_link(now));
+    }
+    Ok(response)
+}
+
+/// Passes a stream on, once its first event is there.
+async fn stream_answer(mut run: RequestRun) -> Response<ResponseBody> {
+    let answer = match run.next_answer(None).await {
+        Ok(answer) => answer,
+        Err(end) => return refuse(run, &end),
+    };
+    if !answer.status.is_success() {
+        return pass_failure(run, answer).await;
+    }
+    let (status, headers) = (answer.status, answer_headers(&answer.headers));
+    let mut relay = StreamRelay::new(run, answer);
+    let body = match relay.next().await {
+        Ok(Some(events)) => relay.into_body(events),
+        Ok(None) => full_body(Bytes::new()),
+        Err(end) => return refuse(relay.into_run(), &end),
+    };
+    let mut response = Response::new(body);
+    *response.status_mut() = status;
+    *response.headers_mut() = headers;
+    response
+}
+
+async fn pass_failure(mut run: RequestRun, answer: LiveAnswer) -> Response<ResponseBody> {
+    let status = answer.status.as_u16();
+    match read_whole(&run, answer).await {
+        Ok(response) => {
+            run.record.note_end("upstream_failed", status, "");
+            response
+        }
+        Err(fault) => refuse(run, &RunEnd::Failed(fault)),
+    }
+}
+
+fn refuse(mut run: RequestRun, end: &RunEnd) -> Response<ResponseBody> {
+    let refusal: Refusal = run.refusal(end);
+    let reason = format!("{}: {end:?}", refusal.reason);
+    run.record.note_end(refusal.outcome(), refusal.status.as_u16(), reason);
+    refusal.response()
+}
+
+/// Headers of an answer as the caller gets them.
+fn answer_headers(headers: &HeaderMap) -> HeaderMap {
+    let mut passed = headers.clone();
+    remove_hop_headers(&mut passed);
+    passed.remove(CONTENT_LENGTH);
+    passed
+}
+
+/// The answer while a process cannot serve at all.
+#[must_use]
+pub fn unavailable(reason: &'static str) -> Response<ResponseBody> {
+    Refusal::new(StatusCode::SERVICE_UNAVAILABLE, reason).response()
+}
--- /dev/null
+++ b/crates/gateway/src/gateway_process.rs
@@ -0,0 +1,201 @@
+//! A gateway as a process: listeners, followers of the store, roll-outs, and an orderly stop.
+
+use crate::belief_keeper::{BeliefKeeper, ExpiryDue, SharedBeliefs};
+use crate::caller_server::CallerServer;
+use crate::control_port::{ControlPort, Topic};
+use crate::host_count::count_hosts;
+use crate::latency_book::LatencyBook;
+use crate::metrics::GatewayMetrics;
+use crate::rollout_driver::RolloutDriver;
+use crate::rollout_tally::RolloutTally;
+use crate::seeded_words::SeededWords;
+use crate::settings::GatewaySettings;
+use crate::state::GatewayState;
+use crate::topic_watch::follow_topic;
+use crate::upstream_book::UpstreamBook;
+use crate::wire_format::WireFormat;
+use anyhow::Context;
+use arc_swap::ArcSwap;
+use kameo::actor::{ActorRef, Spawn};
+use oleander_adapters::admin::{AdminPort, ProcessHealth};
+use oleander_adapters::http_server::{HttpHandler, HttpServer, text_response};
+use oleander_core::stable_hash::hash_parts;
+use oleander_core::units::Timestamp;
+use oleander_ports::clock::{ClockPort, RuntimeClock};
+use prometheus_client::registry::Registry;
+use std::future::Future;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use tokio::net::TcpListener;
+
+/// Time from the signal to stop until connections are ended: the balancer asks once a second
+/// and needs two answers that are not good.
+const BALANCER_LAG: Duration = Duration::from_millis(2_500);
+/// Time before the process is killed at which it ends by itself.
+const STOP_RESERVE: Duration = Duration::from_millis(500);
+/// Time between looks at what expires.
+const EXPIRY_SPAN: Duration = Duration::from_millis(250);
+
+/// How a gateway stopped.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum GatewayStop {
+    /// Nothing was cut.
+    Finished,
+    /// So many connections were cut.
+    Cut(usize),
+}
+
+/// A running gateway.
+pub struct GatewayProcess {
+    state: Arc<GatewayState>,
+    callers: CallerServer,
+    ready: HttpServer,
+    metrics: Option<HttpServer>,
+    control: Arc<dyn ControlPort>,
+    keeper: ActorRef<BeliefKeeper>,
+    seed: u64,
+}
+
+impl GatewayProcess {
+    /// Binds the listeners of a gateway.
+    ///
+    /// # Errors
+    ///
+    /// When an address cannot be bound.
+    pub async fn start(
+        settings: GatewaySettings,
+        wire: WireFormat,
+        control: Arc<dyn ControlPort>,
+    ) -> anyhow::Result<Self> {
+        let incarnation = incarnation();
+        let seed = hash_parts(&[settings.host.as_str(), &incarnation.to_string()]);
+        let mut registry = Registry::with_prefix("oleander_gateway");
+        let state = new_state(settings, wire, incarnation, seed, &mut registry);
+        let address = state.settings.callers;
+        let listener = TcpListener::bind(address).await;
+        let listener = listener.with_context(|| format!("cannot listen on {address}"))?;
+        let callers = CallerServer::new(Arc::clone(&state), listener);
+        let ready = HttpServer::bind(state.settings.ready, ready_handler(&state)).await?;
+        let metrics = bind_metrics(&state, registry).await?;
+        let keeper = BeliefKeeper::new(Arc::clone(&state.beliefs), Arc::clone(&state.clock));
+        let keeper = BeliefKeeper::spawn(keeper);
+        Ok(Self { state, callers, ready, metrics, control, keeper, seed })
+    }
+
+    /// What all requests share.
+    #[must_use]
+    pub fn state(&self) -> &Arc<GatewayState> {
+        &self.state
+    }
+
+    /// Serves until `stop` ends, then stops in order.
+    pub async fn serve(self, stop: impl Future<Output = ()>) -> GatewayStop {
+        let Self { state, callers, ready, metrics, control, keeper, seed } = self;
+        let mut tasks = tokio::task::JoinSet::new();
+        for (topic, number) in Topic::ALL.into_iter().zip(0..) {
+            let seed = seed.wrapping_add(number);
+            tasks.spawn(follow_topic(topic, Arc::clone(&control), keeper.clone(), seed));
+        }
+        tasks.spawn(keep_current(Arc::clone(&state), keeper.clone()));
+        tasks.spawn(count_hosts(Arc::clone(&state), Arc::clone(&control)));
+        tasks.spawn(RolloutDriver::new(Arc::clone(&state), control).run());
+        tasks.spawn(ready.serve(std::future::pending()));
+        if let Some(metrics) = metrics {
+            tasks.spawn(metrics.serve(std::future::pending()));
+        }
+        tokio::select! {
+            () = callers.accept() => {}
+            () = stop => {}
+        }
+        stop_callers(&state, &callers).await
+    }
+}
+
+async fn stop_callers(state: &GatewayState, callers: &CallerServer) -> GatewayStop {
+    state.stopping.store(true, Ordering::Relaxed);
+    log::info!(target: "process", in_flight = state.metrics.in_flight(); "stopping");
+    let _ = tokio::time::timeout(BALANCER_LAG, callers.accept()).await;
+    let patience =
+        state.settings.bounds.stop().saturating_sub(BALANCER_LAG).saturating_sub(STOP_RESERVE);
+    match callers.close(patience).await {
+        0 => GatewayStop::Finished,
+        left => GatewayStop::Cut(left),
+    }
+}
+
+fn incarnation() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    since.as_millis() as u64
+}
+
+fn new_state(
+    settings: GatewaySettings,
+    wire: WireFormat,
+    incarnation: u64,
+    seed: u64,
+    registry: &mut Registry,
+) -> Arc<GatewayState> {
+    let settings = Arc::new(settings);
+    // Times count from a second, so that none is before the start.
+    let clock: Arc<dyn ClockPort> = Arc::new(RuntimeClock::new(Timestamp::from_millis(1_000)));
+    let beliefs: SharedBeliefs = Arc::new(ArcSwap::default());
+    Arc::new(GatewayState {
+        beliefs,
+        book: UpstreamBook::new(Arc::clone(&settings)),
+        wire,
+        clock,
+        latencies: LatencyBook::new(),
+        tally: RolloutTally::new(settings.host.clone(), incarnation),
+        words: SeededWords::new(seed),
+        metrics: GatewayMetrics::new(registry),
+        stopping: AtomicBool::new(false),
+        settings,
+    })
+}
+
+/// Brings what depends on beliefs up to date: the book of upstreams, and what expires.
+async fn keep_current(state: Arc<GatewayState>, keeper: ActorRef<BeliefKeeper>) {
+    loop {
+        tokio::time::sleep(EXPIRY_SPAN).await;
+        if keeper.tell(ExpiryDue).await.is_err() {
+            return;
+        }
+        state.book.update(&state.beliefs.load().upstreams);
+    }
+}
+
+fn ready_handler(state: &Arc<GatewayState>) -> HttpHandler {
+    let state = Arc::clone(state);
+    Arc::new(move |_, _| {
+        let response = match health(&state) {
+            ProcessHealth::Ready => text_response(http::StatusCode::OK, "ready\n"),
+            ProcessHealth::NotReady(reason) => {
+                let text = format!("not ready: {reason}\n");
+                text_response(http::StatusCode::SERVICE_UNAVAILABLE, text)
+            }
+        };
+        Box::pin(std::future::ready(response))
+    })
+}
+
+fn health(state: &GatewayState) -> ProcessHealth {
+    if state.stopping.load(Ordering::Relaxed) {
+        return ProcessHealth::NotReady("stopping".into());
+    }
+    if !state.beliefs.load().complete {
+        return ProcessHealth::NotReady("configuration and upstreams are not known yet".into());
+    }
+    ProcessHealth::Ready
+}
+
+async fn bind_metrics(
+    state: &Arc<GatewayState>,
+    registry: Registry,
+) -> anyhow::Result<Option<HttpServer>> {
+    let Some(address): Option<SocketAddr> = state.settings.metrics else { return Ok(None) };
+    let state = Arc::clone(state);
+    let port = AdminPort::new(registry, Arc::new(move || health(&state)));
+    port.bind(address).await.map(Some)
+}
--- /dev/null
+++ b/crates/gateway/src/host_count.rs
@@ -0,0 +1,35 @@
+//! How many hosts share what the deployment allows all of them together.
+
+use crate::control_port::ControlPort;
+use crate::state::GatewayState;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Wait for the first count, so that hosts which start together are all there.
+const FIRST_COUNT: Duration = Duration::from_secs(3);
+/// Time between counts; hosts come and go seldom, and each count is a call.
+const COUNT_SPAN: Duration = Duration::from_secs(30);
+/// Wait after a failed call.
+const RETRY_SPAN: Duration = Duration::from_secs(2);
+
+/// Announces this host, then counts all of them now and then, for as long as it is polled.
+pub async fn count_hosts(state: Arc<GatewayState>, port: Arc<dyn ControlPort>) {
+    while let Err(error) = port.announce(state.settings.host.clone()).await {
+        log::warn!(target: "dependency", error:%; "host was not announced");
+        tokio::time::sleep(RETRY_SPAN).await;
+    }
+    let mut wait = FIRST_COUNT;
+    loop {
+        tokio::time::sleep(wait).await;
+        wait = match port.hosts().await {
+            Ok(hosts) => {
+                state.book.set_hosts(hosts.len());
+                COUNT_SPAN
+            }
+            Err(error) => {
+                log::warn!(target: "dependency", error:%; "hosts were not counted");
+                RETRY_SPAN
+            }
+        };
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/metrics.rs
@@ -0,0 +1,130 @@
+//! Metrics of a gateway, with bounded label sets.
+
+use oleander_core::attempt_retry::FaultKind;
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
+use prometheus_client::registry::{Registry, Unit};
+use std::time::Duration;
+
+/// Buckets of latencies: from 5 ms, doubling, to about 20 s.
+const LATENCY_BUCKETS: (f64, f64, u16) = (0.005, 2.0, 13);
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct OutcomeLabel {
+    outcome: &'static str,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct FaultLabel {
+    kind: &'static str,
+}
+
+/// The metrics.
+pub struct GatewayMetrics {
+    requests: Family<OutcomeLabel, Counter>,
+    faults: Family<FaultLabel, Counter>,
+    attempts: Counter,
+    escalations: Counter,
+    resumptions: Counter,
+    ejections: Counter,
+    in_flight: Gauge,
+    buffered: Gauge,
+    head_seconds: Histogram,
+    request_seconds: Histogram,
+}
+
+impl GatewayMetrics {
+    /// Metrics that `registry` tells.
+    pub fn new(registry: &mut Registry) -> Self {
+        let latency = || {
+            let (start, factor, count) = LATENCY_BUCKETS;
+            Histogram::new(exponential_buckets(start, factor, count))
+        };
+        let metrics = Self {
+            requests: Family::default(),
+            faults: Family::default(),
+            attempts: Counter::default(),
+            escalations: Counter::default(),
+            resumptions: Counter::default(),
+            ejections: Counter::default(),
+            in_flight: Gauge::default(),
+            buffered: Gauge::default(),
+            head_seconds: latency(),
+            request_seconds: latency(),
+        };
+        metrics.register(registry);
+        metrics
+    }
+
+    fn register(&self, registry: &mut Registry) {
+        registry.register("requests", "Requests by outcome", self.requests.clone());
+        registry.register("faults", "Failed attempts by kind", self.faults.clone());
+        registry.register("attempts", "Attempts at upstreams", self.attempts.clone());
+        registry.register("escalations", "Weak answers given up", self.escalations.clone());
+        registry.register("resumptions", "Streams resumed elsewhere", self.resumptions.clone());
+        registry.register("ejections", "Upstreams left out for a while", self.ejections.clone());
+        registry.register("in_flight", "Requests in flight", self.in_flight.clone());
+        let help = "Bytes of requests held in memory";
+        registry.register_with_unit("buffered", help, Unit::Bytes, self.buffered.clone());
+        let help = "Time to the head of an answer at an upstream";
+        registry.register_with_unit("head", help, Unit::Seconds, self.head_seconds.clone());
+        let help = "Time from a request to the end of its answer";
+        registry.register_with_unit("request", help, Unit::Seconds, self.request_seconds.clone());
+    }
+
+    /// Notes that a request came.
+    pub fn note_start(&self) {
+        self.in_flight.inc();
+    }
+
+    /// Notes the end of a request.
+    pub fn note_end(&self, outcome: &'static str, span: Duration) {
+        self.in_flight.dec();
+        self.requests.get_or_create(&OutcomeLabel { outcome }).inc();
+        self.request_seconds.observe(span.as_secs_f64());
+    }
+
+    /// Notes an attempt at an upstream.
+    pub fn note_attempt(&self) {
+        self.attempts.inc();
+    }
+
+    /// Notes the time to the head of an answer.
+    pub fn note_head(&self, span: Duration) {
+        self.head_seconds.observe(span.as_secs_f64());
+    }
+
+    /// Notes a failed attempt.
+    pub fn note_fault(&self, kind: FaultKind) {
+        self.faults.get_or_create(&FaultLabel { kind: kind.name() }).inc();
+    }
+
+    /// Notes that an upstream is left out for a while.
+    pub fn note_ejection(&self) {
+        self.ejections.inc();
+    }
+
+    /// Notes that a weak answer was given up.
+    pub fn note_escalation(&self) {
+        self.escalations.inc();
+    }
+
+    /// Notes that a stream goes on elsewhere.
+    pub fn note_resumption(&self) {
+        self.resumptions.inc();
+    }
+
+    /// Changes the bytes of requests that are held in memory; returns how many there were.
+    pub fn add_buffered(&self, bytes: i64) -> i64 {
+        self.buffered.inc_by(bytes)
+    }
+
+    /// Requests in flight.
+    #[must_use]
+    pub fn in_flight(&self) -> i64 {
+        self.in_flight.get()
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/request_record.rs
@@ -0,0 +1,83 @@
+//! The one log line of a request, written when it ends, however it ends.
+
+use crate::state::GatewayState;
+use oleander_core::units::Timestamp;
+use std::fmt::Write;
+use std::sync::Arc;
+
+/// How a request ended that the caller left.
+const CALLER_GONE: &str = "caller_gone";
+
+/// What is worth knowing of a request; dropping it logs it.
+pub struct RequestRecord {
+    state: Arc<GatewayState>,
+    started: Timestamp,
+    id: Arc<str>,
+    route: Arc<str>,
+    account: Arc<str>,
+    config: u64,
+    attempts: String,
+    outcome: Option<(&'static str, u16)>,
+    reason: String,
+}
+
+impl RequestRecord {
+    /// A record of a request that came now.
+    pub fn new(state: Arc<GatewayState>, id: &str) -> Self {
+        state.metrics.note_start();
+        Self {
+            started: state.clock.now(),
+            state,
+            id: Arc::from(id),
+            route: Arc::from(""),
+            account: Arc::from(""),
+            config: 0,
+            attempts: String::new(),
+            outcome: None,
+            reason: String::new(),
+        }
+    }
+
+    /// Notes where the request goes, and the configuration that says so.
+    pub fn note_route(&mut self, route: &Arc<str>, account: Option<&Arc<str>>, config: u64) {
+        self.route = Arc::clone(route);
+        self.account = account.map_or_else(|| Arc::from(""), Arc::clone);
+        self.config = config;
+    }
+
+    /// Notes an attempt and what came of it.
+    pub fn note_attempt(&mut self, upstream: &str, model: Option<&str>, result: &str) {
+        let separator = if self.attempts.is_empty() { "" } else { "; " };
+        let at = self.state.clock.now().since(self.started).as_millis();
+        let model = model.unwrap_or("-");
+        // Writing to a string cannot fail.
+        let _ = write!(self.attempts, "{separator}{upstream} {model} {result} at {at}");
+    }
+
+    /// Notes how the request ends.
+    pub fn note_end(&mut self, outcome: &'static str, status: u16, reason: impl Into<String>) {
+        self.outcome = Some((outcome, status));
+        self.reason = reason.into();
+    }
+}
+
+impl Drop for RequestRecord {
+    fn drop(&mut self) {
+        let (outcome, status) = self.outcome.unwrap_or((CALLER_GONE, 0));
+        let span = self.state.clock.now().since(self.started);
+        self.state.metrics.note_end(outcome, span);
+        log::info!(
+            target: "request",
+            id:% = self.id,
+            route:% = self.route,
+            account:% = self.account,
+            config = self.config,
+            outcome,
+            status,
+            reason = self.reason.as_str(),
+            attempts = self.attempts.as_str(),
+            ms = span.as_millis() as u64;
+            "request ended"
+        );
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/request_run.rs
@@ -0,0 +1,369 @@
+//! The attempts of one request: which upstream and model is next, and when there is none.
+
+use crate::admitted::AdmittedRequest;
+use crate::attempt::{LiveAnswer, send_attempt};
+use crate::cascade::{CascadeModel, CascadeRequest, CascadeStep, plan_steps};
+use crate::fault::AttemptFault;
+use crate::latency_book::LatencyKey;
+use crate::refusal::Refusal;
+use crate::request_record::RequestRecord;
+use crate::rollout_tally::TallyPlace;
+use crate::state::GatewayState;
+use crate::upstream_book::{ChoiceInput, UpstreamPermit};
+use crate::upstream_entry::UpstreamEntry;
+use crate::wire_format::{ModelWish, UpstreamHead};
+use http::{HeaderValue, StatusCode};
+use oleander_core::attempt_retry::FaultKind;
+use oleander_core::ids::UpstreamName;
+use std::collections::HashSet;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Most sends of one request, those included that upstreams refused.
+const MAX_SENDS: u32 = 6;
+/// Least time that is left for a send to make sense: a trip to the next failure domain and back.
+const LEAST_LEFT: Duration = Duration::from_millis(5);
+/// Part of the time in which an answer is on time that one attempt may take before another
+/// upstream is tried.
+const PATIENCE_SHARE: f64 = 0.6;
+/// Times the usual latency that an attempt may take before another upstream is tried.
+const PATIENCE_FACTOR: u32 = 4;
+/// Times the usual latency from which an answer counts as slow in a roll-out.
+const SLOW_FACTOR: u32 = 4;
+/// Latency of a model that has not answered here yet.
+const ASSUMED_LATENCY: Duration = Duration::from_millis(400);
+/// Bounds of the time after which a refused caller should come back.
+const RETRY_AFTER: (Duration, Duration) =
+    (Duration::from_millis(400), Duration::from_millis(1_200));
+
+/// Why a request gets no answer of an upstream.
+#[derive(Clone, Debug, PartialEq)]
+pub enum RunEnd {
+    /// Its time is over.
+    TimedOut,
+    /// No upstream may be used.
+    NoUpstream,
+    /// The last attempt failed and there may be no other.
+    Failed(AttemptFault),
+}
+
+/// The attempts of one request.
+pub struct RequestRun {
+    /// What all requests share.
+    pub state: Arc<GatewayState>,
+    /// The request.
+    pub request: AdmittedRequest,
+    /// Its log line.
+    pub record: RequestRecord,
+    steps: Vec<CascadeStep>,
+    step: usize,
+    sends: u32,
+    runs: u32,
+    tried: HashSet<UpstreamName>,
+    may_have_run: bool,
+}
+
+impl RequestRun {
+    /// The attempts of a request that is let in.
+    pub fn new(state: Arc<GatewayState>, request: AdmittedRequest, record: RequestRecord) -> Self {
+        state.book.note_request(&request.service);
+        let steps = plan(&state, &request);
+        Self {
+            state,
+            request,
+            record,
+            steps,
+            step: 0,
+            sends: 0,
+            runs: 0,
+            tried: HashSet::new(),
+            may_have_run: false,
+        }
+    }
+
+    /// Time that is left.
+    #[must_use]
+    pub fn left(&self) -> Duration {
+        self.request.ends.since(self.state.clock.now())
+    }
+
+    /// Sends the request until an answer is accepted; `resume_after` is the last event that is
+    /// there when a stream goes on.
+    ///
+    /// # Errors
+    ///
+    /// [`RunEnd`] when there is none.
+    pub async fn next_answer(&mut self, resume_after: Option<u64>) -> Result<LiveAnswer, RunEnd> {
+        let mut last = None;
+        loop {
+            if self.left() < LEAST_LEFT {
+                return Err(RunEnd::TimedOut);
+            }
+            let Some(permit) = self.choose(last.as_ref()) else {
+                return Err(last.map_or(RunEnd::NoUpstream, RunEnd::Failed));
+            };
+            match self.send(permit, resume_after).await {
+                Ok(answer) if self.gives_up(&answer) => self.escalate(&answer),
+                Ok(answer) if answer.status.is_server_error() => {
+                    let reason = format!("status {}", answer.status);
+                    let fault = AttemptFault::new(FaultKind::Failed, reason);
+                    self.note_fault(&answer.permit.cell.entry, &fault);
+                    if !self.may_go_on(&fault) {
+                        return Ok(answer);
+                    }
+                    last = Some(fault);
+                }
+                Ok(answer) => return Ok(answer),
+                Err(fault) => {
+                    if !self.may_go_on(&fault) {
+                        return Err(RunEnd::Failed(fault));
+                    }
+                    last = Some(fault);
+                }
+            }
+        }
+    }
+
+    /// Decides after a fault whether there is another attempt, and spends its budget.
+    pub fn may_go_on(&mut self, fault: &AttemptFault) -> bool {
+        if fault.may_have_run() {
+            self.may_have_run = true;
+            if !self.request.route.repeat.may_repeat() || self.runs >= self.request.route.attempts {
+                return false;
+            }
+            // The small model was not lucky; there may be no third attempt.
+            self.step = self.steps.len().saturating_sub(1);
+        }
+        if self.sends >= MAX_SENDS || self.left() < LEAST_LEFT {
+            return false;
+        }
+        // A request that never left this host is no further arrival.
+        fault.kind == FaultKind::Connect || self.state.book.try_retry(&self.request.service)
+    }
+
+    /// Whether a stream may go on at another upstream if it breaks now.
+    #[must_use]
+    pub fn could_resume(&self) -> bool {
+        self.request.route.repeat.may_repeat()
+            && self.runs < self.request.route.attempts
+            && self.state.book.has_retry(&self.request.service)
+    }
+
+    /// Notes a fault of an upstream with the roll-out's sums, its ejection and the metrics.
+    pub fn note_fault(&mut self, entry: &UpstreamEntry, fault: &AttemptFault) {
+        let now = self.state.clock.now();
+        self.state.metrics.note_fault(fault.kind);
+        if fault.may_have_run() {
+            self.tally_answer(entry, true);
+        }
+        if self.state.book.note_fault(entry, fault, now) {
+            self.state.metrics.note_ejection();
+            let (upstream, fault) = (entry.name.as_str(), fault.to_string());
+            log::warn!(target: "belief", upstream, fault; "upstream left out for a while");
+        }
+    }
+
+    fn choose(&mut self, last: Option<&AttemptFault>) -> Option<UpstreamPermit> {
+        let chosen = self.choose_untried();
+        let was_full = last.is_some_and(|fault| fault.kind == FaultKind::NotRun);
+        if chosen.is_some() || self.tried.is_empty() || was_full {
+            return chosen;
+        }
+        self.tried.clear();
+        self.choose_untried()
+    }
+
+    fn choose_untried(&self) -> Option<UpstreamPermit> {
+        // Later attempts see news; the route stays that of the start.
+        let beliefs = self.state.beliefs.load();
+        let entries = beliefs.upstreams.get(&self.request.service)?;
+        let rule = beliefs.version_rule(&self.request.service, &self.request.session);
+        let model = self.model().unwrap_or_default();
+        let shared = self.request.shared.as_ref().map(|shared| format!("{model}/{shared}"));
+        self.state.book.choose(&ChoiceInput {
+            entries,
+            rule: &rule,
+            tried: &self.tried,
+            size: self.request.head.size.unwrap_or_default(),
+            shared: shared.as_deref(),
+            random: self.state.words.next(),
+            now: self.state.clock.now(),
+        })
+    }
+
+    fn model(&self) -> Option<Arc<str>> {
+        self.steps.get(self.step).map(|step| Arc::clone(&step.model))
+    }
+
+    async fn send(
+        &mut self,
+        permit: UpstreamPermit,
+        resume_after: Option<u64>,
+    ) -> Result<LiveAnswer, AttemptFault> {
+        let entry = Arc::clone(&permit.cell.entry);
+        let model = self.model();
+        self.sends += 1;
+        self.tried.insert(entry.name.clone());
+        self.state.metrics.note_attempt();
+        self.state.tally.note_sent(&self.request.beliefs, self.place(&entry));
+        let head = self.upstream_head(&entry, model.clone(), resume_after);
+        let patience = self.patience(model.as_ref());
+        let sent = self.state.clock.now();
+        let (state, outgoing) = (Arc::clone(&self.state), &self.request.outgoing);
+        let result =
+            send_attempt(&state.wire, &*state.clock, permit, outgoing, &head, patience).await;
+        let span = self.state.clock.now().since(sent);
+        match &result {
+            Ok(answer) => self.note_head(&entry, model.as_ref(), answer, span),
+            Err(fault) => {
+                self.runs += u32::from(fault.may_have_run());
+                self.note_fault(&entry, fault);
+                let text = fault.to_string();
+                self.record.note_attempt(entry.name.as_str(), model.as_deref(), &text);
+            }
+        }
+        result
+    }
+
+    fn upstream_head(
+        &self,
+        entry: &UpstreamEntry,
+        model: Option<Arc<str>>,
+        resume_after: Option<u64>,
+    ) -> UpstreamHead {
+        UpstreamHead {
+            left: self.left(),
+            upstream: Some(Arc::from(entry.name.as_str())),
+            account: self.request.account.as_ref().map(|account| Arc::clone(&account.name)),
+            model,
+            resume_after: resume_after.map(HeaderValue::from),
+            urgency: Some(self.request.rank()),
+        }
+    }
+
+    /// How long one attempt waits for the head of its answer.
+    fn patience(&self, model: Option<&Arc<str>>) -> Duration {
+        let left = self.left();
+        let route = &self.request.route;
+        if !route.repeat.may_repeat() || self.runs + 1 >= route.attempts {
+            return left;
+        }
+        let usual = self.state.latencies.usual(&self.latency_key(model));
+        let by_goal = route.goal.mul_f64(PATIENCE_SHARE);
+        let by_usual = usual.unwrap_or(ASSUMED_LATENCY).saturating_mul(PATIENCE_FACTOR);
+        by_goal.max(by_usual).min(left)
+    }
+
+    fn note_head(
+        &mut self,
+        entry: &UpstreamEntry,
+        model: Option<&Arc<str>>,
+        answer: &LiveAnswer,
+        span: Duration,
+    ) {
+        self.runs += 1;
+        self.may_have_run = true;
+        self.state.metrics.note_head(span);
+        let key = self.latency_key(model);
+        let usual = self.state.latencies.usual(&key);
+        let is_slow = usual.is_some_and(|usual| span > usual.saturating_mul(SLOW_FACTOR));
+        if answer.status.is_success() {
+            self.tally_answer(entry, is_slow);
+            self.state.book.note_success(entry);
+            if !is_slow {
+                self.state.latencies.note(&key, span);
+            }
+        }
+        let confidence = answer.head.confidence.map(|value| format!(" confidence {value:.2}"));
+        let result = format!("{}{}", answer.status.as_u16(), confidence.unwrap_or_default());
+        self.record.note_attempt(entry.name.as_str(), model.map(|model| &**model), &result);
+    }
+
+    fn latency_key(&self, model: Option<&Arc<str>>) -> LatencyKey {
+        latency_key(&self.request, model)
+    }
+
+    fn place<'a>(&'a self, entry: &'a UpstreamEntry) -> TallyPlace<'a> {
+        TallyPlace {
+            service: &self.request.service,
+            route: &self.request.route.name,
+            version: &entry.version,
+        }
+    }
+
+    fn tally_answer(&self, entry: &UpstreamEntry, is_bad: bool) {
+        self.state.tally.note_answer(&self.request.beliefs, self.place(entry), is_bad);
+    }
+
+    /// Whether an answer is too weak and there is a better model to ask; spends a retry.
+    fn gives_up(&self, answer: &LiveAnswer) -> bool {
+        let Some(step) = self.steps.get(self.step) else { return false };
+        let is_weak = answer.head.confidence.is_some_and(|found| found < step.keep_from);
+        is_weak
+            && answer.status.is_success()
+            && self.step + 1 < self.steps.len()
+            && self.runs < self.request.route.attempts
+            && self.left() > LEAST_LEFT
+            && self.state.book.try_retry(&self.request.service)
+    }
+
+    fn escalate(&mut self, answer: &LiveAnswer) {
+        self.step += 1;
+        self.state.metrics.note_escalation();
+        // The upstream did nothing wrong; the larger model may run there too.
+        self.tried.remove(&answer.permit.cell.entry.name);
+    }
+
+    /// The answer to a caller whose request got none.
+    #[must_use]
+    pub fn refusal(&self, end: &RunEnd) -> Refusal {
+        let (least, most) = RETRY_AFTER;
+        let wait = least + (most - least).mul_f64(self.state.words.point());
+        let not_run = |reason| {
+            Refusal::new(StatusCode::SERVICE_UNAVAILABLE, reason).with_retry_after(wait)
+        };
+        match end {
+            RunEnd::TimedOut if self.may_have_run => {
+                Refusal::new(StatusCode::GATEWAY_TIMEOUT, "the time of the request is over")
+            }
+            _ if self.may_have_run => {
+                Refusal::new(StatusCode::BAD_GATEWAY, "no upstream gave a whole answer")
+            }
+            RunEnd::TimedOut => not_run("no upstream took the request in time"),
+            RunEnd::NoUpstream => not_run("no upstream is open to the request"),
+            RunEnd::Failed(_) => not_run("every upstream is full or out of reach"),
+        }
+    }
+}
+
+fn latency_key(request: &AdmittedRequest, model: Option<&Arc<str>>) -> LatencyKey {
+    LatencyKey {
+        service: request.service.clone(),
+        route: Arc::clone(&request.route.name),
+        model: model.cloned(),
+    }
+}
+
+/// The models that a request is tried on.
+fn plan(state: &GatewayState, request: &AdmittedRequest) -> Vec<CascadeStep> {
+    let is_open = request.head.model == Some(ModelWish::Any);
+    let service = request.beliefs.routes.as_ref().and_then(|table| {
+        table.service(&request.service).filter(|_| is_open && !request.route.models.is_empty())
+    });
+    let Some(service) = service else { return Vec::new() };
+    let found = request.route.models.iter().filter_map(|name| {
+        let model = service.models.iter().find(|model| model.name == *name)?;
+        let usual = state.latencies.usual(&latency_key(request, Some(name)));
+        Some(CascadeModel { model: model.clone(), latency: usual.unwrap_or(ASSUMED_LATENCY) })
+    });
+    let models: Vec<CascadeModel> = found.collect();
+    plan_steps(
+        &models,
+        &CascadeRequest {
+            size: request.head.size.unwrap_or_default(),
+            left: request.ends.since(state.clock.now()),
+            resumes: request.head.resume_after.is_some(),
+            may_escalate: state.book.has_retry(&request.service) && request.route.attempts > 1,
+        },
+    )
+}
--- /dev/null
+++ b/crates/gateway/src/rollout_driver.rs
@@ -0,0 +1,190 @@
+//! Drives roll-outs together with all other hosts, without a leader.
+//!
+//! Every host writes its sums; each looks at all sums now and then and writes the next phase
+//! over the one that it knows, on the condition that nobody else did. The more hosts there are,
+//! the more seldom each looks, so that the store gets the same number of calls.
+
+use crate::belief_keeper::SharedBeliefs;
+use crate::beliefs::RolloutBelief;
+use crate::control_port::{ControlPort, WriteOutcome};
+use crate::rollout_plan::{ExposureBound, RolloutDecision, RolloutPhase, next_phase};
+use crate::rollout_sums::{HostSums, RolloutJudge};
+use crate::state::GatewayState;
+use oleander_core::ids::ServiceName;
+use oleander_core::units::Timestamp;
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Time between looks at what is due.
+const TICK: Duration = Duration::from_millis(200);
+/// Least time between two writes of a host's sums: a tenth of the 5 s within which a bad
+/// version has to be taken back, and some.
+const REPORT_SPAN: Duration = Duration::from_millis(600);
+/// Time between writes of sums that one more host adds: at 370 hosts 67 writes a second.
+const REPORT_SPAN_PER_HOST: Duration = Duration::from_millis(15);
+/// Least time between two looks of a host at all sums.
+const JUDGE_SPAN: Duration = Duration::from_millis(600);
+/// Time between looks that one more host adds: eight looks a second over all hosts.
+const JUDGE_SPAN_PER_HOST: Duration = Duration::from_millis(120);
+
+#[derive(Default)]
+struct ServiceDuty {
+    judge: Option<RolloutJudge>,
+    reported: Option<HostSums>,
+    report_at: Timestamp,
+    judge_at: Timestamp,
+}
+
+/// Drives the roll-outs of all services.
+pub struct RolloutDriver {
+    state: Arc<GatewayState>,
+    port: Arc<dyn ControlPort>,
+    duties: BTreeMap<ServiceName, ServiceDuty>,
+}
+
+impl RolloutDriver {
+    /// A driver on one host.
+    #[must_use]
+    pub fn new(state: Arc<GatewayState>, port: Arc<dyn ControlPort>) -> Self {
+        Self { state, port, duties: BTreeMap::new() }
+    }
+
+    /// Drives roll-outs for as long as it is polled.
+    pub async fn run(mut self) {
+        loop {
+            tokio::time::sleep(TICK).await;
+            self.tick().await;
+        }
+    }
+
+    /// Does what is due now.
+    pub async fn tick(&mut self) {
+        let beliefs: SharedBeliefs = Arc::clone(&self.state.beliefs);
+        for (service, belief) in &beliefs.load().rollouts {
+            let phase = belief.decision.as_ref().map(|decision| decision.phase);
+            match phase {
+                None => self.begin(service, belief).await,
+                Some(phase) if phase.is_over() => {
+                    self.duties.remove(service);
+                }
+                Some(_) => {
+                    self.report(service, belief).await;
+                    self.judge(service, belief).await;
+                }
+            }
+        }
+    }
+
+    /// Begins a roll-out once the new version has an upstream.
+    async fn begin(&mut self, service: &ServiceName, belief: &RolloutBelief) {
+        let beliefs = self.state.beliefs.load_full();
+        let entries = beliefs.upstreams.get(service);
+        let has_new = entries
+            .is_some_and(|entries| entries.iter().any(|entry| entry.version == belief.order.to));
+        let now = self.state.clock.now();
+        if !has_new || now < self.duty(service).judge_at {
+            return;
+        }
+        // Hosts begin at unlike times, so that mostly one of them writes.
+        let first = self.duty(service).judge_at == Timestamp::default();
+        let wait = self.judge_span().mul_f64(self.state.words.point());
+        self.duty(service).judge_at = now + wait;
+        if !first {
+            let began = beliefs.store_time(now);
+            let text = "the new version has an upstream";
+            self.decide(belief, RolloutPhase::Canary, began, text).await;
+        }
+    }
+
+    async fn report(&mut self, service: &ServiceName, belief: &RolloutBelief) {
+        let now = self.state.clock.now();
+        let span = REPORT_SPAN + REPORT_SPAN_PER_HOST * self.host_count();
+        let sums = self.state.tally.sums(service).filter(|sums| sums.order == belief.order.order);
+        let duty = self.duty(service);
+        let Some(sums) = sums.filter(|sums| duty.reported.as_ref() != Some(sums)) else { return };
+        if now < duty.report_at {
+            return;
+        }
+        duty.report_at = now + span;
+        duty.reported = Some(sums.clone());
+        if let Err(error) = self.port.write_sums(sums).await {
+            self.duty(service).reported = None;
+            log::warn!(target: "rollout", service:%, error:%; "sums were not written");
+        }
+    }
+
+    async fn judge(&mut self, service: &ServiceName, belief: &RolloutBelief) {
+        let now = self.state.clock.now();
+        if now < self.duty(service).judge_at {
+            return;
+        }
+        let span = self.judge_span().mul_f64(0.5 + self.state.words.point());
+        self.duty(service).judge_at = now + span;
+        let Some(decision) = &belief.decision else { return };
+        let sums = match self.port.read_sums(service.clone()).await {
+            Ok(sums) => sums,
+            Err(error) => {
+                log::warn!(target: "rollout", service:%, error:%; "sums were not read");
+                return;
+            }
+        };
+        let order = belief.order.order;
+        let store_now = self.state.beliefs.load().store_time(self.state.clock.now());
+        let elapsed = store_now.since(decision.began);
+        let judge = &mut self.duty(service).judge;
+        let judge = match judge {
+            Some(judge) if judge.order() == order => judge,
+            _ => judge.insert(RolloutJudge::new(order)),
+        };
+        judge.look(&sums);
+        let evidence = judge.evidence(&sums, elapsed);
+        let bounds = &self.state.settings.bounds;
+        let bound = ExposureBound { share: bounds.exposure_share, slack: bounds.exposure_slack };
+        let next = next_phase(decision.phase, belief.order.duration, &evidence, &bound);
+        if let Some((phase, reason)) = next {
+            let text = format!("{reason}; {evidence:?}");
+            self.decide(belief, phase, decision.began, &text).await;
+        }
+    }
+
+    async fn decide(
+        &self,
+        belief: &RolloutBelief,
+        phase: RolloutPhase,
+        began: Timestamp,
+        reason: &str,
+    ) {
+        let decision = RolloutDecision {
+            service: belief.order.service.clone(),
+            to: Arc::clone(&belief.order.to),
+            order: belief.order.order,
+            phase,
+            began,
+        };
+        let (service, to) = (&belief.order.service, &belief.order.to);
+        match self.port.decide(decision, belief.decision_version).await {
+            Ok(WriteOutcome::Applied) => {
+                log::info!(target: "rollout", service:%, to:%, phase:%, reason; "decided");
+            }
+            Ok(WriteOutcome::Conflict) => {
+                log::info!(target: "rollout", service:%, to:%, phase:%; "another host decided");
+            }
+            Err(error) => {
+                log::warn!(target: "rollout", service:%, to:%, phase:%, error:%; "not decided");
+            }
+        }
+    }
+
+    fn duty(&mut self, service: &ServiceName) -> &mut ServiceDuty {
+        self.duties.entry(service.clone()).or_default()
+    }
+
+    fn host_count(&self) -> u32 {
+        u32::try_from(self.state.book.hosts()).unwrap_or(u32::MAX)
+    }
+
+    fn judge_span(&self) -> Duration {
+        JUDGE_SPAN + JUDGE_SPAN_PER_HOST * self.host_count()
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/rollout_plan.rs
@@ -0,0 +1,218 @@
+//! When a roll-out of a new version goes on, ends or is taken back.
+//!
+//! A new version first gets a small, constant share of sessions. A bad one may show it late,
+//! under load or on one route only, so the share stays small until what the deployment allows a
+//! bad version to get covers all traffic for the rest of the time. Then all new work moves, and
+//! the roll-out ends before its deadline, when the old upstreams have no work left.
+
+use oleander_core::ids::ServiceName;
+use oleander_core::rollout::session_point;
+use oleander_core::units::Timestamp;
+use serde::{Deserialize, Serialize};
+use std::fmt;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Share of sessions that the new version gets first: two thirds of the least share (0.12) that
+/// deployments allow a bad version, so that the draw of sessions has room to be uneven.
+pub const CANARY_SHARE: f64 = 0.08;
+/// Time before the deadline at which a roll-out is ended: a conditional write at a store that
+/// answers fifty times as slowly as usual (200 ms), tried three times, and some.
+pub const FINISH_MARGIN: Duration = Duration::from_millis(1_200);
+/// Part of the allowance that is used by plan; the rest is for hosts that learn late.
+const ALLOWANCE_USED: f64 = 0.75;
+/// Least time between moving all work and the end, so that short answers of old upstreams end.
+const LEAST_MOVE: Duration = Duration::from_millis(1_500);
+/// Most time between them: longer gains nothing once the answers of old upstreams have ended.
+const LONGEST_MOVE: Duration = Duration::from_secs(6);
+
+/// An operator's order to move a service to a version.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RolloutOrder {
+    /// The service.
+    pub service: ServiceName,
+    /// The version to move to.
+    pub to: Arc<str>,
+    /// Time within which it must be over.
+    pub duration: Duration,
+    /// Row version of the order, which names it.
+    pub order: u64,
+}
+
+/// Where a roll-out stands.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum RolloutPhase {
+    /// The new version gets a small share of sessions.
+    Canary,
+    /// All new work goes to the new version; the old upstreams finish what they have.
+    Moving,
+    /// The new version is the only one.
+    Done,
+    /// The new version gets nothing more.
+    Reverted,
+}
+
+impl RolloutPhase {
+    /// Whether the roll-out is over.
+    #[must_use]
+    pub const fn is_over(self) -> bool {
+        matches!(self, Self::Done | Self::Reverted)
+    }
+}
+
+impl fmt::Display for RolloutPhase {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.pad(match self {
+            Self::Canary => "canary",
+            Self::Moving => "moving",
+            Self::Done => "done",
+            Self::Reverted => "reverted",
+        })
+    }
+}
+
+/// What was decided on a roll-out, as all hosts read it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RolloutDecision {
+    /// The service.
+    pub service: ServiceName,
+    /// The version to move to.
+    pub to: Arc<str>,
+    /// Row version of the order.
+    pub order: u64,
+    /// Where the roll-out stands.
+    pub phase: RolloutPhase,
+    /// When it began, on the store's steady clock.
+    pub began: Timestamp,
+}
+
+/// Which upstreams a request may go to, by their version.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum VersionRule {
+    /// Any version.
+    Any,
+    /// This version only; another where it has no upstream.
+    Prefer(Arc<str>),
+    /// Never this version.
+    Not(Arc<str>),
+}
+
+impl VersionRule {
+    /// Whether the rule lets a version be used at all.
+    #[must_use]
+    pub fn permits(&self, version: &str) -> bool {
+        !matches!(self, Self::Not(excluded) if **excluded == *version)
+    }
+
+    /// Whether the rule wants this version rather than another.
+    #[must_use]
+    pub fn prefers(&self, version: &str) -> bool {
+        match self {
+            Self::Any => true,
+            Self::Prefer(wanted) => **wanted == *version,
+            Self::Not(excluded) => **excluded != *version,
+        }
+    }
+}
+
+/// The rule for a request of `session` while `order` is in force.
+///
+/// ```
+/// use oleander_core::ids::ServiceName;
+/// use oleander_core::units::Timestamp;
+/// use oleander_gateway::rollout_plan::*;
+/// use std::time::Duration;
+///
+/// let service = ServiceName::new("writer").unwrap();
+/// let order = RolloutOrder {
+///     service: service.clone(),
+///     to: "v2".into(),
+///     duration: Duration::from_secs(24),
+///     order: 7,
+/// };
+/// assert_eq!(version_rule(&order, None, "van-1"), VersionRule::Not("v2".into()));
+/// let decision = RolloutDecision {
+///     service,
+///     to: "v2".into(),
+///     order: 7,
+///     phase: RolloutPhase::Done,
+///     began: Timestamp::from_millis(0),
+/// };
+/// assert_eq!(version_rule(&order, Some(&decision), "van-1"), VersionRule::Prefer("v2".into()));
+/// ```
+#[must_use]
+pub fn version_rule(
+    order: &RolloutOrder,
+    decision: Option<&RolloutDecision>,
+    session: &str,
+) -> VersionRule {
+    let to = Arc::clone(&order.to);
+    match decision.filter(|decision| decision.order == order.order).map(|found| found.phase) {
+        None | Some(RolloutPhase::Reverted) => VersionRule::Not(to),
+        Some(RolloutPhase::Canary) if session_point(session) < CANARY_SHARE => {
+            VersionRule::Prefer(to)
+        }
+        Some(RolloutPhase::Canary) => VersionRule::Not(to),
+        Some(RolloutPhase::Moving | RolloutPhase::Done) => VersionRule::Prefer(to),
+    }
+}
+
+/// What a deployment lets a version get that turns out to be bad.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ExposureBound {
+    /// Share of the service's requests between the order and its deadline.
+    pub share: f64,
+    /// Requests beside that.
+    pub slack: f64,
+}
+
+/// What is known when a step is decided.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct StepEvidence {
+    /// Time since the roll-out began.
+    pub elapsed: Duration,
+    /// Requests that the service got since.
+    pub requests: u64,
+    /// Those of them that the new version got.
+    pub exposed: u64,
+    /// Whether the new version is worse than the old one.
+    pub alarmed: bool,
+}
+
+/// The phase to move to, or `None` to stay, with the reason as text.
+#[must_use]
+pub fn next_phase(
+    phase: RolloutPhase,
+    duration: Duration,
+    evidence: &StepEvidence,
+    bound: &ExposureBound,
+) -> Option<(RolloutPhase, &'static str)> {
+    if phase.is_over() {
+        return None;
+    }
+    if evidence.alarmed {
+        return Some((RolloutPhase::Reverted, "the new version answers worse than the old one"));
+    }
+    let left = duration.saturating_sub(FINISH_MARGIN).saturating_sub(evidence.elapsed);
+    match phase {
+        RolloutPhase::Canary if left <= move_span(duration, evidence, bound) => {
+            Some((RolloutPhase::Moving, "the allowance covers the rest of the time"))
+        }
+        RolloutPhase::Moving if left.is_zero() => {
+            Some((RolloutPhase::Done, "no worse answer was seen"))
+        }
+        _ => None,
+    }
+}
+
+/// Time that the allowance lets all requests go to the new version.
+fn move_span(duration: Duration, evidence: &StepEvidence, bound: &ExposureBound) -> Duration {
+    let elapsed = evidence.elapsed.as_secs_f64().max(1.0);
+    let rate = evidence.requests as f64 / elapsed;
+    let expected = rate * duration.as_secs_f64();
+    let allowance = (bound.share * expected + bound.slack) * ALLOWANCE_USED;
+    let left = (allowance - evidence.exposed as f64).max(0.0);
+    let seconds = if rate > 0.0 { left / rate } else { f64::INFINITY };
+    let span = Duration::try_from_secs_f64(seconds).unwrap_or(LONGEST_MOVE);
+    span.clamp(LEAST_MOVE, LONGEST_MOVE.max(LEAST_MOVE)).min(duration / 2)
+}
--- /dev/null
+++ b/crates/gateway/src/rollout_sums.rs
@@ -0,0 +1,185 @@
+//! Sums of answers of a roll-out over all hosts, and whether the new version is worse.
+//!
+//! Each host adds up what it saw; sums of several hosts are added without any order between
+//! them. A host that restarts counts from nothing again, which its incarnation tells. The judge
+//! feeds what came since its last look to one mean-change test per route, since a version may be
+//! bad on one route only.
+
+use crate::rollout_plan::StepEvidence;
+use oleander_core::alarm_threshold::alarm_threshold;
+use oleander_core::detect::{MeanChangeTest, RatingBaseline};
+use oleander_core::ids::{HostId, ServiceName};
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Good answers that the old version is credited with before any are in, and how many of those
+/// answers are good: a quiet service answers more than nineteen of twenty well.
+const PRIOR_ANSWERS: f64 = 20.0;
+const PRIOR_GOOD: f64 = 0.97;
+/// Fall of the share of good answers that has to be found; bad versions here fail about a third
+/// of their requests or more.
+const LEAST_FALL: f64 = 0.2;
+/// Mean number of answers between false alarms. A roll-out sees a few hundred answers, and there
+/// is one test for each of a handful of routes.
+const ANSWERS_BETWEEN_ALARMS: f64 = 20_000.0;
+/// Good share of an old version below which nothing can be told from a fall.
+const LEAST_GOOD: f64 = 0.3;
+
+/// Answers of one version side on one route.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct AnswerCount {
+    /// Answers.
+    pub answers: u64,
+    /// Those that failed or took several times as long as usual.
+    pub bad: u64,
+}
+
+impl AnswerCount {
+    fn add(&mut self, other: Self) {
+        self.answers += other.answers;
+        self.bad += other.bad;
+    }
+}
+
+/// Sums of one route.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RouteSums {
+    /// Answers of the new version.
+    pub new: AnswerCount,
+    /// Answers of every other version.
+    pub old: AnswerCount,
+    /// Requests that were sent to the new version, answered or not.
+    pub exposed: u64,
+    /// Requests that were sent to any version.
+    pub requests: u64,
+}
+
+impl RouteSums {
+    fn add(&mut self, other: &Self) {
+        self.new.add(other.new);
+        self.old.add(other.old);
+        self.exposed += other.exposed;
+        self.requests += other.requests;
+    }
+}
+
+/// What one host saw of a roll-out.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HostSums {
+    /// The host.
+    pub host: HostId,
+    /// Its incarnation; a later start of the host counts from nothing.
+    pub incarnation: u64,
+    /// The service.
+    pub service: ServiceName,
+    /// Row version of the order.
+    pub order: u64,
+    /// Sums by route name.
+    pub routes: BTreeMap<Arc<str>, RouteSums>,
+}
+
+/// Sums of all hosts, by route.
+pub type FleetSums = BTreeMap<Arc<str>, RouteSums>;
+
+/// Adds the sums of hosts up, those of other orders left out.
+#[must_use]
+pub fn add_up(hosts: &[HostSums], order: u64) -> FleetSums {
+    let mut sums = FleetSums::new();
+    for host in hosts.iter().filter(|host| host.order == order) {
+        for (route, counts) in &host.routes {
+            sums.entry(Arc::clone(route)).or_default().add(counts);
+        }
+    }
+    sums
+}
+
+/// Judges the roll-out of one order.
+///
+/// ```
+/// use oleander_core::ids::{HostId, ServiceName};
+/// use oleander_gateway::rollout_sums::*;
+///
+/// let sums = |new_bad| HostSums {
+///     host: HostId::new("host-1").unwrap(),
+///     incarnation: 1,
+///     service: ServiceName::new("writer").unwrap(),
+///     order: 7,
+///     routes: [("plans".into(), RouteSums {
+///         new: AnswerCount { answers: 20, bad: new_bad },
+///         old: AnswerCount { answers: 200, bad: 4 },
+///         exposed: 20,
+///         requests: 220,
+///     })].into(),
+/// };
+/// assert!(!RolloutJudge::new(7).look(&[sums(1)]));
+/// assert!(RolloutJudge::new(7).look(&[sums(10)]));
+/// ```
+#[derive(Clone, Debug)]
+pub struct RolloutJudge {
+    order: u64,
+    seen: BTreeMap<(HostId, u64), BTreeMap<Arc<str>, RouteSums>>,
+    tests: BTreeMap<Arc<str>, MeanChangeTest>,
+    alarmed: bool,
+}
+
+impl RolloutJudge {
+    /// A judge of the order with this row version.
+    #[must_use]
+    pub const fn new(order: u64) -> Self {
+        Self { order, seen: BTreeMap::new(), tests: BTreeMap::new(), alarmed: false }
+    }
+
+    /// The order.
+    #[must_use]
+    pub const fn order(&self) -> u64 {
+        self.order
+    }
+
+    /// Looks at the latest sums; `true` when the new version is worse on some route.
+    pub fn look(&mut self, hosts: &[HostSums]) -> bool {
+        let order = self.order;
+        for host in hosts.iter().filter(|host| host.order == order) {
+            let key = (host.host.clone(), host.incarnation);
+            let before = self.seen.insert(key, host.routes.clone()).unwrap_or_default();
+            for (route, counts) in &host.routes {
+                let old = before.get(route).copied().unwrap_or_default();
+                self.add(route, counts.new, old.new, &counts.old);
+            }
+        }
+        self.alarmed
+    }
+
+    /// Feeds what came since the last look to the route's test.
+    fn add(&mut self, route: &Arc<str>, now: AnswerCount, before: AnswerCount, old: &AnswerCount) {
+        let answers = now.answers.saturating_sub(before.answers);
+        if answers == 0 {
+            return;
+        }
+        let bad = now.bad.saturating_sub(before.bad).min(answers);
+        let test = self.tests.entry(Arc::clone(route)).or_insert_with(|| new_test(old));
+        let count = u32::try_from(answers).unwrap_or(u32::MAX);
+        self.alarmed |= test.add_sum(count, (answers - bad) as f64);
+    }
+
+    /// What a step is decided on, beside the time.
+    #[must_use]
+    pub fn evidence(&self, hosts: &[HostSums], elapsed: Duration) -> StepEvidence {
+        let sums = add_up(hosts, self.order);
+        StepEvidence {
+            elapsed,
+            requests: sums.values().map(|route| route.requests).sum(),
+            exposed: sums.values().map(|route| route.exposed).sum(),
+            alarmed: self.alarmed,
+        }
+    }
+}
+
+fn new_test(old: &AnswerCount) -> MeanChangeTest {
+    let good = PRIOR_ANSWERS * PRIOR_GOOD + (old.answers - old.bad.min(old.answers)) as f64;
+    let mean = (good / (PRIOR_ANSWERS + old.answers as f64)).max(LEAST_GOOD);
+    let baseline = RatingBaseline::new(mean, mean * (1.0 - mean), LEAST_FALL.min(mean / 2.0));
+    let threshold = alarm_threshold(&baseline, ANSWERS_BETWEEN_ALARMS);
+    MeanChangeTest::new(baseline, threshold)
+}
--- /dev/null
+++ b/crates/gateway/src/routes.rs
@@ -0,0 +1,275 @@
+//! What operators configured: routes by host name and longest prefix, services, client accounts.
+
+use oleander_core::ids::ServiceName;
+use std::collections::{BTreeMap, HashMap};
+use std::sync::Arc;
+use std::time::Duration;
+
+/// What may be repeated on a route.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RepeatRule {
+    /// Requests may run any number of times.
+    Repeatable,
+    /// A request runs at most once.
+    Once,
+    /// The answer is a stream of numbered events; where it is resumable it may go on at another
+    /// upstream, otherwise it runs at most once.
+    Stream {
+        /// Whether a stream may be resumed after an event.
+        resumable: bool,
+    },
+}
+
+impl RepeatRule {
+    /// Whether a request whose outcome is unknown may be sent again.
+    #[must_use]
+    pub const fn may_repeat(self) -> bool {
+        matches!(self, Self::Repeatable | Self::Stream { resumable: true })
+    }
+
+    /// Whether answers are streams of events.
+    #[must_use]
+    pub const fn is_stream(self) -> bool {
+        matches!(self, Self::Stream { .. })
+    }
+}
+
+/// A service that takes a share of a route.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RouteTarget {
+    /// The service.
+    pub service: ServiceName,
+    /// Its weight among the route's targets.
+    pub weight: u32,
+}
+
+/// One route.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Route {
+    /// Its name, for logs.
+    pub name: Arc<str>,
+    /// Host name that callers ask for.
+    pub host: Arc<str>,
+    /// Start of the paths that it serves; begins and ends with a slash.
+    pub prefix: Arc<str>,
+    /// What may be repeated.
+    pub repeat: RepeatRule,
+    /// Longest time that a request is kept without its whole answer.
+    pub timeout: Duration,
+    /// Time within which an answer, or its first event, is worth all it can be.
+    pub goal: Duration,
+    /// Rank; 0 is served first.
+    pub rank: u8,
+    /// Models to choose from, smallest first; empty where callers name the model or none.
+    pub models: Vec<Arc<str>>,
+    /// Services that serve it, by weight.
+    pub targets: Vec<RouteTarget>,
+    /// Most upstreams that one request may run on.
+    pub attempts: u32,
+    /// Whether callers need no key.
+    pub public: bool,
+    /// Longest pause between events that is still on time, on streams.
+    pub longest_pause: Option<Duration>,
+}
+
+impl Route {
+    /// The service for a point in 0..1 that is stable for what should stay together.
+    ///
+    /// Returns `None` only for a route without targets.
+    #[must_use]
+    pub fn target(&self, point: f64) -> Option<&ServiceName> {
+        let total: f64 = self.targets.iter().map(|target| f64::from(target.weight)).sum();
+        let mut left = point * total;
+        for target in &self.targets {
+            left -= f64::from(target.weight);
+            if left < 0.0 {
+                return Some(&target.service);
+            }
+        }
+        self.targets.last().map(|target| &target.service)
+    }
+}
+
+/// A model that the engines of a service run.
+#[derive(Clone, Debug, PartialEq)]
+pub struct EngineModel {
+    /// Its name.
+    pub name: Arc<str>,
+    /// Price of 1,000 generated tokens, in the deployment's unit; a token that is read costs a
+    /// quarter of one that is generated.
+    pub cost: f64,
+}
+
+/// One service.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ServiceSpec {
+    /// Its name.
+    pub name: ServiceName,
+    /// Connections that one upstream takes from all hosts together.
+    pub max_connections: u32,
+    /// Models of its engines; empty for plain services.
+    pub models: Vec<EngineModel>,
+}
+
+/// A client account, as its key names it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct AccountSpec {
+    /// Its name.
+    pub name: Arc<str>,
+    /// Its rank, which goes before a route's.
+    pub rank: Option<u8>,
+}
+
+/// What callers may send and how long they may take.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct CallerLimits {
+    /// Largest head of a request, in bytes.
+    pub head_bytes: usize,
+    /// Largest body of a request, in bytes.
+    pub body_bytes: usize,
+    /// Longest time for the head of a request, from its first byte.
+    pub head_time: Duration,
+    /// Longest time that a connection stays open without a request.
+    pub idle_time: Duration,
+}
+
+impl Default for CallerLimits {
+    /// Limits until a configuration names others: generous, since none is known to be wanted.
+    fn default() -> Self {
+        Self {
+            head_bytes: 64 * 1024,
+            body_bytes: 4 * 1024 * 1024,
+            head_time: Duration::from_secs(10),
+            idle_time: Duration::from_secs(30),
+        }
+    }
+}
+
+/// One configuration, whole and immutable.
+///
+/// ```
+/// use oleander_gateway::routes::{Route, RouteTable, RepeatRule};
+/// use std::time::Duration;
+///
+/// let route = |name: &str, prefix: &str| Route {
+///     name: name.into(),
+///     host: "desk.example".into(),
+///     prefix: prefix.into(),
+///     repeat: RepeatRule::Repeatable,
+///     timeout: Duration::from_secs(3),
+///     goal: Duration::from_millis(400),
+///     rank: 1,
+///     models: Vec::new(),
+///     targets: Vec::new(),
+///     attempts: 2,
+///     public: true,
+///     longest_pause: None,
+/// };
+/// let table = RouteTable::new(7).with_route(route("all", "/a/")).with_route(route("some", "/a/b/"));
+/// let found = |path: &str| table.find("desk.example", path).map(|route| route.name.to_string());
+/// assert_eq!(found("/a/b/1").as_deref(), Some("some"));
+/// assert_eq!(found("/a/1").as_deref(), Some("all"));
+/// assert_eq!(found("/b/"), None);
+/// ```
+#[derive(Clone, Debug, Default)]
+pub struct RouteTable {
+    version: u64,
+    hosts: BTreeMap<Arc<str>, Vec<Arc<Route>>>,
+    services: BTreeMap<ServiceName, ServiceSpec>,
+    keys: HashMap<Arc<str>, Arc<AccountSpec>>,
+    has_accounts: bool,
+    limits: CallerLimits,
+}
+
+impl RouteTable {
+    /// An empty configuration of a version.
+    #[must_use]
+    pub fn new(version: u64) -> Self {
+        Self { version, ..Self::default() }
+    }
+
+    /// Adds a route.
+    #[must_use]
+    pub fn with_route(mut self, route: Route) -> Self {
+        let routes = self.hosts.entry(Arc::clone(&route.host)).or_default();
+        let longer = |other: &Arc<Route>| other.prefix.len() >= route.prefix.len();
+        let place = routes.partition_point(longer);
+        routes.insert(place, Arc::new(route));
+        self
+    }
+
+    /// Adds a service.
+    #[must_use]
+    pub fn with_service(mut self, service: ServiceSpec) -> Self {
+        self.services.insert(service.name.clone(), service);
+        self
+    }
+
+    /// Adds a client account with its keys; from then on requests need a key.
+    #[must_use]
+    pub fn with_account(mut self, account: AccountSpec, keys: Vec<Arc<str>>) -> Self {
+        let account = Arc::new(account);
+        self.has_accounts = true;
+        self.keys.extend(keys.into_iter().map(|key| (key, Arc::clone(&account))));
+        self
+    }
+
+    /// Sets what callers may send.
+    #[must_use]
+    pub const fn with_limits(mut self, limits: CallerLimits) -> Self {
+        self.limits = limits;
+        self
+    }
+
+    /// Version of the configuration; later ones are higher.
+    #[must_use]
+    pub const fn version(&self) -> u64 {
+        self.version
+    }
+
+    /// The route of a request: the longest prefix of its host name that begins the path.
+    #[must_use]
+    pub fn find(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
+        let name = host.split(':').next().unwrap_or(host);
+        let routes = self.hosts.get(name).or_else(|| {
+            let lower = name.to_ascii_lowercase();
+            self.hosts.get(lower.as_str())
+        })?;
+        routes.iter().find(|route| path.starts_with(&*route.prefix))
+    }
+
+    /// The account that holds a key.
+    #[must_use]
+    pub fn account(&self, key: &str) -> Option<&Arc<AccountSpec>> {
+        self.keys.get(key)
+    }
+
+    /// Whether requests need a key.
+    #[must_use]
+    pub const fn needs_keys(&self) -> bool {
+        self.has_accounts
+    }
+
+    /// A service.
+    #[must_use]
+    pub fn service(&self, name: &ServiceName) -> Option<&ServiceSpec> {
+        self.services.get(name)
+    }
+
+    /// All services.
+    pub fn services(&self) -> impl Iterator<Item = &ServiceSpec> {
+        self.services.values()
+    }
+
+    /// What callers may send.
+    #[must_use]
+    pub const fn limits(&self) -> &CallerLimits {
+        &self.limits
+    }
+
+    /// Number of routes, for logs.
+    #[must_use]
+    pub fn route_count(&self) -> usize {
+        self.hosts.values().map(Vec::len).sum()
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/upstream_book.rs
@@ -0,0 +1,386 @@
+//! Upstreams as this host uses them: connections, requests in flight, load, failures, budgets.
+
+use crate::fault::AttemptFault;
+use crate::link::UpstreamLink;
+use crate::rollout_plan::VersionRule;
+use crate::settings::{GatewayBounds, GatewaySettings};
+use crate::upstream_entry::UpstreamEntry;
+use crate::wire_format::{AnswerLoad, TokenSize};
+use oleander_core::ejection::OutlierEjection;
+use oleander_core::ids::{ServiceName, UpstreamName};
+use oleander_core::retry_budget::RetryBudget;
+use oleander_core::stable_hash::hash_parts;
+use oleander_core::units::{Millis, Money, Timestamp, TokenCount};
+use oleander_core::upstream_choice::{
+    AttemptWork, ReportedLoad, UpstreamRule, UpstreamView, choose_upstream, expected_load,
+};
+use std::collections::{BTreeMap, HashMap, HashSet};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+/// Most of a service's upstreams that are left out at once.
+const EJECTION_SHARE: f64 = 0.5;
+/// Time of a first ejection: crashed upstreams are delisted within 4 s, and one that came back
+/// should not idle for long.
+const EJECTION_BASE: Duration = Duration::from_secs(3);
+/// Part of the retry budget's bounds that is used, so that hosts that count in other windows
+/// than the platform stay within them.
+const BUDGET_USED: f64 = 0.9;
+/// Hosts that are assumed to share the extra retries until they were counted.
+const ASSUMED_HOSTS: usize = 64;
+/// Delay to another region and back, in milliseconds; what the users' links have.
+const REGION_DELAY: Millis = Millis::new(60);
+/// Load of an upstream's slots from which other regions are looked at too.
+const LOCAL_FULL: f64 = 0.85;
+/// Load above the mean at which an upstream no longer attracts prompts that it has cached.
+const HOLDER_EXCESS: f64 = 1.25;
+/// Requests above the mean that are always fine for a holder of cached prompts.
+const HOLDER_SLACK: f64 = 3.0;
+/// Engines of the users read about 90 prompt tokens a millisecond and make a token in about
+/// 6 ms when a few dozen requests run.
+const PROMPT_TOKENS_PER_MILLI: u32 = 90;
+const FIRST_TOKEN_BASE: u64 = 60;
+const TOKEN_GAP: Millis = Millis::new(6);
+/// Price of a second of latency; only its ratio to prices of regions counts, which are 0 here.
+const SECOND_PRICE: Money = Money::from_micros(1_000);
+/// Longest time that an idle connection is used again when the upstream names none.
+const IDLE_LIFE: Duration = Duration::from_secs(4);
+/// Idle connections that are kept for one upstream.
+const MAX_IDLE: usize = 4;
+
+struct IdleLink {
+    link: UpstreamLink,
+    until: Timestamp,
+}
+
+#[derive(Clone, Copy)]
+struct SeenLoad {
+    load: AnswerLoad,
+    own: u32,
+    at: Timestamp,
+}
+
+#[derive(Default)]
+struct CellState {
+    in_flight: u32,
+    load: Option<SeenLoad>,
+    idle: Vec<IdleLink>,
+}
+
+/// One upstream as this host uses it.
+pub struct UpstreamCell {
+    /// The upstream, as listed.
+    pub entry: Arc<UpstreamEntry>,
+    state: Mutex<CellState>,
+}
+
+impl UpstreamCell {
+    fn new(entry: Arc<UpstreamEntry>) -> Self {
+        Self { entry, state: Mutex::default() }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, CellState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// An idle connection that may be used now.
+    pub fn take_idle(&self, now: Timestamp) -> Option<UpstreamLink> {
+        let mut state = self.lock();
+        while let Some(idle) = state.idle.pop() {
+            if now < idle.until && idle.link.is_idle() {
+                return Some(idle.link.with_reuse());
+            }
+        }
+        None
+    }
+
+    /// Keeps a connection for later requests, at most for `life` where the upstream names it.
+    pub fn keep_idle(&self, link: UpstreamLink, life: Option<Duration>, now: Timestamp) {
+        let life = life.unwrap_or(IDLE_LIFE).min(IDLE_LIFE);
+        let mut state = self.lock();
+        state.idle.retain(|idle| now < idle.until);
+        if state.idle.len() < MAX_IDLE {
+            state.idle.push(IdleLink { link, until: now + life });
+        }
+    }
+
+    /// Notes the load that an answer tells.
+    pub fn note_load(&self, load: AnswerLoad, now: Timestamp) {
+        let mut state = self.lock();
+        let own = state.in_flight;
+        state.load = Some(SeenLoad { load, own, at: now });
+    }
+
+    fn view(&self, now: Timestamp) -> UpstreamView {
+        let state = self.lock();
+        let mut view = UpstreamView::new(self.entry.name.clone(), self.entry.slots);
+        view.in_flight = state.in_flight;
+        view.report = state.load.map(|seen| ReportedLoad {
+            running: seen.load.running,
+            queued: seen.load.waiting,
+            own: seen.own,
+            age: now.since(seen.at),
+        });
+        view
+    }
+}
+
+/// A request in flight at an upstream; it is over when this is dropped.
+pub struct UpstreamPermit {
+    /// The upstream.
+    pub cell: Arc<UpstreamCell>,
+}
+
+impl UpstreamPermit {
+    fn new(cell: Arc<UpstreamCell>) -> Self {
+        cell.lock().in_flight += 1;
+        Self { cell }
+    }
+}
+
+impl Drop for UpstreamPermit {
+    fn drop(&mut self) {
+        let mut state = self.cell.lock();
+        state.in_flight = state.in_flight.saturating_sub(1);
+    }
+}
+
+struct ServiceState {
+    ejection: OutlierEjection,
+    budget: RetryBudget,
+}
+
+/// What a choice of an upstream depends on.
+pub struct ChoiceInput<'a> {
+    /// Upstreams of the service that take work.
+    pub entries: &'a [Arc<UpstreamEntry>],
+    /// Which versions may be used.
+    pub rule: &'a VersionRule,
+    /// Upstreams that were tried already.
+    pub tried: &'a HashSet<UpstreamName>,
+    /// Tokens of the request, at engines.
+    pub size: TokenSize,
+    /// What requests share that should stay together, if anything.
+    pub shared: Option<&'a str>,
+    /// Decides the draws.
+    pub random: u64,
+    /// The time.
+    pub now: Timestamp,
+}
+
+/// All upstreams as this host uses them.
+pub struct UpstreamBook {
+    settings: Arc<GatewaySettings>,
+    cells: Mutex<HashMap<UpstreamName, Arc<UpstreamCell>>>,
+    services: Mutex<BTreeMap<ServiceName, ServiceState>>,
+    hosts: Mutex<usize>,
+}
+
+impl UpstreamBook {
+    /// A book of a host that uses no upstream yet.
+    #[must_use]
+    pub fn new(settings: Arc<GatewaySettings>) -> Self {
+        Self {
+            settings,
+            cells: Mutex::default(),
+            services: Mutex::default(),
+            hosts: Mutex::new(ASSUMED_HOSTS),
+        }
+    }
+
+    /// Takes in the upstreams that are there now. Connections to others are closed; requests
+    /// that run there go on.
+    pub fn update(&self, upstreams: &BTreeMap<ServiceName, Vec<Arc<UpstreamEntry>>>) {
+        let listed: HashSet<&UpstreamName> =
+            upstreams.values().flatten().map(|entry| &entry.name).collect();
+        lock(&self.cells).retain(|name, _| listed.contains(name));
+        for (service, entries) in upstreams {
+            let mut services = lock(&self.services);
+            let state = services.entry(service.clone()).or_insert_with(|| self.new_service());
+            state.ejection.set_pool(entries.iter().map(|entry| &entry.name));
+        }
+    }
+
+    fn new_service(&self) -> ServiceState {
+        let ejection = OutlierEjection::new(EJECTION_SHARE).with_base(EJECTION_BASE);
+        ServiceState { ejection, budget: new_budget(&self.settings.bounds, *lock(&self.hosts)) }
+    }
+
+    /// Sets how many hosts share the extra retries.
+    pub fn set_hosts(&self, hosts: usize) {
+        let mut known = lock(&self.hosts);
+        if *known == hosts.max(1) {
+            return;
+        }
+        *known = hosts.max(1);
+        let budget = new_budget(&self.settings.bounds, *known);
+        for state in lock(&self.services).values_mut() {
+            let balance = state.budget.balance().max(budget.balance());
+            state.budget = budget.with_balance(balance);
+        }
+    }
+
+    /// Hosts that share the extra retries.
+    #[must_use]
+    pub fn hosts(&self) -> usize {
+        *lock(&self.hosts)
+    }
+
+    /// Notes a request to a service; it earns a share of a retry.
+    pub fn note_request(&self, service: &ServiceName) {
+        if let Some(state) = lock(&self.services).get_mut(service) {
+            state.budget.note_attempt();
+        }
+    }
+
+    /// Spends one retry of a service's budget; `false` when it has none.
+    pub fn try_retry(&self, service: &ServiceName) -> bool {
+        let mut services = lock(&self.services);
+        services.get_mut(service).is_some_and(|state| state.budget.try_spend())
+    }
+
+    /// Whether a service's budget has a retry.
+    #[must_use]
+    pub fn has_retry(&self, service: &ServiceName) -> bool {
+        lock(&self.services).get(service).is_some_and(|state| state.budget.balance() >= 1.0)
+    }
+
+    /// Notes a good answer of an upstream.
+    pub fn note_success(&self, entry: &UpstreamEntry) {
+        if let Some(state) = lock(&self.services).get_mut(&entry.service) {
+            state.ejection.note_success(&entry.name);
+        }
+    }
+
+    /// Notes a fault of an upstream; `true` when it is ejected for that.
+    pub fn note_fault(&self, entry: &UpstreamEntry, fault: &AttemptFault, now: Timestamp) -> bool {
+        let weight = fault.weight();
+        let mut services = lock(&self.services);
+        let state = services.get_mut(&entry.service).filter(|_| weight > 0);
+        state.is_some_and(|state| state.ejection.note_failures(&entry.name, weight, now))
+    }
+
+    /// Chooses an upstream; `None` when there is none that may be used.
+    #[must_use]
+    pub fn choose(&self, input: &ChoiceInput<'_>) -> Option<UpstreamPermit> {
+        let untried = |entry: &&Arc<UpstreamEntry>| !input.tried.contains(&entry.name);
+        let usable: Vec<&Arc<UpstreamEntry>> = input
+            .entries
+            .iter()
+            .filter(untried)
+            .filter(|entry| input.rule.permits(&entry.version))
+            .collect();
+        let preferred: Vec<&Arc<UpstreamEntry>> =
+            usable.iter().copied().filter(|entry| input.rule.prefers(&entry.version)).collect();
+        let chosen = self.choose_among(&preferred, input);
+        chosen.or_else(|| self.choose_among(&usable, input))
+    }
+
+    fn choose_among(
+        &self,
+        entries: &[&Arc<UpstreamEntry>],
+        input: &ChoiceInput<'_>,
+    ) -> Option<UpstreamPermit> {
+        if entries.is_empty() {
+            return None;
+        }
+        let cells: Vec<Arc<UpstreamCell>> = entries.iter().map(|entry| self.cell(entry)).collect();
+        let mut views: Vec<UpstreamView> =
+            cells.iter().map(|cell| self.view(cell, input.now)).collect();
+        if !views.iter().any(UpstreamView::is_open) {
+            // All of them failed lately: any one is better than none.
+            views.iter_mut().for_each(|view| {
+                view.ejected = false;
+                view.limit = u32::MAX;
+            });
+        }
+        self.stay_local(&cells, &mut views);
+        mark_holder(&mut views, input);
+        let work = attempt_work(input.size);
+        let index = choose_upstream(UpstreamRule::ExpectedCost, &views, &work, input.random)?;
+        Some(UpstreamPermit::new(Arc::clone(&cells[index])))
+    }
+
+    fn view(&self, cell: &UpstreamCell, now: Timestamp) -> UpstreamView {
+        let mut view = cell.view(now);
+        let name = &cell.entry.name;
+        if let Some(state) = lock(&self.services).get(&cell.entry.service) {
+            view.ejected = state.ejection.is_ejected(name, now);
+            view.failing = state.ejection.failing(name, now);
+            if state.ejection.is_returning(name, now) {
+                view.limit = 1;
+            }
+        }
+        if !self.is_local(cell) {
+            view.delay = REGION_DELAY;
+        }
+        view
+    }
+
+    fn is_local(&self, cell: &UpstreamCell) -> bool {
+        self.settings.region_of(&cell.entry.domain) == Some(&self.settings.region)
+    }
+
+    /// Leaves other regions out while an upstream of this one has room.
+    fn stay_local(&self, cells: &[Arc<UpstreamCell>], views: &mut [UpstreamView]) {
+        let has_room = |view: &UpstreamView| {
+            view.is_open() && expected_load(view, 0.0) < f64::from(view.slots) * LOCAL_FULL
+        };
+        let local: Vec<bool> = cells.iter().map(|cell| self.is_local(cell)).collect();
+        if local.iter().zip(views.iter()).any(|(&local, view)| local && has_room(view)) {
+            let remote = views.iter_mut().zip(&local).filter(|(_, local)| !**local);
+            remote.for_each(|(view, _)| view.leaving = true);
+        }
+    }
+
+    fn cell(&self, entry: &Arc<UpstreamEntry>) -> Arc<UpstreamCell> {
+        let mut cells = lock(&self.cells);
+        let known = cells.get(&entry.name);
+        let same = known.filter(|cell| {
+            cell.entry.address == entry.address
+                && cell.entry.born == entry.born
+                && cell.entry.version == entry.version
+        });
+        if let Some(cell) = same {
+            return Arc::clone(cell);
+        }
+        let cell = Arc::new(UpstreamCell::new(Arc::clone(entry)));
+        cells.insert(entry.name.clone(), Arc::clone(&cell));
+        cell
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+fn new_budget(bounds: &GatewayBounds, hosts: usize) -> RetryBudget {
+    let extra = bounds.retry_extra * BUDGET_USED / hosts.max(1) as f64;
+    RetryBudget::new(bounds.retry_share * BUDGET_USED).with_reserve(extra).with_balance(extra)
+}
+
+/// Marks the upstream that should hold what the request shares with others: the first one in
+/// the order of a hash of both that is not loaded much above the mean.
+fn mark_holder(views: &mut [UpstreamView], input: &ChoiceInput<'_>) {
+    let Some(shared) = input.shared else { return };
+    let open: Vec<usize> = (0..views.len()).filter(|&index| views[index].is_open()).collect();
+    let load = |index: usize| expected_load(&views[index], 0.0);
+    let mean = open.iter().map(|&index| load(index)).sum::<f64>() / open.len().max(1) as f64;
+    let most = mean * HOLDER_EXCESS + HOLDER_SLACK;
+    let rank = |index: &usize| hash_parts(&[shared, views[*index].name.as_str()]);
+    let holder = open.iter().copied().filter(|&index| load(index) <= most).max_by_key(rank);
+    if let Some(holder) = holder {
+        views[holder].cached = TokenCount::new(input.size.prompt);
+    }
+}
+
+fn attempt_work(size: TokenSize) -> AttemptWork {
+    let read = u64::from(size.prompt / PROMPT_TOKENS_PER_MILLI);
+    AttemptWork {
+        prompt: TokenCount::new(size.prompt),
+        answer: TokenCount::new(size.answer),
+        first_token: Millis::new(FIRST_TOKEN_BASE + read),
+        token_gap: TOKEN_GAP,
+        price_per_second: SECOND_PRICE,
+    }
+}
