Count a roll-out from its order, not from the first write about it

Cause: the phase plan measured from the moment at which a host wrote the first decision, 0.9 s after the order, and so ended the roll-out 0.2 s after its deadline. Change: the book notes when an order was first seen on the store's clock; hosts begin within 1 s.

--- a/crates/gateway/src/beliefs.rs
+++ b/crates/gateway/src/beliefs.rs
@@ -42,6 +42,8 @@
     pub decision: Option<RolloutDecision>,
     /// Row version of the decision's row; 0 when there is none.
     pub decision_version: u64,
+    /// When this process first saw the order, on the store's steady clock.
+    pub ordered: Timestamp,
 }
 
 impl Beliefs {
@@ -99,7 +101,7 @@
     routes: Option<Arc<RouteTable>>,
     rows: BTreeMap<(Topic, Arc<str>), u64>,
     upstreams: BTreeMap<Arc<str>, UpstreamRecord>,
-    orders: BTreeMap<Arc<str>, RolloutOrder>,
+    orders: BTreeMap<Arc<str>, (RolloutOrder, Timestamp)>,
     decisions: BTreeMap<Arc<str>, (u64, RolloutDecision)>,
     topics: BTreeMap<Topic, TopicStanding>,
     store_offset: i64,
@@ -155,7 +157,8 @@
         match &row.value {
             TopicValue::Routes(table) => self.take_routes(table, notes),
             TopicValue::Rollout(order) => {
-                self.orders.insert(Arc::clone(&row.key), order.clone());
+                let seen = self.store_time(now);
+                self.orders.insert(Arc::clone(&row.key), (order.clone(), seen));
                 notes.push(BeliefNote::Rollout(
                     format!("{} to {} ordered", order.service, order.to).into(),
                 ));
@@ -177,6 +180,10 @@
         }
     }
 
+    fn store_time(&self, now: Timestamp) -> Timestamp {
+        Timestamp::from_millis(now.as_millis().saturating_add_signed(self.store_offset))
+    }
+
     fn take_routes(&mut self, table: &Arc<RouteTable>, notes: &mut Vec<BeliefNote>) {
         let newer = self.routes.as_ref().is_none_or(|known| table.version() > known.version());
         if newer {
@@ -306,7 +313,7 @@
     }
 
     fn rollouts(&self) -> BTreeMap<ServiceName, RolloutBelief> {
-        let belief = |order: &RolloutOrder| {
+        let belief = |order: &RolloutOrder, ordered: Timestamp| {
             let found = self.decisions.values().find(|(_, found)| found.service == order.service);
             RolloutBelief {
                 order: order.clone(),
@@ -314,9 +321,11 @@
                     .map(|(_, decision)| decision.clone())
                     .filter(|decision| decision.order == order.order),
                 decision_version: found.map_or(0, |(version, _)| *version),
+                ordered,
             }
         };
-        self.orders.values().map(|order| (order.service.clone(), belief(order))).collect()
+        let orders = self.orders.values();
+        orders.map(|(order, seen)| (order.service.clone(), belief(order, *seen))).collect()
     }
 }
 
--- a/crates/gateway/src/rollout_driver.rs
+++ b/crates/gateway/src/rollout_driver.rs
@@ -28,6 +28,10 @@
 /// Time between looks that one more host adds: eight looks a second over all hosts.
 const JUDGE_SPAN_PER_HOST: Duration = Duration::from_millis(120);
 
+/// Span over which hosts spread their writes when a roll-out begins; more hosts write at once
+/// in it, and all but the first find that another one was sooner.
+const BEGIN_SPAN: Duration = Duration::from_secs(1);
+
 #[derive(Default)]
 struct ServiceDuty {
     judge: Option<RolloutJudge>,
@@ -88,12 +92,11 @@
         }
         // Hosts begin at unlike times, so that mostly one of them writes.
         let first = self.duty(service).judge_at == Timestamp::default();
-        let wait = self.judge_span().mul_f64(self.state.words.point());
+        let wait = BEGIN_SPAN.mul_f64(self.state.words.point());
         self.duty(service).judge_at = now + wait;
         if !first {
-            let began = beliefs.store_time(now);
             let text = "the new version has an upstream";
-            self.decide(belief, RolloutPhase::Canary, began, text).await;
+            self.decide(belief, RolloutPhase::Canary, belief.ordered, text).await;
         }
     }
 
