Refuse streams late in a stop

Cause: a host that was told to stop went on taking new streams until it ended, and cut them; the balancer sends to a host that is not ready when too few of its zone are. Change: from 2.5 s after the signal streams are refused (not run, come back at once), and plain calls in the last two seconds; the rule is stop_state::takes_request.

--- a/crates/gateway/src/admitted.rs
+++ b/crates/gateway/src/admitted.rs
@@ -6,6 +6,7 @@
 use crate::request_record::RequestRecord;
 use crate::routes::{AccountSpec, Route, RouteTable};
 use crate::state::GatewayState;
+use crate::stop_state::takes_request;
 use crate::wire_format::CallerHead;
 use bytes::Bytes;
 use http::header::{EXPECT, HOST};
@@ -21,6 +22,8 @@
 
 /// When to come back to a host that does not know the configuration yet.
 const UNKNOWN_WAIT: Duration = Duration::from_millis(500);
+/// When to come back from a host that stops: at once, since another one answers.
+const STOPPING_WAIT: Duration = Duration::from_millis(50);
 /// When to come back to a host that holds too many bytes.
 const CROWDED_WAIT: Duration = Duration::from_millis(700);
 /// Part of the process's memory that bodies of requests may take.
@@ -108,6 +111,12 @@
     };
     let head = (state.wire.read_caller)(&parts.headers);
     let route = find_route(&table, &parts)?;
+    let stopping = state.stop.since(started);
+    let patience = state.settings.bounds.stop();
+    if stopping.is_some_and(|since| !takes_request(since, patience, route.repeat.is_stream())) {
+        let refusal = Refusal::new(StatusCode::SERVICE_UNAVAILABLE, "this host is stopping");
+        return Err(refusal.with_retry_after(STOPPING_WAIT));
+    }
     let account = find_account(&table, &route, &head)?;
     record.note_route(&route.name, account.as_ref().map(|account| &account.name), table.version());
     let patience = head.patience.unwrap_or(UNSAID_PATIENCE).min(route.timeout);
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -15,7 +15,6 @@
 use oleander_adapters::http_server::{BodyReadError, ResponseBody, full_body, read_body};
 use oleander_core::attempt_retry::FaultKind;
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 
 /// Largest answer of a plain service, in bytes: a sixteenth of the least memory of a host.
 const MAX_ANSWER_BYTES: usize = 5 * 1024 * 1024;
@@ -23,7 +22,7 @@
 /// Answers one request.
 pub async fn answer(state: Arc<GatewayState>, request: Request<Incoming>) -> Response<ResponseBody> {
     let mut response = answer_open(Arc::clone(&state), request).await;
-    if state.stopping.load(Ordering::Relaxed) {
+    if state.stop.since(state.clock.now()).is_some() {
         response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
     response
--- a/crates/gateway/src/gateway_process.rs
+++ b/crates/gateway/src/gateway_process.rs
@@ -11,6 +11,7 @@
 use crate::seeded_words::SeededWords;
 use crate::settings::GatewaySettings;
 use crate::state::GatewayState;
+use crate::stop_state::{BALANCER_LAG, STOP_RESERVE, StopState};
 use crate::topic_watch::follow_topic;
 use crate::upstream_book::UpstreamBook;
 use crate::wire_format::WireFormat;
@@ -26,15 +27,9 @@
 use std::future::Future;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::net::TcpListener;
 
-/// Time from the signal to stop until connections are ended: the balancer asks once a second
-/// and needs two answers that are not good.
-const BALANCER_LAG: Duration = Duration::from_millis(2_500);
-/// Time before the process is killed at which it ends by itself.
-const STOP_RESERVE: Duration = Duration::from_millis(500);
 /// Time between looks at what expires.
 const EXPIRY_SPAN: Duration = Duration::from_millis(250);
 
@@ -114,7 +109,7 @@
 }
 
 async fn stop_callers(state: &GatewayState, callers: &CallerServer) -> GatewayStop {
-    state.stopping.store(true, Ordering::Relaxed);
+    state.stop.begin(state.clock.now());
     log::info!(target: "process", in_flight = state.metrics.in_flight(); "stopping");
     let _ = tokio::time::timeout(BALANCER_LAG, callers.accept()).await;
     let patience =
@@ -150,7 +145,7 @@
         tally: RolloutTally::new(settings.host.clone(), incarnation),
         words: SeededWords::new(seed),
         metrics: GatewayMetrics::new(registry),
-        stopping: AtomicBool::new(false),
+        stop: StopState::default(),
         settings,
     })
 }
@@ -181,7 +176,7 @@
 }
 
 fn health(state: &GatewayState) -> ProcessHealth {
-    if state.stopping.load(Ordering::Relaxed) {
+    if state.stop.since(state.clock.now()).is_some() {
         return ProcessHealth::NotReady("stopping".into());
     }
     if !state.beliefs.load().complete {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -33,6 +33,7 @@
 pub mod seeded_words;
 pub mod settings;
 pub mod state;
+pub mod stop_state;
 pub mod stream_relay;
 pub mod topic_watch;
 pub mod upstream_book;
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -6,11 +6,11 @@
 use crate::rollout_tally::RolloutTally;
 use crate::seeded_words::SeededWords;
 use crate::settings::GatewaySettings;
+use crate::stop_state::StopState;
 use crate::upstream_book::UpstreamBook;
 use crate::wire_format::WireFormat;
 use oleander_ports::clock::ClockPort;
 use std::sync::Arc;
-use std::sync::atomic::AtomicBool;
 
 /// What all requests share.
 pub struct GatewayState {
@@ -33,5 +33,5 @@
     /// Metrics.
     pub metrics: GatewayMetrics,
     /// Whether the process was told to stop.
-    pub stopping: AtomicBool,
+    pub stop: StopState,
 }
