Find silent feeds by what other hosts know; keep sessions; reload settings

Changes: datagram beacons with the newest known versions and a doubt that renews connections; waits that grow with hosts; a pause that gathers changes; sessions remembered per host; settings reloaded on the signal and by a look every 2 s; looks at sums spread evenly; a failed new version is not asked again for the same request; lean log lines.

--- a/crates/adapters/src/bounded_log.rs
+++ b/crates/adapters/src/bounded_log.rs
@@ -5,18 +5,16 @@
 //! followed by one with that count.
 
 use anyhow::Context;
+use log::kv::{Key, Value, VisitSource};
 use log::{LevelFilter, Record};
 use log4rs::append::Append;
 use log4rs::config::{Appender, Config, Root};
-use log4rs::encode::Encode;
-use log4rs::encode::json::JsonEncoder;
-use log4rs::encode::writer::simple::SimpleWriter;
 use std::fmt;
 use std::io::Write;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::mpsc::{Receiver, SyncSender, sync_channel};
 use std::sync::{Arc, Mutex, PoisonError};
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 /// Lines that may wait; at 400 bytes a line, less than half a megabyte.
 const QUEUE_LINES: usize = 1_024;
@@ -35,9 +33,41 @@
     lines: u32,
 }
 
+/// The fields of a line; texts stay texts and numbers numbers.
+struct LineFields(serde_json::Map<String, serde_json::Value>);
+
+impl<'kvs> VisitSource<'kvs> for LineFields {
+    fn visit_pair(&mut self, key: Key<'kvs>, value: Value<'kvs>) -> Result<(), log::kv::Error> {
+        let json = if let Some(number) = value.to_u64() {
+            number.into()
+        } else if let Some(number) = value.to_i64() {
+            number.into()
+        } else if let Some(flag) = value.to_bool() {
+            flag.into()
+        } else {
+            value.to_string().into()
+        };
+        self.0.insert(key.to_string(), json);
+        Ok(())
+    }
+}
+
+/// One line: time in milliseconds since the Unix epoch, level, target, message, fields.
+fn encode_line(record: &Record<'_>) -> anyhow::Result<Vec<u8>> {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    let mut fields = LineFields(serde_json::Map::new());
+    fields.0.insert("time".to_owned(), (since.as_millis() as u64).into());
+    fields.0.insert("level".to_owned(), record.level().as_str().into());
+    fields.0.insert("target".to_owned(), record.target().into());
+    fields.0.insert("message".to_owned(), record.args().to_string().into());
+    record.key_values().visit(&mut fields)?;
+    let mut line = serde_json::to_vec(&fields.0)?;
+    line.push(b'\n');
+    Ok(line)
+}
+
 /// Appends lines to a bounded queue.
 struct BoundedAppender {
-    encoder: JsonEncoder,
     items: SyncSender<LogItem>,
     dropped: Arc<AtomicU64>,
     window: Mutex<RateWindow>,
@@ -66,8 +96,7 @@
             self.dropped.fetch_add(1, Ordering::Relaxed);
             return Ok(());
         }
-        let mut line = Vec::with_capacity(256);
-        self.encoder.encode(&mut SimpleWriter(&mut line), record)?;
+        let line = encode_line(record)?;
         if self.items.try_send(LogItem::Line(line)).is_err() {
             self.dropped.fetch_add(1, Ordering::Relaxed);
         }
@@ -118,7 +147,6 @@
     let writer = std::thread::Builder::new().name("log".to_owned());
     writer.spawn(move || write_items(&queue, &lost)).context("cannot start the log's thread")?;
     let appender = BoundedAppender {
-        encoder: JsonEncoder::new(),
         items,
         dropped,
         window: Mutex::new(RateWindow { since: Instant::now(), lines: 0 }),
--- a/crates/adapters/src/signals.rs
+++ b/crates/adapters/src/signals.rs
@@ -30,3 +30,22 @@
         }
     }
 }
+
+/// SIGHUP, which says that the settings file has changed.
+pub struct ReloadSignals(Signal);
+
+impl ReloadSignals {
+    /// Takes over the signal.
+    ///
+    /// # Errors
+    ///
+    /// When the system refuses a handler.
+    pub fn new() -> io::Result<Self> {
+        signal(SignalKind::hangup()).map(Self)
+    }
+
+    /// Waits for the next one.
+    pub async fn next(&mut self) {
+        self.0.recv().await;
+    }
+}
--- a/crates/gateway/src/admitted.rs
+++ b/crates/gateway/src/admitted.rs
@@ -76,7 +76,7 @@
     fn take(state: &Arc<GatewayState>, bytes: i64) -> Result<Self, Refusal> {
         let before = state.metrics.add_buffered(bytes);
         let hold = Self { state: Arc::clone(state), bytes };
-        let most = i64::try_from(state.settings.memory_bytes / BUFFER_SHARE).unwrap_or(i64::MAX);
+        let most = i64::try_from(state.settings.load().memory_bytes / BUFFER_SHARE).unwrap_or(i64::MAX);
         if before > 0 && before.saturating_add(bytes) > most {
             let refusal = Refusal::new(StatusCode::SERVICE_UNAVAILABLE, "too many bytes are held");
             return Err(refusal.with_retry_after(CROWDED_WAIT));
@@ -112,7 +112,7 @@
     let head = (state.wire.read_caller)(&parts.headers);
     let route = find_route(&table, &parts)?;
     let stopping = state.stop.since(started);
-    let patience = state.settings.bounds.stop();
+    let patience = state.settings.load().bounds.stop();
     if stopping.is_some_and(|since| !takes_request(since, patience, route.repeat.is_stream())) {
         let refusal = Refusal::new(StatusCode::SERVICE_UNAVAILABLE, "this host is stopping");
         return Err(refusal.with_retry_after(STOPPING_WAIT));
--- /dev/null
+++ b/crates/gateway/src/beacon.rs
@@ -0,0 +1,190 @@
+//! Hosts tell each other how new what they know is.
+//!
+//! A call to the store that waits for changes can hang on a connection that went silent for
+//! good. Every host sends small datagrams to a few others with the newest row version that it
+//! knows of each topic. Who hears of a newer one, and does not get it from the store soon,
+//! doubts its connections and opens new ones. Nothing else is taken from a datagram, so that a
+//! forged one costs a few calls at most.
+
+use crate::control_port::Topic;
+use crate::state::GatewayState;
+use oleander_core::units::Timestamp;
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+use tokio::net::UdpSocket;
+use tokio::sync::watch;
+
+/// Time between datagrams.
+const BEACON_SPAN: Duration = Duration::from_millis(500);
+/// Hosts that are told each time: at 500 ms and 60 bytes this is 240 bytes a second.
+const FAN_OUT: usize = 2;
+/// Time in which news of the store should be there after another host has it; links between
+/// regions take 30 ms, and a host gathers changes for 600 ms.
+const NEWS_PATIENCE: Duration = Duration::from_millis(900);
+/// Least time between doubts, so that a store that is away is not called without end.
+const DOUBT_SPAN: Duration = Duration::from_millis(1_500);
+/// Hosts that are kept; more than there will be.
+const MAX_PEERS: usize = 1_024;
+/// Largest datagram that is read, in bytes.
+const MAX_DATAGRAM: usize = 256;
+
+/// What a datagram says.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct BeaconMessage {
+    /// Highest row version that the sender knows, in the order of [`Topic::ALL`].
+    pub versions: [u64; Topic::ALL.len()],
+}
+
+/// Where other hosts take datagrams.
+#[derive(Debug, Default)]
+pub struct PeerBook(Mutex<Vec<SocketAddr>>);
+
+impl PeerBook {
+    /// A book without hosts.
+    #[must_use]
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Adds a host.
+    pub fn add(&self, address: SocketAddr) {
+        let mut peers = lock(&self.0);
+        if peers.len() < MAX_PEERS && !peers.contains(&address) {
+            peers.push(address);
+        }
+    }
+
+    /// The host at a point in 0..1.
+    fn at(&self, point: f64) -> Option<SocketAddr> {
+        let peers = lock(&self.0);
+        peers.get((point * peers.len() as f64) as usize).copied()
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// Whether the connections to the store are doubted, as all followers of topics see it.
+#[derive(Debug)]
+pub struct FeedDoubt {
+    raised: watch::Sender<u64>,
+    last: Mutex<Option<Timestamp>>,
+}
+
+impl Default for FeedDoubt {
+    fn default() -> Self {
+        Self { raised: watch::Sender::new(0), last: Mutex::default() }
+    }
+}
+
+impl FeedDoubt {
+    /// Raises doubt, unless it was raised a moment ago.
+    pub fn raise(&self, now: Timestamp) {
+        let mut last = lock(&self.last);
+        if last.is_none_or(|last| now.since(last) >= DOUBT_SPAN) {
+            *last = Some(now);
+            self.raised.send_modify(|count| *count += 1);
+        }
+    }
+
+    /// Ends when doubt is raised after this call.
+    pub fn doubted(&self) -> impl Future<Output = ()> + use<> {
+        let mut raised = self.raised.subscribe();
+        raised.mark_unchanged();
+        async move {
+            if raised.changed().await.is_err() {
+                std::future::pending::<()>().await;
+            }
+        }
+    }
+}
+
+/// What other hosts know that this one does not.
+#[derive(Debug, Default)]
+pub struct NewsWatch {
+    ahead: BTreeMap<Topic, (u64, Timestamp)>,
+}
+
+impl NewsWatch {
+    /// Notes what another host knows.
+    pub fn note(&mut self, topic: Topic, version: u64, own: u64, now: Timestamp) {
+        if version > own {
+            self.ahead.entry(topic).or_insert((version, now));
+        }
+    }
+
+    /// Whether news that another host had did not come in time; forgets what has come.
+    pub fn is_late(&mut self, own: &BTreeMap<Topic, u64>, now: Timestamp) -> bool {
+        self.ahead.retain(|topic, (version, _)| own.get(topic).copied().unwrap_or(0) < *version);
+        let late = self.ahead.values().any(|(_, since)| now.since(*since) >= NEWS_PATIENCE);
+        if late {
+            self.ahead.clear();
+        }
+        late
+    }
+}
+
+/// Sends and receives datagrams for as long as it is polled.
+pub async fn run_beacon(
+    state: Arc<GatewayState>,
+    socket: UdpSocket,
+    peers: Arc<PeerBook>,
+    doubt: Arc<FeedDoubt>,
+) {
+    let mut watch = NewsWatch::default();
+    let mut buffer = [0u8; MAX_DATAGRAM];
+    let mut send_at = tokio::time::Instant::now() + BEACON_SPAN;
+    loop {
+        tokio::select! {
+            received = socket.recv_from(&mut buffer) => match received {
+                Ok((length, sender)) => {
+                    receive(&state, &buffer[..length], &mut watch);
+                    peers.add(sender);
+                }
+                Err(error) => log::debug!(target: "beacon", error:%; "no datagram"),
+            },
+            () = tokio::time::sleep_until(send_at) => {
+                send_at += BEACON_SPAN;
+                send(&state, &socket, &peers).await;
+                let now = state.clock.now();
+                if watch.is_late(&state.beliefs.load().versions, now) {
+                    log::warn!(target: "dependency", versions:? = state.beliefs.load().versions; "another host knows more, connections doubted");
+                    doubt.raise(now);
+                }
+            }
+        }
+    }
+}
+
+fn receive(state: &GatewayState, bytes: &[u8], watch: &mut NewsWatch) {
+    let message: BeaconMessage = match postcard::from_bytes(bytes) {
+        Ok(message) => message,
+        Err(error) => {
+            log::debug!(target: "beacon", error:%; "datagram skipped");
+            return;
+        }
+    };
+    let beliefs = state.beliefs.load();
+    let now = state.clock.now();
+    for (topic, version) in Topic::ALL.into_iter().zip(message.versions) {
+        let own = beliefs.versions.get(&topic).copied().unwrap_or(0);
+        watch.note(topic, version, own, now);
+    }
+}
+
+async fn send(state: &GatewayState, socket: &UdpSocket, peers: &PeerBook) {
+    let beliefs = state.beliefs.load_full();
+    let version = |topic| beliefs.versions.get(&topic).copied().unwrap_or(0);
+    let message = BeaconMessage { versions: Topic::ALL.map(version) };
+    let Ok(bytes) = postcard::to_allocvec(&message) else { return };
+    for _ in 0..FAN_OUT {
+        let Some(peer) = peers.at(state.words.point()) else { return };
+        if let Err(error) = socket.send_to(&bytes, peer).await {
+            log::debug!(target: "beacon", error:%, peer:%; "datagram not sent");
+        }
+    }
+}
--- a/crates/gateway/src/beliefs.rs
+++ b/crates/gateway/src/beliefs.rs
@@ -29,6 +29,8 @@
     pub rollouts: BTreeMap<ServiceName, RolloutBelief>,
     /// Whether every topic was read since the process started.
     pub complete: bool,
+    /// Highest row version that was taken in, by topic.
+    pub versions: BTreeMap<Topic, u64>,
     /// Difference of the store's steady clock to this process's, in milliseconds.
     pub store_offset: i64,
 }
@@ -47,11 +49,26 @@
 }
 
 impl Beliefs {
-    /// Which versions a request of a session may go to.
+    /// Which versions a request of a session may go to; `ran_on` is the one that it ran on a
+    /// moment ago, if that is known.
     #[must_use]
-    pub fn version_rule(&self, service: &ServiceName, session: &str) -> VersionRule {
+    pub fn version_rule(
+        &self,
+        service: &ServiceName,
+        session: &str,
+        ran_on: Option<&str>,
+    ) -> VersionRule {
         let Some(belief) = self.rollouts.get(service) else { return VersionRule::Any };
-        version_rule(&belief.order, belief.decision.as_ref(), session)
+        version_rule(&belief.order, belief.decision.as_ref(), session, ran_on)
+    }
+
+    /// Whether a roll-out is ordered and not over.
+    #[must_use]
+    pub fn has_open_rollout(&self) -> bool {
+        let is_over = |belief: &RolloutBelief| {
+            belief.decision.as_ref().is_some_and(|decision| decision.phase.is_over())
+        };
+        self.rollouts.values().any(|belief| !is_over(belief))
     }
 
     /// The store's steady clock.
@@ -308,10 +325,20 @@
             upstreams,
             rollouts: self.rollouts(),
             complete: Topic::ALL.iter().all(read) && self.routes.is_some(),
+            versions: self.versions(),
             store_offset: self.store_offset,
         }
     }
 
+    fn versions(&self) -> BTreeMap<Topic, u64> {
+        let mut versions = BTreeMap::new();
+        for ((topic, _), version) in &self.rows {
+            let highest = versions.entry(*topic).or_default();
+            *highest = (*version).max(*highest);
+        }
+        versions
+    }
+
     fn rollouts(&self) -> BTreeMap<ServiceName, RolloutBelief> {
         let belief = |order: &RolloutOrder, ordered: Timestamp| {
             let found = self.decisions.values().find(|(_, found)| found.service == order.service);
--- a/crates/gateway/src/control_port.rs
+++ b/crates/gateway/src/control_port.rs
@@ -10,7 +10,9 @@
 use oleander_core::ids::{HostId, ServiceName};
 use oleander_core::units::Timestamp;
 use oleander_ports::{PlatformError, PortFuture};
+use serde::{Deserialize, Serialize};
 use std::fmt;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -90,6 +92,15 @@
     HistoryGone,
 }
 
+/// A host that announced itself.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HostPlace {
+    /// The host.
+    pub host: HostId,
+    /// Where it takes datagrams of other hosts.
+    pub peers: Option<SocketAddr>,
+}
+
 /// What became of a conditional write.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum WriteOutcome {
@@ -126,9 +137,12 @@
     fn read_sums(&self, service: ServiceName)
     -> PortFuture<'_, Result<Vec<HostSums>, PlatformError>>;
 
-    /// Notes that this host exists.
-    fn announce(&self, host: HostId) -> PortFuture<'_, Result<(), PlatformError>>;
+    /// Notes that a host exists.
+    fn announce(&self, host: HostPlace) -> PortFuture<'_, Result<(), PlatformError>>;
 
     /// The hosts that announced themselves, also those that are gone.
-    fn hosts(&self) -> PortFuture<'_, Result<Vec<HostId>, PlatformError>>;
+    fn hosts(&self) -> PortFuture<'_, Result<Vec<HostPlace>, PlatformError>>;
+
+    /// Drops connections that may have gone silent; later calls open new ones.
+    fn renew(&self);
 }
--- a/crates/gateway/src/gateway_process.rs
+++ b/crates/gateway/src/gateway_process.rs
@@ -1,5 +1,6 @@
 //! A gateway as a process: listeners, followers of the store, roll-outs, and an orderly stop.
 
+use crate::beacon::{FeedDoubt, PeerBook, run_beacon};
 use crate::belief_keeper::{BeliefKeeper, ExpiryDue, SharedBeliefs};
 use crate::caller_server::CallerServer;
 use crate::control_port::{ControlPort, Topic};
@@ -9,7 +10,8 @@
 use crate::rollout_driver::RolloutDriver;
 use crate::rollout_tally::RolloutTally;
 use crate::seeded_words::SeededWords;
-use crate::settings::GatewaySettings;
+use crate::session_book::SessionBook;
+use crate::settings::{GatewaySettings, SharedSettings};
 use crate::state::GatewayState;
 use crate::stop_state::{BALANCER_LAG, STOP_RESERVE, StopState};
 use crate::topic_watch::follow_topic;
@@ -28,7 +30,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, UdpSocket};
 
 /// Time between looks at what expires.
 const EXPIRY_SPAN: Duration = Duration::from_millis(250);
@@ -50,7 +52,7 @@
     metrics: Option<HttpServer>,
     control: Arc<dyn ControlPort>,
     keeper: ActorRef<BeliefKeeper>,
-    seed: u64,
+    beacon: Option<UdpSocket>,
 }
 
 impl GatewayProcess {
@@ -68,15 +70,16 @@
         let seed = hash_parts(&[settings.host.as_str(), &incarnation.to_string()]);
         let mut registry = Registry::with_prefix("oleander_gateway");
         let state = new_state(settings, wire, incarnation, seed, &mut registry);
-        let address = state.settings.callers;
+        let (address, ready) = (state.settings.load().callers, state.settings.load().ready);
         let listener = TcpListener::bind(address).await;
         let listener = listener.with_context(|| format!("cannot listen on {address}"))?;
         let callers = CallerServer::new(Arc::clone(&state), listener);
-        let ready = HttpServer::bind(state.settings.ready, ready_handler(&state)).await?;
+        let ready = HttpServer::bind(ready, ready_handler(&state)).await?;
         let metrics = bind_metrics(&state, registry).await?;
         let keeper = BeliefKeeper::new(Arc::clone(&state.beliefs), Arc::clone(&state.clock));
         let keeper = BeliefKeeper::spawn(keeper);
-        Ok(Self { state, callers, ready, metrics, control, keeper, seed })
+        let beacon = bind_beacon(&state.settings.load()).await?;
+        Ok(Self { state, callers, ready, metrics, control, keeper, beacon })
     }
 
     /// What all requests share.
@@ -87,14 +90,18 @@
 
     /// Serves until `stop` ends, then stops in order.
     pub async fn serve(self, stop: impl Future<Output = ()>) -> GatewayStop {
-        let Self { state, callers, ready, metrics, control, keeper, seed } = self;
+        let Self { state, callers, ready, metrics, control, keeper, beacon } = self;
+        let (doubt, peers) = (Arc::new(FeedDoubt::default()), Arc::new(PeerBook::new()));
         let mut tasks = tokio::task::JoinSet::new();
-        for (topic, number) in Topic::ALL.into_iter().zip(0..) {
-            let seed = seed.wrapping_add(number);
-            tasks.spawn(follow_topic(topic, Arc::clone(&control), keeper.clone(), seed));
+        for topic in Topic::ALL {
+            let (state, control) = (Arc::clone(&state), Arc::clone(&control));
+            tasks.spawn(follow_topic(topic, state, control, keeper.clone(), Arc::clone(&doubt)));
         }
         tasks.spawn(keep_current(Arc::clone(&state), keeper.clone()));
-        tasks.spawn(count_hosts(Arc::clone(&state), Arc::clone(&control)));
+        tasks.spawn(count_hosts(Arc::clone(&state), Arc::clone(&control), Arc::clone(&peers)));
+        if let Some(socket) = beacon {
+            tasks.spawn(run_beacon(Arc::clone(&state), socket, peers, doubt));
+        }
         tasks.spawn(RolloutDriver::new(Arc::clone(&state), control).run());
         tasks.spawn(ready.serve(std::future::pending()));
         if let Some(metrics) = metrics {
@@ -113,7 +120,7 @@
     log::info!(target: "process", in_flight = state.metrics.in_flight(); "stopping");
     let _ = tokio::time::timeout(BALANCER_LAG, callers.accept()).await;
     let patience =
-        state.settings.bounds.stop().saturating_sub(BALANCER_LAG).saturating_sub(STOP_RESERVE);
+        state.settings.load().bounds.stop().saturating_sub(BALANCER_LAG).saturating_sub(STOP_RESERVE);
     match callers.close(patience).await {
         0 => GatewayStop::Finished,
         left => GatewayStop::Cut(left),
@@ -132,7 +139,8 @@
     seed: u64,
     registry: &mut Registry,
 ) -> Arc<GatewayState> {
-    let settings = Arc::new(settings);
+    let host = settings.host.clone();
+    let settings: SharedSettings = Arc::new(ArcSwap::from_pointee(settings));
     // Times count from a second, so that none is before the start.
     let clock: Arc<dyn ClockPort> = Arc::new(RuntimeClock::new(Timestamp::from_millis(1_000)));
     let beliefs: SharedBeliefs = Arc::new(ArcSwap::default());
@@ -142,7 +150,8 @@
         wire,
         clock,
         latencies: LatencyBook::new(),
-        tally: RolloutTally::new(settings.host.clone(), incarnation),
+        sessions: SessionBook::new(),
+        tally: RolloutTally::new(host, incarnation),
         words: SeededWords::new(seed),
         metrics: GatewayMetrics::new(registry),
         stop: StopState::default(),
@@ -158,6 +167,7 @@
             return;
         }
         state.book.update(&state.beliefs.load().upstreams);
+        state.sessions.forget(state.settings.load().bounds.session_memory(), state.clock.now());
     }
 }
 
@@ -189,8 +199,14 @@
     state: &Arc<GatewayState>,
     registry: Registry,
 ) -> anyhow::Result<Option<HttpServer>> {
-    let Some(address): Option<SocketAddr> = state.settings.metrics else { return Ok(None) };
+    let Some(address): Option<SocketAddr> = state.settings.load().metrics else { return Ok(None) };
     let state = Arc::clone(state);
     let port = AdminPort::new(registry, Arc::new(move || health(&state)));
     port.bind(address).await.map(Some)
 }
+
+async fn bind_beacon(settings: &GatewaySettings) -> anyhow::Result<Option<UdpSocket>> {
+    let Some(address) = settings.peers else { return Ok(None) };
+    let socket = UdpSocket::bind(address).await;
+    socket.with_context(|| format!("cannot listen on {address}")).map(Some)
+}
--- a/crates/gateway/src/host_count.rs
+++ b/crates/gateway/src/host_count.rs
@@ -1,6 +1,7 @@
 //! How many hosts share what the deployment allows all of them together.
 
-use crate::control_port::ControlPort;
+use crate::beacon::PeerBook;
+use crate::control_port::{ControlPort, HostPlace};
 use crate::state::GatewayState;
 use std::sync::Arc;
 use std::time::Duration;
@@ -13,8 +14,14 @@
 const RETRY_SPAN: Duration = Duration::from_secs(2);
 
 /// Announces this host, then counts all of them now and then, for as long as it is polled.
-pub async fn count_hosts(state: Arc<GatewayState>, port: Arc<dyn ControlPort>) {
-    while let Err(error) = port.announce(state.settings.host.clone()).await {
+pub async fn count_hosts(
+    state: Arc<GatewayState>,
+    port: Arc<dyn ControlPort>,
+    peers: Arc<PeerBook>,
+) {
+    let settings = state.settings.load_full();
+    let place = HostPlace { host: settings.host.clone(), peers: settings.peers };
+    while let Err(error) = port.announce(place.clone()).await {
         log::warn!(target: "dependency", error:%; "host was not announced");
         tokio::time::sleep(RETRY_SPAN).await;
     }
@@ -24,6 +31,8 @@
         wait = match port.hosts().await {
             Ok(hosts) => {
                 state.book.set_hosts(hosts.len());
+                let others = hosts.iter().filter(|other| other.host != place.host);
+                others.filter_map(|other| other.peers).for_each(|address| peers.add(address));
                 COUNT_SPAN
             }
             Err(error) => {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -9,6 +9,7 @@
 
 pub mod admitted;
 pub mod attempt;
+pub mod beacon;
 pub mod belief_keeper;
 pub mod beliefs;
 pub mod caller_server;
@@ -31,6 +32,7 @@
 pub mod rollout_tally;
 pub mod routes;
 pub mod seeded_words;
+pub mod session_book;
 pub mod settings;
 pub mod state;
 pub mod stop_state;
--- a/crates/gateway/src/request_run.rs
+++ b/crates/gateway/src/request_run.rs
@@ -7,6 +7,7 @@
 use crate::latency_book::LatencyKey;
 use crate::refusal::Refusal;
 use crate::request_record::RequestRecord;
+use crate::rollout_plan::{RolloutPhase, VersionRule};
 use crate::rollout_tally::TallyPlace;
 use crate::state::GatewayState;
 use crate::upstream_book::{ChoiceInput, UpstreamPermit};
@@ -61,6 +62,8 @@
     runs: u32,
     tried: HashSet<UpstreamName>,
     may_have_run: bool,
+    /// Version that failed this request while it is being rolled out.
+    failed_version: Option<Arc<str>>,
 }
 
 impl RequestRun {
@@ -78,6 +81,7 @@
             runs: 0,
             tried: HashSet::new(),
             may_have_run: false,
+            failed_version: None,
         }
     }
 
@@ -155,6 +159,7 @@
         self.state.metrics.note_fault(fault.kind);
         if fault.may_have_run() {
             self.tally_answer(entry, true);
+            self.avoid_new_version(entry);
         }
         if self.state.book.note_fault(entry, fault, now) {
             self.state.metrics.note_ejection();
@@ -163,6 +168,19 @@
         }
     }
 
+    /// A version that is being rolled out and failed this request gets it no second time.
+    fn avoid_new_version(&mut self, entry: &UpstreamEntry) {
+        let beliefs = self.state.beliefs.load();
+        let belief = beliefs.rollouts.get(&self.request.service);
+        let is_open = belief.is_some_and(|belief| {
+            let phase = belief.decision.as_ref().map(|decision| decision.phase);
+            belief.order.to == entry.version && phase != Some(RolloutPhase::Done)
+        });
+        if is_open {
+            self.failed_version = Some(Arc::clone(&entry.version));
+        }
+    }
+
     fn choose(&mut self, last: Option<&AttemptFault>) -> Option<UpstreamPermit> {
         let chosen = self.choose_untried();
         let was_full = last.is_some_and(|fault| fault.kind == FaultKind::NotRun);
@@ -177,7 +195,17 @@
         // Later attempts see news; the route stays that of the start.
         let beliefs = self.state.beliefs.load();
         let entries = beliefs.upstreams.get(&self.request.service)?;
-        let rule = beliefs.version_rule(&self.request.service, &self.request.session);
+        let failed = self.failed_version.clone().map(VersionRule::Not);
+        let rule = failed.unwrap_or_else(|| {
+            let (service, session) = (&self.request.service, &self.request.session);
+            let ran_on = self.state.sessions.version(
+                service,
+                session,
+                self.state.settings.load().bounds.session_memory(),
+                self.state.clock.now(),
+            );
+            beliefs.version_rule(service, session, ran_on.as_deref())
+        });
         let model = self.model().unwrap_or_default();
         let shared = self.request.shared.as_ref().map(|shared| format!("{model}/{shared}"));
         self.state.book.choose(&ChoiceInput {
@@ -263,6 +291,7 @@
     ) {
         self.runs += 1;
         self.may_have_run = true;
+        self.note_session(&entry.version);
         self.state.metrics.note_head(span);
         let key = self.latency_key(model);
         let usual = self.state.latencies.usual(&key);
@@ -279,6 +308,17 @@
         self.record.note_attempt(entry.name.as_str(), model.map(|model| &**model), &result);
     }
 
+    /// Notes that the session runs on a version now.
+    fn note_session(&self, version: &Arc<str>) {
+        let now = self.state.clock.now();
+        self.state.sessions.note(&self.request.service, &self.request.session, version, now);
+    }
+
+    /// Notes that a stream ends on a version: the session's gap counts from here.
+    pub fn note_stream_end(&mut self, entry: &UpstreamEntry) {
+        self.note_session(&entry.version);
+    }
+
     fn latency_key(&self, model: Option<&Arc<str>>) -> LatencyKey {
         latency_key(&self.request, model)
     }
--- a/crates/gateway/src/rollout_driver.rs
+++ b/crates/gateway/src/rollout_driver.rs
@@ -35,6 +35,7 @@
 #[derive(Default)]
 struct ServiceDuty {
     judge: Option<RolloutJudge>,
+    phase: Option<RolloutPhase>,
     reported: Option<HostSums>,
     report_at: Timestamp,
     judge_at: Timestamp,
@@ -72,7 +73,8 @@
                 Some(phase) if phase.is_over() => {
                     self.duties.remove(service);
                 }
-                Some(_) => {
+                Some(phase) => {
+                    self.spread_looks(service, phase);
                     self.report(service, belief).await;
                     self.judge(service, belief).await;
                 }
@@ -80,6 +82,17 @@
         }
     }
 
+    /// Spreads the looks of all hosts evenly when a phase begins: they learn of it together, and
+    /// would otherwise all look at once and then for a long time not at all.
+    fn spread_looks(&mut self, service: &ServiceName, phase: RolloutPhase) {
+        let at = self.state.clock.now() + self.judge_span().mul_f64(self.state.words.point());
+        let duty = self.duty(service);
+        if duty.phase != Some(phase) {
+            duty.phase = Some(phase);
+            duty.judge_at = at;
+        }
+    }
+
     /// Begins a roll-out once the new version has an upstream.
     async fn begin(&mut self, service: &ServiceName, belief: &RolloutBelief) {
         let beliefs = self.state.beliefs.load_full();
@@ -142,7 +155,7 @@
         };
         judge.look(&sums);
         let evidence = judge.evidence(&sums, elapsed);
-        let bounds = &self.state.settings.bounds;
+        let bounds = self.state.settings.load().bounds;
         let bound = ExposureBound { share: bounds.exposure_share, slack: bounds.exposure_slack };
         let next = next_phase(decision.phase, belief.order.duration, &evidence, &bound);
         if let Some((phase, reason)) = next {
--- a/crates/gateway/src/rollout_plan.rs
+++ b/crates/gateway/src/rollout_plan.rs
@@ -115,7 +115,8 @@
     }
 }
 
-/// The rule for a request of `session` while `order` is in force.
+/// The rule for a request of `session` while `order` is in force. `ran_on` is the version that
+/// the session ran on a moment ago, if it is known: a young roll-out does not move it.
 ///
 /// ```
 /// use oleander_core::ids::ServiceName;
@@ -130,7 +131,7 @@
 ///     duration: Duration::from_secs(24),
 ///     order: 7,
 /// };
-/// assert_eq!(version_rule(&order, None, "van-1"), VersionRule::Not("v2".into()));
+/// assert_eq!(version_rule(&order, None, "van-1", None), VersionRule::Not("v2".into()));
 /// let decision = RolloutDecision {
 ///     service,
 ///     to: "v2".into(),
@@ -138,21 +139,23 @@
 ///     phase: RolloutPhase::Done,
 ///     began: Timestamp::from_millis(0),
 /// };
-/// assert_eq!(version_rule(&order, Some(&decision), "van-1"), VersionRule::Prefer("v2".into()));
+/// assert_eq!(version_rule(&order, Some(&decision), "van-1", None), VersionRule::Prefer("v2".into()));
 /// ```
 #[must_use]
 pub fn version_rule(
     order: &RolloutOrder,
     decision: Option<&RolloutDecision>,
     session: &str,
+    ran_on: Option<&str>,
 ) -> VersionRule {
     let to = Arc::clone(&order.to);
     match decision.filter(|decision| decision.order == order.order).map(|found| found.phase) {
         None | Some(RolloutPhase::Reverted) => VersionRule::Not(to),
-        Some(RolloutPhase::Canary) if session_point(session) < CANARY_SHARE => {
-            VersionRule::Prefer(to)
+        Some(RolloutPhase::Canary) => {
+            let drawn = session_point(session) < CANARY_SHARE;
+            let is_new = ran_on.map_or(drawn, |version| *version == *to);
+            if is_new { VersionRule::Prefer(to) } else { VersionRule::Not(to) }
         }
-        Some(RolloutPhase::Canary) => VersionRule::Not(to),
         Some(RolloutPhase::Moving | RolloutPhase::Done) => VersionRule::Prefer(to),
     }
 }
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -1,11 +1,16 @@
 //! Settings of a gateway.
 
+use arc_swap::ArcSwap;
 use oleander_core::ids::{DomainName, HostId, RegionName};
 use serde::Deserialize;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
+/// Settings in force; a reload swaps them.
+pub type SharedSettings = Arc<ArcSwap<GatewaySettings>>;
+
 /// Settings of one gateway process.
 #[derive(Clone, Debug, PartialEq, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -25,6 +30,9 @@
     /// Where metrics are read; nowhere when left out.
     #[serde(default)]
     pub metrics: Option<SocketAddr>,
+    /// Where other hosts send datagrams; hosts do without when left out.
+    #[serde(default)]
+    pub peers: Option<SocketAddr>,
     /// The platform's store.
     pub store: SocketAddr,
     /// Memory that the process may use, in bytes.
@@ -69,6 +77,13 @@
 }
 
 impl GatewayBounds {
+    /// Time for which a session's version is remembered after its last request: its gap, and a
+    /// second for clocks and links.
+    #[must_use]
+    pub const fn session_memory(&self) -> Duration {
+        Duration::from_millis(self.session_gap_ms + 1_000)
+    }
+
     /// Time from the signal to stop until the process is killed.
     #[must_use]
     pub const fn stop(&self) -> Duration {
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -5,7 +5,8 @@
 use crate::metrics::GatewayMetrics;
 use crate::rollout_tally::RolloutTally;
 use crate::seeded_words::SeededWords;
-use crate::settings::GatewaySettings;
+use crate::session_book::SessionBook;
+use crate::settings::SharedSettings;
 use crate::stop_state::StopState;
 use crate::upstream_book::UpstreamBook;
 use crate::wire_format::WireFormat;
@@ -15,7 +16,7 @@
 /// What all requests share.
 pub struct GatewayState {
     /// Settings of the process.
-    pub settings: Arc<GatewaySettings>,
+    pub settings: SharedSettings,
     /// What is believed of configuration, upstreams and roll-outs.
     pub beliefs: SharedBeliefs,
     /// Upstreams as this host uses them.
@@ -26,6 +27,8 @@
     pub clock: Arc<dyn ClockPort>,
     /// Usual latencies.
     pub latencies: LatencyBook,
+    /// Versions that sessions ran on.
+    pub sessions: SessionBook,
     /// Sums of roll-outs.
     pub tally: RolloutTally,
     /// Random draws.
--- a/crates/gateway/src/stream_relay.rs
+++ b/crates/gateway/src/stream_relay.rs
@@ -135,6 +135,7 @@
     fn finish(&mut self) {
         self.run.record.note_end("answered", 200, "");
         if let Some(answer) = self.answer.take() {
+            self.run.note_stream_end(&answer.permit.cell.entry);
             let now = self.run.state.clock.now();
             tokio::spawn(answer.keep_link(now));
         }
--- a/crates/gateway/src/topic_watch.rs
+++ b/crates/gateway/src/topic_watch.rs
@@ -1,16 +1,27 @@
 //! Follows one topic of the platform's store for as long as the process runs.
 
+use crate::beacon::FeedDoubt;
 use crate::belief_keeper::{BeliefKeeper, TopicChanged, TopicLost};
 use crate::control_port::{ControlPort, Topic, TopicNews};
+use crate::state::GatewayState;
 use kameo::actor::ActorRef;
 use oleander_core::backoff::RetryBackoff;
 use oleander_ports::PlatformError;
 use std::sync::Arc;
 use std::time::Duration;
 
-/// Longest wait for a change in one call. Each call costs, and a connection that went silent is
-/// found by probes within about two seconds, however long the wait.
-const FOLLOW_WAIT: Duration = Duration::from_secs(15);
+/// Bounds of the wait for a change in one call, and what each host adds to it. Each call costs.
+/// A connection that went silent shows when its call does not end in time; a host that hears of
+/// it tells the others, so the more hosts there are, the longer each may wait: one call in half
+/// a second ends somewhere. The store allows 30 s.
+const LEAST_WAIT: Duration = Duration::from_millis(3_000);
+const LONGEST_WAIT: Duration = Duration::from_secs(25);
+const WAIT_PER_HOST: Duration = Duration::from_millis(500);
+/// Time between looks whether a roll-out is open.
+const OPEN_POLL: Duration = Duration::from_millis(200);
+/// Pause after a change before the next call, so that changes which come together, as when many
+/// upstreams start, take one call and not one each. Changes have to be known within 3 s.
+const GATHER_PAUSE: Duration = Duration::from_millis(600);
 /// First wait after a failed call; doubles up to [`LONGEST_RETRY`].
 const FIRST_RETRY: Duration = Duration::from_millis(100);
 /// Longest wait after failed calls: well within the 4 s after an outage in which a host counts
@@ -20,19 +31,38 @@
 /// Follows `topic` and tells `keeper` what changes; ends when the keeper does.
 pub async fn follow_topic(
     topic: Topic,
+    state: Arc<GatewayState>,
     port: Arc<dyn ControlPort>,
     keeper: ActorRef<BeliefKeeper>,
-    seed: u64,
+    doubts: Arc<FeedDoubt>,
 ) {
     let backoff = RetryBackoff::new(FIRST_RETRY, LONGEST_RETRY);
     let mut cursor = None;
     let mut failures = 0u32;
     loop {
-        let told = match next_news(topic, &*port, cursor).await {
+        if topic == Topic::Decisions && cursor.is_some() {
+            open_rollout(&state).await;
+        }
+        let wait = follow_wait(state.book.hosts(), state.words.point());
+        let doubted = doubts.doubted();
+        let news = tokio::select! {
+            news = next_news(topic, &*port, cursor, wait) => news,
+            () = doubted => {
+                log::info!(target: "dependency", topic:% = topic; "connections doubted, opening new ones");
+                port.renew();
+                continue;
+            }
+        };
+        let told = match news {
             Ok(TopicNews::Change(change)) => {
                 failures = 0;
                 cursor = Some(cursor.unwrap_or(0).max(change.cursor));
-                keeper.tell(TopicChanged(topic, change)).await.is_ok()
+                let is_news = !change.rows.is_empty();
+                let told = keeper.tell(TopicChanged(topic, change)).await.is_ok();
+                if told && is_news {
+                    tokio::time::sleep(GATHER_PAUSE).await;
+                }
+                told
             }
             Ok(TopicNews::HistoryGone) => {
                 log::warn!(target: "dependency", topic:% = topic; "history gone, reading all again");
@@ -41,8 +71,10 @@
             }
             Err(error) => {
                 let told = keeper.tell(TopicLost(topic, error.to_string())).await.is_ok();
-                let word = seed.wrapping_add(u64::from(failures));
-                tokio::time::sleep(backoff.wait(failures, word)).await;
+                if matches!(error, PlatformError::Unknown(_)) {
+                    doubts.raise(state.clock.now());
+                }
+                tokio::time::sleep(FIRST_RETRY / 2 + backoff.wait(failures, state.words.next())).await;
                 failures = failures.saturating_add(1);
                 told
             }
@@ -53,13 +85,28 @@
     }
 }
 
+/// Waits until a roll-out is open: nobody decides anything before one is ordered.
+async fn open_rollout(state: &GatewayState) {
+    while !state.beliefs.load().has_open_rollout() {
+        tokio::time::sleep(OPEN_POLL).await;
+    }
+}
+
 async fn next_news(
     topic: Topic,
     port: &dyn ControlPort,
     cursor: Option<u64>,
+    wait: Duration,
 ) -> Result<TopicNews, PlatformError> {
     match cursor {
         None => port.read(topic).await.map(TopicNews::Change),
-        Some(cursor) => port.follow(topic, cursor, FOLLOW_WAIT).await,
+        Some(cursor) => port.follow(topic, cursor, wait).await,
     }
 }
+
+/// The wait of one call of a host among `hosts`; `point` in 0..1 keeps hosts apart.
+fn follow_wait(hosts: usize, point: f64) -> Duration {
+    let hosts = u32::try_from(hosts).unwrap_or(u32::MAX);
+    let wait = WAIT_PER_HOST.saturating_mul(hosts).clamp(LEAST_WAIT, LONGEST_WAIT);
+    wait.mul_f64(0.75 + point / 4.0)
+}
--- a/crates/gateway/src/upstream_book.rs
+++ b/crates/gateway/src/upstream_book.rs
@@ -3,7 +3,7 @@
 use crate::fault::AttemptFault;
 use crate::link::UpstreamLink;
 use crate::rollout_plan::VersionRule;
-use crate::settings::{GatewayBounds, GatewaySettings};
+use crate::settings::{GatewayBounds, SharedSettings};
 use crate::upstream_entry::UpstreamEntry;
 use crate::wire_format::{AnswerLoad, TokenSize};
 use oleander_core::ejection::OutlierEjection;
@@ -170,7 +170,7 @@
 
 /// All upstreams as this host uses them.
 pub struct UpstreamBook {
-    settings: Arc<GatewaySettings>,
+    settings: SharedSettings,
     cells: Mutex<HashMap<UpstreamName, Arc<UpstreamCell>>>,
     services: Mutex<BTreeMap<ServiceName, ServiceState>>,
     hosts: Mutex<usize>,
@@ -179,7 +179,7 @@
 impl UpstreamBook {
     /// A book of a host that uses no upstream yet.
     #[must_use]
-    pub fn new(settings: Arc<GatewaySettings>) -> Self {
+    pub fn new(settings: SharedSettings) -> Self {
         Self {
             settings,
             cells: Mutex::default(),
@@ -203,7 +203,7 @@
 
     fn new_service(&self) -> ServiceState {
         let ejection = OutlierEjection::new(EJECTION_SHARE).with_base(EJECTION_BASE);
-        ServiceState { ejection, budget: new_budget(&self.settings.bounds, *lock(&self.hosts)) }
+        ServiceState { ejection, budget: new_budget(&self.settings.load().bounds, *lock(&self.hosts)) }
     }
 
     /// Sets how many hosts share the extra retries.
@@ -213,7 +213,7 @@
             return;
         }
         *known = hosts.max(1);
-        let budget = new_budget(&self.settings.bounds, *known);
+        let budget = new_budget(&self.settings.load().bounds, *known);
         for state in lock(&self.services).values_mut() {
             let balance = state.budget.balance().max(budget.balance());
             state.budget = budget.with_balance(balance);
@@ -318,7 +318,8 @@
     }
 
     fn is_local(&self, cell: &UpstreamCell) -> bool {
-        self.settings.region_of(&cell.entry.domain) == Some(&self.settings.region)
+        let settings = self.settings.load();
+        settings.region_of(&cell.entry.domain) == Some(&settings.region)
     }
 
     /// Leaves other regions out while an upstream of this one has room.
--- a/src/bin/oleander-gateway/main.rs
+++ b/src/bin/oleander-gateway/main.rs
@@ -9,15 +9,18 @@
 use exit_codes::GatewayExit;
 use oleander_adapters::bounded_log::start_bounded_logs;
 use oleander_adapters::settings::read_settings;
-use oleander_adapters::signals::StopSignals;
+use oleander_adapters::signals::{ReloadSignals, StopSignals};
 use oleander_gateway::gateway_process::{GatewayProcess, GatewayStop};
-use oleander_gateway::settings::GatewaySettings;
+use oleander_gateway::settings::{GatewaySettings, SharedSettings};
 use oleander_platform::headers::wire_format;
 use oleander_platform::store::StoreClient;
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::sync::Arc;
+use std::time::Duration;
 
+/// Time between looks at the settings file, which may change without a signal.
+const SETTINGS_SPAN: Duration = Duration::from_secs(2);
 /// Ending of settings files that are the project's own.
 const OWN_ENDING: &str = "jsonc";
 
@@ -38,12 +41,15 @@
 async fn serve(cli: &Cli) -> anyhow::Result<GatewayStop> {
     let settings = load_settings(&cli.settings)?;
     start_bounded_logs(&cli.log_level)?;
-    let mut signals = StopSignals::new()?;
+    let (mut signals, reloads) = (StopSignals::new()?, ReloadSignals::new()?);
     let control = Arc::new(StoreClient::new(settings.store));
     let (host, callers) = (settings.host.clone(), settings.callers);
     let process = GatewayProcess::start(settings, wire_format(), control).await?;
     log::info!(target: "process", host:%, callers:%; "started");
+    let settings = Arc::clone(&process.state().settings);
+    let reload = tokio::spawn(follow_settings(cli.settings.clone(), settings, reloads));
     let stop = process.serve(signals.next()).await;
+    reload.abort();
     log::info!(target: "process", host:%, stop:?; "stopped");
     Ok(stop)
 }
@@ -56,3 +62,31 @@
     let text = text.with_context(|| format!("cannot read {}", path.display()))?;
     oleander_platform::settings::read_settings(&text).with_context(|| path.display().to_string())
 }
+
+/// Takes changed settings into force, on a signal and now and then. Addresses stay as they were
+/// at the start; a file that cannot be read changes nothing.
+async fn follow_settings(path: PathBuf, shared: SharedSettings, mut reloads: ReloadSignals) {
+    let mut failure = String::new();
+    loop {
+        let signalled = tokio::time::timeout(SETTINGS_SPAN, reloads.next()).await.is_ok();
+        match load_settings(&path) {
+            Ok(settings) => {
+                let is_new = **shared.load() != settings;
+                if is_new || signalled {
+                    log::info!(target: "process", is_new, signalled; "settings reloaded");
+                }
+                if is_new {
+                    shared.store(Arc::new(settings));
+                }
+                failure.clear();
+            }
+            Err(error) => {
+                let text = format!("{error:#}");
+                if text != failure {
+                    log::warn!(target: "process", error = text.as_str(); "settings not reloaded");
+                }
+                failure = text;
+            }
+        }
+    }
+}
