Choose upstreams by unread prompts and prices; leave a queue only for a quicker one

Change: backlog of unread prompts in the expected cost, draws among the nearest, prices of transfer, latency and prompts read again (choice_price), a holder of shared prompts over all regions where that pays; an attempt waits on unless another upstream promises an answer in a quarter of the goal; two retries are kept for faults; the first requests of a fresh host wait at most 0.7 s for its beliefs.

--- a/crates/core/src/upstream_choice.rs
+++ b/crates/core/src/upstream_choice.rs
@@ -1,7 +1,7 @@
 //! Which upstream gets an attempt.
 //!
-//! Two candidates are drawn at random, a third is the likeliest holder of the prompt's prefix,
-//! and the one with the least expected cost wins: money plus the price of the expected latency.
+//! Two candidates are drawn at random, two more among the nearest, one is the likeliest holder of
+//! the prompt's prefix, and the one with the least expected cost wins: money plus the price of the expected latency.
 //! A load report is old when it arrives, so it is blended with the mean of all reports by its
 //! age, and the host's own requests in flight are counted exactly. That keeps hosts from
 //! rushing to the same upstream that looked idle a moment ago.
@@ -63,6 +63,8 @@
     pub region_price: Money,
     /// Delay there and back.
     pub delay: Millis,
+    /// Time that prompts which wait there are expected to take before a new one is read.
+    pub backlog: Millis,
     /// Share of full work that it may get while it warms up, from 0 to 1.
     pub slow_start: f64,
     /// Share of its latest attempts that failed, from 0 to 1.
@@ -86,6 +88,7 @@
             cached: TokenCount::new(0),
             region_price: Money::ZERO,
             delay: Millis::new(0),
+            backlog: Millis::new(0),
             slow_start: 1.0,
             failing: 0.0,
             ejected: false,
@@ -194,7 +197,8 @@
     let holder = holder.filter(|&index| views[index].cached.get() > 0);
     let mean = mean_others(views);
     let cost = |index: usize| expected_cost(&views[index], work, mean);
-    let candidates = [Some(first), Some(second), holder];
+    let [near, next] = draw_near(views, open, mix(random ^ 1));
+    let candidates = [Some(first), Some(second), near, next, holder];
     candidates.into_iter().flatten().min_by(|&a, &b| cost(a).total_cmp(&cost(b)))
 }
 
@@ -215,6 +219,18 @@
     chosen
 }
 
+/// Draws two of the nearest upstreams, where some are farther away than others.
+fn draw_near(views: &[UpstreamView], open: &[usize], random: u64) -> [Option<usize>; 2] {
+    let delay = |index: &usize| views[*index].delay.get();
+    let least = open.iter().map(delay).min().unwrap_or(0);
+    let near: Vec<usize> = open.iter().copied().filter(|index| delay(index) == least).collect();
+    if near.is_empty() || near.len() == open.len() {
+        return [None, None];
+    }
+    let first = draw(views, &near, random, None);
+    [Some(first), Some(draw(views, &near, mix(random), Some(first)))]
+}
+
 fn pick(random: u64, len: usize) -> usize {
     ((unit_point(random) * len as f64) as usize).min(len - 1)
 }
@@ -256,7 +272,8 @@
     let prefill = work.first_token.get() as f64 * (1.0 - PREFILL_SAVED * cached.min(1.0));
     let slowdown = 1.0 + BATCH_SLOWDOWN * (load / slots).min(1.0);
     let decode = work.token_gap.get() as f64 * f64::from(work.answer.get()) * slowdown;
-    waiting + (view.delay.get() as f64 + prefill + decode) / MILLIS_PER_SECOND
+    let delays = (view.delay.get() + view.backlog.get()) as f64;
+    waiting + (delays + prefill + decode) / MILLIS_PER_SECOND
 }
 
 /// Expected cost in millionths: the region's price plus the price of the expected latency.
--- a/crates/gateway/src/admitted.rs
+++ b/crates/gateway/src/admitted.rs
@@ -22,6 +22,9 @@
 
 /// When to come back to a host that does not know the configuration yet.
 const UNKNOWN_WAIT: Duration = Duration::from_millis(500);
+/// Longest wait for the first beliefs: ten answers of the store from the farthest region.
+const START_WAIT: Duration = Duration::from_millis(700);
+const START_POLL: Duration = Duration::from_millis(20);
 /// When to come back from a host that stops: at once, since another one answers.
 const STOPPING_WAIT: Duration = Duration::from_millis(50);
 /// When to come back to a host that holds too many bytes.
@@ -48,7 +51,7 @@
     /// What names its session for roll-outs.
     pub session: Arc<str>,
     /// What it shares with other requests that should stay together.
-    pub shared: Option<Arc<str>>,
+    pub shared: Option<SharedPrompt>,
     /// When it came.
     pub started: Timestamp,
     /// When its time is over.
@@ -66,6 +69,15 @@
     }
 }
 
+/// The start of a prompt that requests share.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct SharedPrompt {
+    /// Id of its last part, which stands for those before it.
+    pub id: Arc<str>,
+    /// Its tokens.
+    pub tokens: u32,
+}
+
 /// Bytes of a request that are held in memory.
 struct BufferHold {
     state: Arc<GatewayState>,
@@ -102,7 +114,7 @@
     record: &mut RequestRecord,
 ) -> Result<AdmittedRequest, Refusal> {
     let started = state.clock.now();
-    let beliefs = state.beliefs.load_full();
+    let beliefs = known_beliefs(state).await;
     let (parts, body) = request.into_parts();
     let unknown = Refusal::new(StatusCode::SERVICE_UNAVAILABLE, "no configuration is known yet")
         .with_retry_after(UNKNOWN_WAIT);
@@ -146,6 +158,22 @@
     })
 }
 
+/// What is believed; a process that has just started waits for its first beliefs, which take a
+/// few calls, rather than sending the caller away.
+async fn known_beliefs(state: &GatewayState) -> Arc<Beliefs> {
+    let known = async {
+        loop {
+            let beliefs = state.beliefs.load_full();
+            if beliefs.complete {
+                return beliefs;
+            }
+            tokio::time::sleep(START_POLL).await;
+        }
+    };
+    let found = tokio::time::timeout(START_WAIT, known).await;
+    found.unwrap_or_else(|_| state.beliefs.load_full())
+}
+
 fn find_route(table: &RouteTable, parts: &Parts) -> Result<Arc<Route>, Refusal> {
     let bytes: usize =
         parts.headers.iter().map(|(name, value)| name.as_str().len() + value.len() + 4).sum();
@@ -229,9 +257,11 @@
     Arc::from(id.unwrap_or(""))
 }
 
-/// The longest part of the prompt that others may share: all but the last one, which is the
+/// The start of the prompt that others may share: all parts but the last one, which is the
 /// request's own.
-fn shared_of(head: &CallerHead) -> Option<Arc<str>> {
-    let last = head.parts.len().checked_sub(2)?;
-    Some(Arc::clone(&head.parts[last].id))
+fn shared_of(head: &CallerHead) -> Option<SharedPrompt> {
+    let (_, shared) = head.parts.split_last()?;
+    let last = shared.last()?;
+    let tokens = shared.iter().map(|part| part.tokens).fold(0, u32::saturating_add);
+    Some(SharedPrompt { id: Arc::clone(&last.id), tokens })
 }
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -112,7 +112,7 @@
 pub async fn send_attempt(
     wire: &WireFormat,
     clock: &dyn ClockPort,
-    permit: UpstreamPermit,
+    mut permit: UpstreamPermit,
     request: &OutgoingRequest,
     head: &UpstreamHead,
     patience: Duration,
@@ -121,6 +121,7 @@
     let (link, response) = tokio::time::timeout(patience, work).await.unwrap_or_else(|_| {
         Err(AttemptFault::new(FaultKind::Silent, format!("no answer within {patience:?}")))
     })?;
+    permit.note_read();
     let (parts, body) = response.into_parts();
     let answer = (wire.read_answer)(&parts.headers);
     if let Some(load) = answer.load {
--- a/crates/gateway/src/gateway_process.rs
+++ b/crates/gateway/src/gateway_process.rs
@@ -5,7 +5,7 @@
 use crate::caller_server::CallerServer;
 use crate::control_port::{ControlPort, Topic};
 use crate::host_count::count_hosts;
-use crate::latency_book::LatencyBook;
+use crate::latency_book::{LatencyBook, ReadBook};
 use crate::metrics::GatewayMetrics;
 use crate::rollout_driver::RolloutDriver;
 use crate::rollout_tally::RolloutTally;
@@ -150,6 +150,7 @@
         wire,
         clock,
         latencies: LatencyBook::new(),
+        reads: ReadBook::new(),
         sessions: SessionBook::new(),
         tally: RolloutTally::new(host, incarnation),
         words: SeededWords::new(seed),
--- a/crates/gateway/src/latency_book.rs
+++ b/crates/gateway/src/latency_book.rs
@@ -28,6 +28,49 @@
     log_millis: f64,
 }
 
+impl LatencyMean {
+    fn add(&mut self, log_millis: f64) {
+        let gain = GAIN.max(1.0 / f64::from(self.answers + 1));
+        self.answers = self.answers.saturating_add(1);
+        self.log_millis += (log_millis - self.log_millis) * gain;
+    }
+}
+
+/// Time to read a thousand prompt tokens that is assumed before answers are in, in ms.
+const ASSUMED_READ: f64 = 11.0;
+/// Tokens that each request counts for beside its prompt, so that short ones say little.
+const READ_BASE: f64 = 1_000.0;
+
+/// Moving means of how long models take to read prompts, queues included.
+#[derive(Debug, Default)]
+pub struct ReadBook(Mutex<HashMap<(ServiceName, Arc<str>), LatencyMean>>);
+
+impl ReadBook {
+    /// A book without answers.
+    #[must_use]
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Notes that the head of an answer to a prompt of `tokens` took `latency`.
+    pub fn note(&self, service: &ServiceName, model: &Arc<str>, tokens: u32, latency: Duration) {
+        let mut means = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        let mean = means.entry((service.clone(), Arc::clone(model))).or_default();
+        let millis = latency.as_secs_f64() * 1_000.0;
+        mean.add((millis / (f64::from(tokens) + READ_BASE) * 1_000.0).max(0.1).ln());
+    }
+
+    /// Expected time to read a prompt.
+    #[must_use]
+    pub fn expected(&self, service: &ServiceName, model: &Arc<str>, tokens: u32) -> Duration {
+        let means = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        let mean = means.get(&(service.clone(), Arc::clone(model)));
+        let known = mean.filter(|mean| mean.answers >= LEAST_ANSWERS);
+        let read = known.map_or(ASSUMED_READ, |mean| mean.log_millis.exp());
+        Duration::from_secs_f64(read * f64::from(tokens) / 1_000.0 / 1_000.0)
+    }
+}
+
 /// Moving means of latencies. Means of logarithms, since a few answers take very long.
 #[derive(Debug, Default)]
 pub struct LatencyBook(Mutex<HashMap<LatencyKey, LatencyMean>>);
@@ -43,10 +86,7 @@
     pub fn note(&self, key: &LatencyKey, latency: Duration) {
         let mut means = self.0.lock().unwrap_or_else(PoisonError::into_inner);
         let mean = means.entry(key.clone()).or_default();
-        let log = (latency.as_secs_f64() * 1_000.0).max(1.0).ln();
-        let gain = GAIN.max(1.0 / f64::from(mean.answers + 1));
-        mean.answers = mean.answers.saturating_add(1);
-        mean.log_millis += (log - mean.log_millis) * gain;
+        mean.add((latency.as_secs_f64() * 1_000.0).max(1.0).ln());
     }
 
     /// The usual latency, once enough answers are in.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod beliefs;
 pub mod caller_server;
 pub mod cascade;
+pub mod choice_price;
 pub mod control_port;
 pub mod event_splitter;
 pub mod exchange;
--- a/crates/gateway/src/request_run.rs
+++ b/crates/gateway/src/request_run.rs
@@ -2,7 +2,9 @@
 
 use crate::admitted::AdmittedRequest;
 use crate::attempt::{LiveAnswer, send_attempt};
+use crate::beliefs::Beliefs;
 use crate::cascade::{CascadeModel, CascadeRequest, CascadeStep, plan_steps};
+use crate::choice_price::{ChoicePrices, PricedRequest, prices};
 use crate::fault::AttemptFault;
 use crate::latency_book::LatencyKey;
 use crate::refusal::Refusal;
@@ -10,7 +12,7 @@
 use crate::rollout_plan::{RolloutPhase, VersionRule};
 use crate::rollout_tally::TallyPlace;
 use crate::state::GatewayState;
-use crate::upstream_book::{ChoiceInput, UpstreamPermit};
+use crate::upstream_book::{ChoiceInput, UpstreamBook, UpstreamPermit};
 use crate::upstream_entry::UpstreamEntry;
 use crate::wire_format::{ModelWish, UpstreamHead};
 use http::{HeaderValue, StatusCode};
@@ -27,6 +29,8 @@
 /// Part of the time in which an answer is on time that one attempt may take before another
 /// upstream is tried.
 const PATIENCE_SHARE: f64 = 0.6;
+/// Part of the goal within which another upstream has to promise an answer to be tried instead.
+const QUICK_SHARE: f64 = 0.25;
 /// Times the usual latency that an attempt may take before another upstream is tried.
 const PATIENCE_FACTOR: u32 = 4;
 /// Times the usual latency from which an answer counts as slow in a roll-out.
@@ -192,30 +196,69 @@
     }
 
     fn choose_untried(&self) -> Option<UpstreamPermit> {
+        self.with_choice(|book, input| book.choose(input)).flatten()
+    }
+
+    /// Whether an attempt that has waited long would do better elsewhere.
+    fn has_quick(&self) -> bool {
+        let limit = self.request.route.goal.mul_f64(QUICK_SHARE);
+        self.with_choice(|book, input| book.has_quick(input, limit)).unwrap_or(false)
+    }
+
+    fn with_choice<T>(&self, ask: impl FnOnce(&UpstreamBook, &ChoiceInput<'_>) -> T) -> Option<T> {
         // Later attempts see news; the route stays that of the start.
         let beliefs = self.state.beliefs.load();
         let entries = beliefs.upstreams.get(&self.request.service)?;
-        let failed = self.failed_version.clone().map(VersionRule::Not);
-        let rule = failed.unwrap_or_else(|| {
-            let (service, session) = (&self.request.service, &self.request.session);
-            let ran_on = self.state.sessions.version(
-                service,
-                session,
-                self.state.settings.load().bounds.session_memory(),
-                self.state.clock.now(),
-            );
-            beliefs.version_rule(service, session, ran_on.as_deref())
-        });
-        let model = self.model().unwrap_or_default();
-        let shared = self.request.shared.as_ref().map(|shared| format!("{model}/{shared}"));
-        self.state.book.choose(&ChoiceInput {
+        let rule = self.version_rule(&beliefs);
+        let model = self.model();
+        let name = model.as_deref().unwrap_or_default();
+        let shared = self.request.shared.as_ref().map(|shared| format!("{name}/{}", shared.id));
+        let size = self.request.head.size.unwrap_or_default();
+        let input = ChoiceInput {
             entries,
             rule: &rule,
             tried: &self.tried,
-            size: self.request.head.size.unwrap_or_default(),
+            size,
+            read: self.expected_read(model.as_ref(), size.prompt),
             shared: shared.as_deref(),
+            prices: self.prices(model.as_deref()),
             random: self.state.words.next(),
             now: self.state.clock.now(),
+        };
+        Some(ask(&self.state.book, &input))
+    }
+
+    fn version_rule(&self, beliefs: &Beliefs) -> VersionRule {
+        if let Some(failed) = &self.failed_version {
+            return VersionRule::Not(Arc::clone(failed));
+        }
+        let (service, session) = (&self.request.service, &self.request.session);
+        let memory = self.state.settings.load().bounds.session_memory();
+        let now = self.state.clock.now();
+        let ran_on = self.state.sessions.version(service, session, memory, now);
+        beliefs.version_rule(service, session, ran_on.as_deref())
+    }
+
+    fn expected_read(&self, model: Option<&Arc<str>>, tokens: u32) -> Duration {
+        model.map_or(Duration::ZERO, |model| {
+            self.state.reads.expected(&self.request.service, model, tokens)
+        })
+    }
+
+    fn prices(&self, model: Option<&str>) -> ChoicePrices {
+        let beliefs = &self.request.beliefs;
+        let table = beliefs.routes.as_ref();
+        let spec = table.and_then(|table| table.service(&self.request.service));
+        let cost = spec.and_then(|spec| {
+            spec.models.iter().find(|found| Some(&*found.name) == model).map(|found| found.cost)
+        });
+        prices(&PricedRequest {
+            size: self.request.head.size,
+            shared_tokens: self.request.shared.as_ref().map_or(0, |shared| shared.tokens),
+            body_bytes: self.request.outgoing.body.len(),
+            rank: self.request.route.rank,
+            goal: self.request.route.goal,
+            model_cost: cost.unwrap_or(0.0),
         })
     }
 
@@ -235,11 +278,8 @@
         self.state.metrics.note_attempt();
         self.state.tally.note_sent(&self.request.beliefs, self.place(&entry));
         let head = self.upstream_head(&entry, model.clone(), resume_after);
-        let patience = self.patience(model.as_ref());
         let sent = self.state.clock.now();
-        let (state, outgoing) = (Arc::clone(&self.state), &self.request.outgoing);
-        let result =
-            send_attempt(&state.wire, &*state.clock, permit, outgoing, &head, patience).await;
+        let result = self.send_patiently(permit, &head, model.as_ref()).await;
         let span = self.state.clock.now().since(sent);
         match &result {
             Ok(answer) => self.note_head(&entry, model.as_ref(), answer, span),
@@ -253,6 +293,41 @@
         result
     }
 
+    /// Sends an attempt. When its answer is slow to begin, another upstream is tried if that is
+    /// allowed, can be paid for, and promises to be quicker; otherwise the attempt goes on, since
+    /// giving up a place in a queue for the end of another one helps nobody.
+    async fn send_patiently(
+        &self,
+        permit: UpstreamPermit,
+        head: &UpstreamHead,
+        model: Option<&Arc<str>>,
+    ) -> Result<LiveAnswer, AttemptFault> {
+        let patience = self.patience(model);
+        let (state, outgoing) = (&self.state, &self.request.outgoing);
+        let left = self.left();
+        let work = send_attempt(&state.wire, &*state.clock, permit, outgoing, head, left);
+        tokio::pin!(work);
+        loop {
+            match tokio::time::timeout(patience, work.as_mut()).await {
+                Ok(result) => return result,
+                Err(_) if self.may_leave() && self.has_quick() => {
+                    let text = format!("no answer within {patience:?}");
+                    return Err(AttemptFault::new(FaultKind::Silent, text));
+                }
+                Err(_) => {}
+            }
+        }
+    }
+
+    /// Whether the rules and the budget allow another attempt while this one waits.
+    fn may_leave(&self) -> bool {
+        let route = &self.request.route;
+        route.repeat.may_repeat()
+            && self.runs + 1 < route.attempts
+            && self.sends < MAX_SENDS
+            && self.state.book.has_retry(&self.request.service)
+    }
+
     fn upstream_head(
         &self,
         entry: &UpstreamEntry,
@@ -271,15 +346,11 @@
 
     /// How long one attempt waits for the head of its answer.
     fn patience(&self, model: Option<&Arc<str>>) -> Duration {
-        let left = self.left();
-        let route = &self.request.route;
-        if !route.repeat.may_repeat() || self.runs + 1 >= route.attempts {
-            return left;
-        }
+        let (left, route) = (self.left(), &self.request.route);
         let usual = self.state.latencies.usual(&self.latency_key(model));
         let by_goal = route.goal.mul_f64(PATIENCE_SHARE);
         let by_usual = usual.unwrap_or(ASSUMED_LATENCY).saturating_mul(PATIENCE_FACTOR);
-        by_goal.max(by_usual).min(left)
+        by_goal.max(by_usual).min(left).max(LEAST_LEFT)
     }
 
     fn note_head(
@@ -302,6 +373,9 @@
             if !is_slow {
                 self.state.latencies.note(&key, span);
             }
+            if let (Some(model), Some(size)) = (model, self.request.head.size) {
+                self.state.reads.note(&self.request.service, model, size.prompt, span);
+            }
         }
         let confidence = answer.head.confidence.map(|value| format!(" confidence {value:.2}"));
         let result = format!("{}{}", answer.status.as_u16(), confidence.unwrap_or_default());
@@ -344,7 +418,7 @@
             && self.step + 1 < self.steps.len()
             && self.runs < self.request.route.attempts
             && self.left() > LEAST_LEFT
-            && self.state.book.try_retry(&self.request.service)
+            && self.state.book.try_escalate(&self.request.service)
     }
 
     fn escalate(&mut self, answer: &LiveAnswer) {
@@ -403,7 +477,7 @@
             size: request.head.size.unwrap_or_default(),
             left: request.ends.since(state.clock.now()),
             resumes: request.head.resume_after.is_some(),
-            may_escalate: state.book.has_retry(&request.service) && request.route.attempts > 1,
+            may_escalate: state.book.may_escalate(&request.service) && request.route.attempts > 1,
         },
     )
 }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -1,7 +1,7 @@
 //! What all requests of a gateway share.
 
 use crate::belief_keeper::SharedBeliefs;
-use crate::latency_book::LatencyBook;
+use crate::latency_book::{LatencyBook, ReadBook};
 use crate::metrics::GatewayMetrics;
 use crate::rollout_tally::RolloutTally;
 use crate::seeded_words::SeededWords;
@@ -27,6 +27,8 @@
     pub clock: Arc<dyn ClockPort>,
     /// Usual latencies.
     pub latencies: LatencyBook,
+    /// How long models take to read prompts.
+    pub reads: ReadBook,
     /// Versions that sessions ran on.
     pub sessions: SessionBook,
     /// Sums of roll-outs.
--- a/crates/gateway/src/upstream_book.rs
+++ b/crates/gateway/src/upstream_book.rs
@@ -1,5 +1,6 @@
 //! Upstreams as this host uses them: connections, requests in flight, load, failures, budgets.
 
+use crate::choice_price::ChoicePrices;
 use crate::fault::AttemptFault;
 use crate::link::UpstreamLink;
 use crate::rollout_plan::VersionRule;
@@ -26,23 +27,22 @@
 /// Part of the retry budget's bounds that is used, so that hosts that count in other windows
 /// than the platform stay within them.
 const BUDGET_USED: f64 = 0.9;
+/// Retries that are kept for faults: a crash of one upstream breaks a few streams of a host.
+const FAULT_RESERVE: f64 = 2.0;
 /// Hosts that are assumed to share the extra retries until they were counted.
 const ASSUMED_HOSTS: usize = 64;
 /// Delay to another region and back, in milliseconds; what the users' links have.
 const REGION_DELAY: Millis = Millis::new(60);
-/// Load of an upstream's slots from which other regions are looked at too.
-const LOCAL_FULL: f64 = 0.85;
+/// Load of an upstream's slots from which it is no better than waiting elsewhere.
+const SLOTS_FULL: f64 = 0.85;
 /// Load above the mean at which an upstream no longer attracts prompts that it has cached.
 const HOLDER_EXCESS: f64 = 1.25;
 /// Requests above the mean that are always fine for a holder of cached prompts.
 const HOLDER_SLACK: f64 = 3.0;
-/// Engines of the users read about 90 prompt tokens a millisecond and make a token in about
-/// 6 ms when a few dozen requests run.
-const PROMPT_TOKENS_PER_MILLI: u32 = 90;
+/// Engines of the users make the first token in about 60 ms and another one in about 6 ms when
+/// a few dozen requests run.
 const FIRST_TOKEN_BASE: u64 = 60;
 const TOKEN_GAP: Millis = Millis::new(6);
-/// Price of a second of latency; only its ratio to prices of regions counts, which are 0 here.
-const SECOND_PRICE: Money = Money::from_micros(1_000);
 /// Longest time that an idle connection is used again when the upstream names none.
 const IDLE_LIFE: Duration = Duration::from_secs(4);
 /// Idle connections that are kept for one upstream.
@@ -63,6 +63,8 @@
 #[derive(Default)]
 struct CellState {
     in_flight: u32,
+    /// Expected time of this host's prompts that are not read yet, in ms.
+    unread: u64,
     load: Option<SeenLoad>,
     idle: Vec<IdleLink>,
 }
@@ -115,6 +117,7 @@
         let state = self.lock();
         let mut view = UpstreamView::new(self.entry.name.clone(), self.entry.slots);
         view.in_flight = state.in_flight;
+        view.backlog = Millis::new(state.unread);
         view.report = state.load.map(|seen| ReportedLoad {
             running: seen.load.running,
             queued: seen.load.waiting,
@@ -129,17 +132,31 @@
 pub struct UpstreamPermit {
     /// The upstream.
     pub cell: Arc<UpstreamCell>,
+    /// Expected time of its prompt until it is read, in ms.
+    unread: u64,
 }
 
 impl UpstreamPermit {
-    fn new(cell: Arc<UpstreamCell>) -> Self {
-        cell.lock().in_flight += 1;
-        Self { cell }
+    fn new(cell: Arc<UpstreamCell>, unread: u64) -> Self {
+        {
+            let mut state = cell.lock();
+            state.in_flight += 1;
+            state.unread += unread;
+        }
+        Self { cell, unread }
+    }
+
+    /// Notes that the prompt is read: the answer has begun.
+    pub fn note_read(&mut self) {
+        let unread = std::mem::take(&mut self.unread);
+        let mut state = self.cell.lock();
+        state.unread = state.unread.saturating_sub(unread);
     }
 }
 
 impl Drop for UpstreamPermit {
     fn drop(&mut self) {
+        self.note_read();
         let mut state = self.cell.lock();
         state.in_flight = state.in_flight.saturating_sub(1);
     }
@@ -160,8 +177,12 @@
     pub tried: &'a HashSet<UpstreamName>,
     /// Tokens of the request, at engines.
     pub size: TokenSize,
+    /// Expected time to read its prompt, at engines.
+    pub read: Duration,
     /// What requests share that should stay together, if anything.
     pub shared: Option<&'a str>,
+    /// What the choice is weighed in.
+    pub prices: ChoicePrices,
     /// Decides the draws.
     pub random: u64,
     /// The time.
@@ -239,10 +260,26 @@
         services.get_mut(service).is_some_and(|state| state.budget.try_spend())
     }
 
+    /// Spends one retry on giving a weak answer up, unless only the reserve for faults is left:
+    /// a weak answer is better than none.
+    pub fn try_escalate(&self, service: &ServiceName) -> bool {
+        self.may_escalate(service) && self.try_retry(service)
+    }
+
+    /// Whether a weak answer may be given up now.
+    #[must_use]
+    pub fn may_escalate(&self, service: &ServiceName) -> bool {
+        self.balance(service) >= FAULT_RESERVE + 1.0
+    }
+
     /// Whether a service's budget has a retry.
     #[must_use]
     pub fn has_retry(&self, service: &ServiceName) -> bool {
-        lock(&self.services).get(service).is_some_and(|state| state.budget.balance() >= 1.0)
+        self.balance(service) >= 1.0
+    }
+
+    fn balance(&self, service: &ServiceName) -> f64 {
+        lock(&self.services).get(service).map_or(0.0, |state| state.budget.balance())
     }
 
     /// Notes a good answer of an upstream.
@@ -294,11 +331,34 @@
                 view.limit = u32::MAX;
             });
         }
-        self.stay_local(&cells, &mut views);
-        mark_holder(&mut views, input);
-        let work = attempt_work(input.size);
+        let holder = holder(&views, input);
+        for (index, view) in views.iter_mut().enumerate() {
+            let transfer = if view.delay.get() > 0 { input.prices.transfer } else { Money::ZERO };
+            let is_holder = holder.is_none_or(|holder| holder == index);
+            let read = if is_holder { Money::ZERO } else { input.prices.read_again };
+            view.region_price = transfer + read;
+        }
+        if let Some(holder) = holder {
+            // Half of it, since the cache may have dropped it.
+            views[holder].cached = TokenCount::new(input.size.prompt / 2);
+        }
+        let work = attempt_work(input);
         let index = choose_upstream(UpstreamRule::ExpectedCost, &views, &work, input.random)?;
-        Some(UpstreamPermit::new(Arc::clone(&cells[index])))
+        let unread = u64::try_from(input.read.as_millis()).unwrap_or(u64::MAX);
+        Some(UpstreamPermit::new(Arc::clone(&cells[index]), unread))
+    }
+
+    /// Whether an upstream that was not tried would read the prompt within `limit`, as far as is
+    /// known here.
+    #[must_use]
+    pub fn has_quick(&self, input: &ChoiceInput<'_>, limit: Duration) -> bool {
+        let open = input.entries.iter().filter(|entry| {
+            !input.tried.contains(&entry.name) && input.rule.permits(&entry.version)
+        });
+        open.map(|entry| self.view(&self.cell(entry), input.now)).any(|view| {
+            let wait = view.backlog.as_duration() + view.delay.as_duration() + input.read;
+            view.is_open() && has_room(&view) && wait <= limit
+        })
     }
 
     fn view(&self, cell: &UpstreamCell, now: Timestamp) -> UpstreamView {
@@ -322,18 +382,6 @@
         settings.region_of(&cell.entry.domain) == Some(&settings.region)
     }
 
-    /// Leaves other regions out while an upstream of this one has room.
-    fn stay_local(&self, cells: &[Arc<UpstreamCell>], views: &mut [UpstreamView]) {
-        let has_room = |view: &UpstreamView| {
-            view.is_open() && expected_load(view, 0.0) < f64::from(view.slots) * LOCAL_FULL
-        };
-        let local: Vec<bool> = cells.iter().map(|cell| self.is_local(cell)).collect();
-        if local.iter().zip(views.iter()).any(|(&local, view)| local && has_room(view)) {
-            let remote = views.iter_mut().zip(&local).filter(|(_, local)| !**local);
-            remote.for_each(|(view, _)| view.leaving = true);
-        }
-    }
-
     fn cell(&self, entry: &Arc<UpstreamEntry>) -> Arc<UpstreamCell> {
         let mut cells = lock(&self.cells);
         let known = cells.get(&entry.name);
@@ -360,28 +408,36 @@
     RetryBudget::new(bounds.retry_share * BUDGET_USED).with_reserve(extra).with_balance(extra)
 }
 
-/// Marks the upstream that should hold what the request shares with others: the first one in
-/// the order of a hash of both that is not loaded much above the mean.
-fn mark_holder(views: &mut [UpstreamView], input: &ChoiceInput<'_>) {
-    let Some(shared) = input.shared else { return };
-    let open: Vec<usize> = (0..views.len()).filter(|&index| views[index].is_open()).collect();
+fn has_room(view: &UpstreamView) -> bool {
+    expected_load(view, 0.0) < f64::from(view.slots) * SLOTS_FULL
+}
+
+/// The upstream that should hold what the request shares with others: the first one in the
+/// order of a hash of both that is not loaded much above the mean. Where it saves less than the
+/// way to another region costs, it is one of the nearest.
+fn holder(views: &[UpstreamView], input: &ChoiceInput<'_>) -> Option<usize> {
+    let shared = input.shared?;
+    let open = |index: &usize| views[*index].is_open();
+    let nearest = (0..views.len()).filter(open).map(|index| views[index].delay).min()?;
+    let is_far = input.prices.read_again > input.prices.transfer;
+    let fits: Vec<usize> = (0..views.len())
+        .filter(open)
+        .filter(|&index| is_far || views[index].delay == nearest)
+        .collect();
     let load = |index: usize| expected_load(&views[index], 0.0);
-    let mean = open.iter().map(|&index| load(index)).sum::<f64>() / open.len().max(1) as f64;
+    let mean = fits.iter().map(|&index| load(index)).sum::<f64>() / fits.len().max(1) as f64;
     let most = mean * HOLDER_EXCESS + HOLDER_SLACK;
     let rank = |index: &usize| hash_parts(&[shared, views[*index].name.as_str()]);
-    let holder = open.iter().copied().filter(|&index| load(index) <= most).max_by_key(rank);
-    if let Some(holder) = holder {
-        views[holder].cached = TokenCount::new(input.size.prompt);
-    }
+    fits.into_iter().filter(|&index| load(index) <= most).max_by_key(rank)
 }
 
-fn attempt_work(size: TokenSize) -> AttemptWork {
-    let read = u64::from(size.prompt / PROMPT_TOKENS_PER_MILLI);
+fn attempt_work(input: &ChoiceInput<'_>) -> AttemptWork {
+    let read = u64::try_from(input.read.as_millis()).unwrap_or(u64::MAX);
     AttemptWork {
-        prompt: TokenCount::new(size.prompt),
-        answer: TokenCount::new(size.answer),
-        first_token: Millis::new(FIRST_TOKEN_BASE + read),
+        prompt: TokenCount::new(input.size.prompt),
+        answer: TokenCount::new(input.size.answer),
+        first_token: Millis::new(FIRST_TOKEN_BASE.saturating_add(read)),
         token_gap: TOKEN_GAP,
-        price_per_second: SECOND_PRICE,
+        price_per_second: input.prices.second,
     }
 }
