Size the canary by rate and let many hosts escalate

Change: the canary takes about four requests a second, its share stands in the decision; what is kept for faults is a part of the reserve, which is at least 2.5.

--- a/crates/gateway/src/admitted.rs
+++ b/crates/gateway/src/admitted.rs
@@ -136,6 +136,7 @@
     let limit = table.limits().body_bytes;
     let (body, hold) = read_request(state, body, limit, patience).await?;
     let session = session_of(&head);
+    record.note_session(&session);
     let shared = shared_of(&head);
     let point = unit_point(hash_parts(&["split", &route.name, &session]));
     let service = route.target(point).cloned().ok_or_else(|| {
--- a/crates/gateway/src/request_record.rs
+++ b/crates/gateway/src/request_record.rs
@@ -15,6 +15,7 @@
     id: Arc<str>,
     route: Arc<str>,
     account: Arc<str>,
+    session: Arc<str>,
     config: u64,
     attempts: String,
     outcome: Option<(&'static str, u16)>,
@@ -31,6 +32,7 @@
             id: Arc::from(id),
             route: Arc::from(""),
             account: Arc::from(""),
+            session: Arc::from(""),
             config: 0,
             attempts: String::new(),
             outcome: None,
@@ -45,6 +47,11 @@
         self.config = config;
     }
 
+    /// Notes what names the request's session.
+    pub fn note_session(&mut self, session: &Arc<str>) {
+        self.session = Arc::clone(session);
+    }
+
     /// Notes an attempt and what came of it.
     pub fn note_attempt(&mut self, upstream: &str, model: Option<&str>, result: &str) {
         let separator = if self.attempts.is_empty() { "" } else { "; " };
@@ -71,6 +78,7 @@
             id:% = self.id,
             route:% = self.route,
             account:% = self.account,
+            session:% = self.session,
             config = self.config,
             outcome,
             status,
--- a/crates/gateway/src/request_run.rs
+++ b/crates/gateway/src/request_run.rs
@@ -73,7 +73,7 @@
 impl RequestRun {
     /// The attempts of a request that is let in.
     pub fn new(state: Arc<GatewayState>, request: AdmittedRequest, record: RequestRecord) -> Self {
-        state.book.note_request(&request.service);
+        state.book.note_request(&request.service, request.started);
         let steps = plan(&state, &request);
         Self {
             state,
--- a/crates/gateway/src/rollout_driver.rs
+++ b/crates/gateway/src/rollout_driver.rs
@@ -7,7 +7,9 @@
 use crate::belief_keeper::SharedBeliefs;
 use crate::beliefs::RolloutBelief;
 use crate::control_port::{ControlPort, WriteOutcome};
-use crate::rollout_plan::{ExposureBound, RolloutDecision, RolloutPhase, next_phase};
+use crate::rollout_plan::{
+    ExposureBound, RolloutDecision, RolloutPhase, canary_share, next_phase,
+};
 use crate::rollout_sums::{HostSums, RolloutJudge};
 use crate::state::GatewayState;
 use oleander_core::ids::ServiceName;
@@ -109,7 +111,8 @@
         self.duty(service).judge_at = now + wait;
         if !first {
             let text = "the new version has an upstream";
-            self.decide(belief, RolloutPhase::Canary, belief.ordered, text).await;
+            let canary = canary_share(self.state.book.fleet_rate(service, now));
+            self.decide(belief, RolloutPhase::Canary, (belief.ordered, canary), text).await;
         }
     }
 
@@ -160,7 +163,7 @@
         let next = next_phase(decision.phase, belief.order.duration, &evidence, &bound);
         if let Some((phase, reason)) = next {
             let text = format!("{reason}; {evidence:?}");
-            self.decide(belief, phase, decision.began, &text).await;
+            self.decide(belief, phase, (decision.began, decision.canary), &text).await;
         }
     }
 
@@ -168,7 +171,7 @@
         &self,
         belief: &RolloutBelief,
         phase: RolloutPhase,
-        began: Timestamp,
+        (began, canary): (Timestamp, u16),
         reason: &str,
     ) {
         let decision = RolloutDecision {
@@ -177,11 +180,12 @@
             order: belief.order.order,
             phase,
             began,
+            canary,
         };
         let (service, to) = (&belief.order.service, &belief.order.to);
         match self.port.decide(decision, belief.decision_version).await {
             Ok(WriteOutcome::Applied) => {
-                log::info!(target: "rollout", service:%, to:%, phase:%, reason; "decided");
+                log::info!(target: "rollout", service:%, to:%, phase:%, canary, reason; "decided");
             }
             Ok(WriteOutcome::Conflict) => {
                 log::info!(target: "rollout", service:%, to:%, phase:%; "another host decided");
--- a/crates/gateway/src/rollout_plan.rs
+++ b/crates/gateway/src/rollout_plan.rs
@@ -13,9 +13,16 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-/// Share of sessions that the new version gets first: two thirds of the least share (0.12) that
-/// deployments allow a bad version, so that the draw of sessions has room to be uneven.
-pub const CANARY_SHARE: f64 = 0.08;
+/// Largest share of sessions that the new version gets first: two thirds of the least share
+/// (0.12) that deployments allow a bad version, so that the draw of sessions may be uneven.
+const CANARY_SHARE: f64 = 0.08;
+/// Least such share.
+const LEAST_CANARY_SHARE: f64 = 0.005;
+/// Requests a second that are enough to judge a version within seconds. More of them only
+/// expose more, and move more sessions that run when the roll-out begins: each of those changes
+/// its version once, whichever host sees it.
+const CANARY_RATE: f64 = 4.0;
+const PER_MILLE: f64 = 1_000.0;
 /// Time before the deadline at which a roll-out is ended: a conditional write at a store that
 /// answers fifty times as slowly as usual (200 ms), tried three times, and some.
 pub const FINISH_MARGIN: Duration = Duration::from_millis(1_200);
@@ -84,6 +91,22 @@
     pub phase: RolloutPhase,
     /// When it began, on the store's steady clock.
     pub began: Timestamp,
+    /// Share of sessions that the new version gets first, in thousandths.
+    pub canary: u16,
+}
+
+/// Share of sessions for a canary, in thousandths, at a rate of requests.
+///
+/// ```
+/// use oleander_gateway::rollout_plan::canary_share;
+///
+/// assert_eq!(canary_share(45.0), 80);
+/// assert_eq!(canary_share(400.0), 10);
+/// ```
+#[must_use]
+pub fn canary_share(requests_per_second: f64) -> u16 {
+    let share = CANARY_RATE / requests_per_second.max(1.0);
+    (share.clamp(LEAST_CANARY_SHARE, CANARY_SHARE) * PER_MILLE) as u16
 }
 
 /// Which upstreams a request may go to, by their version.
@@ -138,6 +161,7 @@
 ///     order: 7,
 ///     phase: RolloutPhase::Done,
 ///     began: Timestamp::from_millis(0),
+///     canary: 80,
 /// };
 /// assert_eq!(version_rule(&order, Some(&decision), "van-1", None), VersionRule::Prefer("v2".into()));
 /// ```
@@ -149,14 +173,17 @@
     ran_on: Option<&str>,
 ) -> VersionRule {
     let to = Arc::clone(&order.to);
-    match decision.filter(|decision| decision.order == order.order).map(|found| found.phase) {
-        None | Some(RolloutPhase::Reverted) => VersionRule::Not(to),
-        Some(RolloutPhase::Canary) => {
-            let drawn = session_point(session) < CANARY_SHARE;
+    let Some(decision) = decision.filter(|decision| decision.order == order.order) else {
+        return VersionRule::Not(to);
+    };
+    match decision.phase {
+        RolloutPhase::Reverted => VersionRule::Not(to),
+        RolloutPhase::Canary => {
+            let drawn = session_point(session) < f64::from(decision.canary) / PER_MILLE;
             let is_new = ran_on.map_or(drawn, |version| *version == *to);
             if is_new { VersionRule::Prefer(to) } else { VersionRule::Not(to) }
         }
-        Some(RolloutPhase::Moving | RolloutPhase::Done) => VersionRule::Prefer(to),
+        RolloutPhase::Moving | RolloutPhase::Done => VersionRule::Prefer(to),
     }
 }
 
--- a/crates/gateway/src/upstream_book.rs
+++ b/crates/gateway/src/upstream_book.rs
@@ -27,8 +27,12 @@
 /// Part of the retry budget's bounds that is used, so that hosts that count in other windows
 /// than the platform stay within them.
 const BUDGET_USED: f64 = 0.9;
-/// Retries that are kept for faults: a crash of one upstream breaks a few streams of a host.
-const FAULT_RESERVE: f64 = 2.0;
+/// Part of the retries saved up that is kept for faults: a weak answer is better than none.
+const FAULT_SHARE: f64 = 0.3;
+/// Least retries that a host may save up. Among many hosts each one's part of the extra retries
+/// is less than two, with which no weak answer could be given up; what hosts leave of the share
+/// that they earn makes up for it.
+const LEAST_RESERVE: f64 = 2.5;
 /// Hosts that are assumed to share the extra retries until they were counted.
 const ASSUMED_HOSTS: usize = 64;
 /// Delay to another region and back, in milliseconds; what the users' links have.
@@ -43,6 +47,8 @@
 /// a few dozen requests run.
 const FIRST_TOKEN_BASE: u64 = 60;
 const TOKEN_GAP: Millis = Millis::new(6);
+/// Span over which requests are counted for their rate.
+const RATE_SPAN: Duration = Duration::from_secs(3);
 /// Longest time that an idle connection is used again when the upstream names none.
 const IDLE_LIFE: Duration = Duration::from_secs(4);
 /// Idle connections that are kept for one upstream.
@@ -165,6 +171,11 @@
 struct ServiceState {
     ejection: OutlierEjection,
     budget: RetryBudget,
+    /// Requests in the span that began then.
+    requests: u64,
+    since: Option<Timestamp>,
+    /// Requests a second in the span before.
+    rate: f64,
 }
 
 /// What a choice of an upstream depends on.
@@ -224,7 +235,8 @@
 
     fn new_service(&self) -> ServiceState {
         let ejection = OutlierEjection::new(EJECTION_SHARE).with_base(EJECTION_BASE);
-        ServiceState { ejection, budget: new_budget(&self.settings.load().bounds, *lock(&self.hosts)) }
+        let budget = new_budget(&self.settings.load().bounds, *lock(&self.hosts));
+        ServiceState { ejection, budget, requests: 0, since: None, rate: 0.0 }
     }
 
     /// Sets how many hosts share the extra retries.
@@ -248,20 +260,35 @@
     }
 
     /// Notes a request to a service; it earns a share of a retry.
-    pub fn note_request(&self, service: &ServiceName) {
+    pub fn note_request(&self, service: &ServiceName, now: Timestamp) {
         if let Some(state) = lock(&self.services).get_mut(service) {
             state.budget.note_attempt();
+            state.requests += 1;
+            let span = now.since(*state.since.get_or_insert(now));
+            if span >= RATE_SPAN {
+                state.rate = state.requests as f64 / span.as_secs_f64();
+                (state.requests, state.since) = (0, Some(now));
+            }
         }
     }
 
+    /// Requests a second to a service over all hosts, as guessed from this host's own.
+    #[must_use]
+    pub fn fleet_rate(&self, service: &ServiceName, now: Timestamp) -> f64 {
+        let hosts = self.hosts() as f64;
+        lock(&self.services).get(service).map_or(0.0, |state| {
+            let span = state.since.map_or(0.0, |since| now.since(since).as_secs_f64());
+            state.rate.max(state.requests as f64 / span.max(1.0)) * hosts
+        })
+    }
+
     /// Spends one retry of a service's budget; `false` when it has none.
     pub fn try_retry(&self, service: &ServiceName) -> bool {
         let mut services = lock(&self.services);
         services.get_mut(service).is_some_and(|state| state.budget.try_spend())
     }
 
-    /// Spends one retry on giving a weak answer up, unless only the reserve for faults is left:
-    /// a weak answer is better than none.
+    /// Spends one retry on giving a weak answer up, unless only what is kept for faults is left.
     pub fn try_escalate(&self, service: &ServiceName) -> bool {
         self.may_escalate(service) && self.try_retry(service)
     }
@@ -269,7 +296,8 @@
     /// Whether a weak answer may be given up now.
     #[must_use]
     pub fn may_escalate(&self, service: &ServiceName) -> bool {
-        self.balance(service) >= FAULT_RESERVE + 1.0
+        let reserve = reserve(&self.settings.load().bounds, self.hosts());
+        self.balance(service) >= reserve * FAULT_SHARE + 1.0
     }
 
     /// Whether a service's budget has a retry.
@@ -404,8 +432,13 @@
 }
 
 fn new_budget(bounds: &GatewayBounds, hosts: usize) -> RetryBudget {
-    let extra = bounds.retry_extra * BUDGET_USED / hosts.max(1) as f64;
-    RetryBudget::new(bounds.retry_share * BUDGET_USED).with_reserve(extra).with_balance(extra)
+    let reserve = reserve(bounds, hosts);
+    RetryBudget::new(bounds.retry_share * BUDGET_USED).with_reserve(reserve).with_balance(reserve)
+}
+
+/// Retries that a host may save up.
+fn reserve(bounds: &GatewayBounds, hosts: usize) -> f64 {
+    (bounds.retry_extra * BUDGET_USED / hosts.max(1) as f64).max(LEAST_RESERVE)
 }
 
 fn has_room(view: &UpstreamView) -> bool {
