Judge a roll-out with thresholds for failed answers, over all routes too

Found beside it by the new tests: a host had no retry budget in its first 0.25 s, a roll-out among two hosts ended up to 0.2 s late, a timeout that was reached while waiting for a head gave 502 and blamed the upstream. Change: answer_threshold (Wald), a test over all routes, a yardstick that follows; the book of upstreams follows each picture at once; hosts look again when a moving roll-out is due; 504 at the timeout.

--- a/crates/core/src/alarm_threshold.rs
+++ b/crates/core/src/alarm_threshold.rs
@@ -12,6 +12,9 @@
 /// Cells of the distribution of one rating.
 const CELLS: usize = 2_000;
 const BISECTIONS: u32 = 24;
+/// Bounds of the exponent of [`answer_threshold`].
+const LARGEST_EXPONENT: f64 = 64.0;
+const LEAST_EXPONENT: f64 = 0.05;
 /// Mean run from which the solution is not trusted any more.
 const LONGEST_RUN: f64 = 1e10;
 
@@ -40,6 +43,38 @@
     high
 }
 
+/// The same for ratings that are either 0 or 1, such as failed and good answers: the threshold
+/// at which answers of which the share `baseline.mean` is good raise one false alarm in `answers`,
+/// on average. The run length grows with the exponent that keeps the statistic's moment
+/// generating function at 1 (Wald), which is a bound from below.
+///
+/// ```
+/// use oleander_core::alarm_threshold::answer_threshold;
+/// use oleander_core::detect::RatingBaseline;
+///
+/// let baseline = RatingBaseline::new(0.97, 0.03, 0.2);
+/// let threshold = answer_threshold(&baseline, 20_000.0);
+/// assert!((3.5..3.8).contains(&threshold));
+/// ```
+#[must_use]
+pub fn answer_threshold(baseline: &RatingBaseline, answers: f64) -> f64 {
+    let good = baseline.mean.clamp(0.01, 0.99);
+    let middle = good - baseline.drop / 2.0;
+    let moment = |exponent: f64| {
+        (1.0 - good) * (exponent * middle).exp() + good * (exponent * (middle - 1.0)).exp()
+    };
+    let (mut low, mut high) = (0.0, LARGEST_EXPONENT);
+    for _ in 0..BISECTIONS {
+        let exponent = (low + high) / 2.0;
+        if moment(exponent) < 1.0 {
+            low = exponent;
+        } else {
+            high = exponent;
+        }
+    }
+    answers.max(2.0).ln() / low.max(LEAST_EXPONENT)
+}
+
 /// Cumulative distribution of the statistic's increment, on a grid.
 struct RatingCells {
     middle: f64,
--- a/crates/core/src/detect.rs
+++ b/crates/core/src/detect.rs
@@ -66,6 +66,13 @@
         Self { baseline, threshold, statistic: 0.0 }
     }
 
+    /// Goes on with another baseline and threshold, as when more is known of the ratings before
+    /// the change.
+    #[must_use]
+    pub const fn rebased(self, baseline: RatingBaseline, threshold: f64) -> Self {
+        Self { baseline, threshold, statistic: self.statistic }
+    }
+
     /// Begins with a head start, for a version that may be bad from its first answer.
     #[must_use]
     pub fn with_head_start(mut self) -> Self {
--- a/crates/gateway/src/belief_keeper.rs
+++ b/crates/gateway/src/belief_keeper.rs
@@ -26,20 +26,34 @@
     shared: SharedBeliefs,
     clock: Arc<dyn ClockPort>,
     lost: BTreeMap<Topic, bool>,
+    on_change: ChangeHook,
 }
 
+/// Called with each new picture, before requests see it.
+pub type ChangeHook = Box<dyn Fn(&Beliefs) + Send>;
+
 impl BeliefKeeper {
     /// A keeper that knows nothing and publishes to `shared`.
     #[must_use]
     pub fn new(shared: SharedBeliefs, clock: Arc<dyn ClockPort>) -> Self {
-        Self { book: BeliefBook::new(), shared, clock, lost: BTreeMap::new() }
+        let on_change: ChangeHook = Box::new(|_| {});
+        Self { book: BeliefBook::new(), shared, clock, lost: BTreeMap::new(), on_change }
+    }
+
+    /// Sets what is called with each new picture.
+    #[must_use]
+    pub fn with_change_hook(mut self, on_change: ChangeHook) -> Self {
+        self.on_change = on_change;
+        self
     }
 
     fn publish(&self, notes: &[BeliefNote], reason: &str) {
         for note in notes {
             log_note(note, reason);
         }
-        self.shared.store(Arc::new(self.book.beliefs()));
+        let beliefs = self.book.beliefs();
+        (self.on_change)(&beliefs);
+        self.shared.store(Arc::new(beliefs));
     }
 }
 
--- a/crates/gateway/src/caller_server.rs
+++ b/crates/gateway/src/caller_server.rs
@@ -8,6 +8,7 @@
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use std::convert::Infallible;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
@@ -40,6 +41,15 @@
         Self { state, listener, closing: watch::Sender::new(false), open: Arc::default() }
     }
 
+    /// The address that is listened on.
+    ///
+    /// # Errors
+    ///
+    /// When the system does not tell.
+    pub fn address(&self) -> anyhow::Result<SocketAddr> {
+        Ok(self.listener.local_addr()?)
+    }
+
     /// Accepts connections for as long as it is polled.
     pub async fn accept(&self) {
         loop {
--- a/crates/gateway/src/gateway_process.rs
+++ b/crates/gateway/src/gateway_process.rs
@@ -2,6 +2,7 @@
 
 use crate::beacon::{FeedDoubt, PeerBook, run_beacon};
 use crate::belief_keeper::{BeliefKeeper, ExpiryDue, SharedBeliefs};
+use crate::beliefs::Beliefs;
 use crate::caller_server::CallerServer;
 use crate::control_port::{ControlPort, Topic};
 use crate::host_count::count_hosts;
@@ -77,7 +78,9 @@
         let ready = HttpServer::bind(ready, ready_handler(&state)).await?;
         let metrics = bind_metrics(&state, registry).await?;
         let keeper = BeliefKeeper::new(Arc::clone(&state.beliefs), Arc::clone(&state.clock));
-        let keeper = BeliefKeeper::spawn(keeper);
+        let changed = Arc::clone(&state);
+        let hook = Box::new(move |beliefs: &Beliefs| changed.book.update(&beliefs.upstreams));
+        let keeper = BeliefKeeper::spawn(keeper.with_change_hook(hook));
         let beacon = bind_beacon(&state.settings.load()).await?;
         Ok(Self { state, callers, ready, metrics, control, keeper, beacon })
     }
@@ -88,6 +91,24 @@
         &self.state
     }
 
+    /// Where callers connect.
+    ///
+    /// # Errors
+    ///
+    /// When the system does not tell.
+    pub fn caller_address(&self) -> anyhow::Result<SocketAddr> {
+        self.callers.address()
+    }
+
+    /// Where readiness is asked.
+    ///
+    /// # Errors
+    ///
+    /// When the system does not tell.
+    pub fn ready_address(&self) -> anyhow::Result<SocketAddr> {
+        self.ready.address()
+    }
+
     /// Serves until `stop` ends, then stops in order.
     pub async fn serve(self, stop: impl Future<Output = ()>) -> GatewayStop {
         let Self { state, callers, ready, metrics, control, keeper, beacon } = self;
@@ -160,14 +181,13 @@
     })
 }
 
-/// Brings what depends on beliefs up to date: the book of upstreams, and what expires.
+/// Looks at what expires.
 async fn keep_current(state: Arc<GatewayState>, keeper: ActorRef<BeliefKeeper>) {
     loop {
         tokio::time::sleep(EXPIRY_SPAN).await;
         if keeper.tell(ExpiryDue).await.is_err() {
             return;
         }
-        state.book.update(&state.beliefs.load().upstreams);
         state.sessions.forget(state.settings.load().bounds.session_memory(), state.clock.now());
     }
 }
--- a/crates/gateway/src/host_count.rs
+++ b/crates/gateway/src/host_count.rs
@@ -9,7 +9,7 @@
 /// Wait for the first count, so that hosts which start together are all there.
 const FIRST_COUNT: Duration = Duration::from_secs(3);
 /// Time between counts; hosts come and go seldom, and each count is a call.
-const COUNT_SPAN: Duration = Duration::from_secs(30);
+const COUNT_SPAN: Duration = Duration::from_secs(60);
 /// Wait after a failed call.
 const RETRY_SPAN: Duration = Duration::from_secs(2);
 
--- a/crates/gateway/src/request_run.rs
+++ b/crates/gateway/src/request_run.rs
@@ -124,7 +124,8 @@
                 Ok(answer) => return Ok(answer),
                 Err(fault) => {
                     if !self.may_go_on(&fault) {
-                        return Err(RunEnd::Failed(fault));
+                        let is_over = self.left() < LEAST_LEFT;
+                        return Err(if is_over { RunEnd::TimedOut } else { RunEnd::Failed(fault) });
                     }
                     last = Some(fault);
                 }
@@ -285,7 +286,12 @@
             Ok(answer) => self.note_head(&entry, model.as_ref(), answer, span),
             Err(fault) => {
                 self.runs += u32::from(fault.may_have_run());
-                self.note_fault(&entry, fault);
+                if self.left() >= LEAST_LEFT || span >= self.request.route.goal {
+                    self.note_fault(&entry, fault);
+                } else {
+                    // The time that the route gives was short; the upstream is not to blame.
+                    self.state.metrics.note_fault(fault.kind);
+                }
                 let text = fault.to_string();
                 self.record.note_attempt(entry.name.as_str(), model.as_deref(), &text);
             }
--- a/crates/gateway/src/rollout_driver.rs
+++ b/crates/gateway/src/rollout_driver.rs
@@ -8,7 +8,7 @@
 use crate::beliefs::RolloutBelief;
 use crate::control_port::{ControlPort, WriteOutcome};
 use crate::rollout_plan::{
-    ExposureBound, RolloutDecision, RolloutPhase, canary_share, next_phase,
+    ExposureBound, FINISH_MARGIN, RolloutDecision, RolloutPhase, canary_share, next_phase,
 };
 use crate::rollout_sums::{HostSums, RolloutJudge};
 use crate::state::GatewayState;
@@ -25,6 +25,8 @@
 const REPORT_SPAN: Duration = Duration::from_millis(600);
 /// Time between writes of sums that one more host adds: at 370 hosts 67 writes a second.
 const REPORT_SPAN_PER_HOST: Duration = Duration::from_millis(15);
+/// Longest time between two writes while only the old version answers.
+const FULL_REPORT_SPAN: Duration = Duration::from_secs(8);
 /// Least time between two looks of a host at all sums.
 const JUDGE_SPAN: Duration = Duration::from_millis(600);
 /// Time between looks that one more host adds: eight looks a second over all hosts.
@@ -34,12 +36,17 @@
 /// in it, and all but the first find that another one was sooner.
 const BEGIN_SPAN: Duration = Duration::from_secs(1);
 
+/// Span over which hosts spread their looks at the end of a roll-out.
+const END_SPREAD: Duration = Duration::from_millis(500);
+
 #[derive(Default)]
 struct ServiceDuty {
     judge: Option<RolloutJudge>,
     phase: Option<RolloutPhase>,
+    span: Duration,
     reported: Option<HostSums>,
     report_at: Timestamp,
+    full_report_at: Timestamp,
     judge_at: Timestamp,
 }
 
@@ -87,10 +94,12 @@
     /// Spreads the looks of all hosts evenly when a phase begins: they learn of it together, and
     /// would otherwise all look at once and then for a long time not at all.
     fn spread_looks(&mut self, service: &ServiceName, phase: RolloutPhase) {
-        let at = self.state.clock.now() + self.judge_span().mul_f64(self.state.words.point());
+        let span = self.judge_span();
+        let at = self.state.clock.now() + span.mul_f64(self.state.words.point());
         let duty = self.duty(service);
-        if duty.phase != Some(phase) {
-            duty.phase = Some(phase);
+        // The span also changes when hosts are counted for the first time.
+        if duty.phase != Some(phase) || duty.span != span {
+            (duty.phase, duty.span) = (Some(phase), span);
             duty.judge_at = at;
         }
     }
@@ -121,10 +130,17 @@
         let span = REPORT_SPAN + REPORT_SPAN_PER_HOST * self.host_count();
         let sums = self.state.tally.sums(service).filter(|sums| sums.order == belief.order.order);
         let duty = self.duty(service);
-        let Some(sums) = sums.filter(|sums| duty.reported.as_ref() != Some(sums)) else { return };
+        let Some(sums) = sums else { return };
         if now < duty.report_at {
             return;
         }
+        // What the old version did can wait: it is the yardstick, and there is much of it.
+        let is_due = now >= duty.full_report_at;
+        let reported = duty.reported.as_ref();
+        if !is_due && reported.is_some_and(|reported| !sums.has_new_answers(reported)) {
+            return;
+        }
+        duty.full_report_at = now + FULL_REPORT_SPAN;
         duty.report_at = now + span;
         duty.reported = Some(sums.clone());
         if let Err(error) = self.port.write_sums(sums).await {
@@ -161,12 +177,32 @@
         let bounds = self.state.settings.load().bounds;
         let bound = ExposureBound { share: bounds.exposure_share, slack: bounds.exposure_slack };
         let next = next_phase(decision.phase, belief.order.duration, &evidence, &bound);
+        self.look_at_the_end(service, decision.phase, belief.order.duration, elapsed);
         if let Some((phase, reason)) = next {
             let text = format!("{reason}; {evidence:?}");
             self.decide(belief, phase, (decision.began, decision.canary), &text).await;
         }
     }
 
+    /// Looks again when a roll-out that moves is due to end, so that it does not end late where
+    /// few hosts look now and then.
+    fn look_at_the_end(
+        &mut self,
+        service: &ServiceName,
+        phase: RolloutPhase,
+        duration: Duration,
+        elapsed: Duration,
+    ) {
+        if phase != RolloutPhase::Moving {
+            return;
+        }
+        let left = duration.saturating_sub(FINISH_MARGIN).saturating_sub(elapsed);
+        let spread = END_SPREAD.mul_f64(self.state.words.point());
+        let at = self.state.clock.now() + left + spread;
+        let duty = self.duty(service);
+        duty.judge_at = duty.judge_at.min(at);
+    }
+
     async fn decide(
         &self,
         belief: &RolloutBelief,
--- a/crates/gateway/src/rollout_plan.rs
+++ b/crates/gateway/src/rollout_plan.rs
@@ -21,7 +21,7 @@
 /// Requests a second that are enough to judge a version within seconds. More of them only
 /// expose more, and move more sessions that run when the roll-out begins: each of those changes
 /// its version once, whichever host sees it.
-const CANARY_RATE: f64 = 4.0;
+const CANARY_RATE: f64 = 6.0;
 const PER_MILLE: f64 = 1_000.0;
 /// Time before the deadline at which a roll-out is ended: a conditional write at a store that
 /// answers fifty times as slowly as usual (200 ms), tried three times, and some.
@@ -101,7 +101,7 @@
 /// use oleander_gateway::rollout_plan::canary_share;
 ///
 /// assert_eq!(canary_share(45.0), 80);
-/// assert_eq!(canary_share(400.0), 10);
+/// assert_eq!(canary_share(400.0), 15);
 /// ```
 #[must_use]
 pub fn canary_share(requests_per_second: f64) -> u16 {
--- a/crates/gateway/src/rollout_sums.rs
+++ b/crates/gateway/src/rollout_sums.rs
@@ -3,10 +3,10 @@
 //! Each host adds up what it saw; sums of several hosts are added without any order between
 //! them. A host that restarts counts from nothing again, which its incarnation tells. The judge
 //! feeds what came since its last look to one mean-change test per route, since a version may be
-//! bad on one route only.
+//! bad on one route only, and to one over all routes, which knows sooner when it is bad on each.
 
 use crate::rollout_plan::StepEvidence;
-use oleander_core::alarm_threshold::alarm_threshold;
+use oleander_core::alarm_threshold::answer_threshold;
 use oleander_core::detect::{MeanChangeTest, RatingBaseline};
 use oleander_core::ids::{HostId, ServiceName};
 use serde::{Deserialize, Serialize};
@@ -24,6 +24,8 @@
 /// Mean number of answers between false alarms. A roll-out sees a few hundred answers, and there
 /// is one test for each of a handful of routes.
 const ANSWERS_BETWEEN_ALARMS: f64 = 20_000.0;
+/// Name of the test over all routes; no route has an empty name.
+const ALL_ROUTES: &str = "";
 /// Good share of an old version below which nothing can be told from a fall.
 const LEAST_GOOD: f64 = 0.3;
 
@@ -80,6 +82,17 @@
     pub routes: BTreeMap<Arc<str>, RouteSums>,
 }
 
+impl HostSums {
+    /// Whether the new version got or answered anything since `before`.
+    #[must_use]
+    pub fn has_new_answers(&self, before: &Self) -> bool {
+        let news = |sums: &Self| -> u64 {
+            sums.routes.values().map(|route| route.exposed + route.new.answers).sum()
+        };
+        self.order != before.order || news(self) != news(before)
+    }
+}
+
 /// Sums of all hosts, by route.
 pub type FleetSums = BTreeMap<Arc<str>, RouteSums>;
 
@@ -140,27 +153,34 @@
     /// Looks at the latest sums; `true` when the new version is worse on some route.
     pub fn look(&mut self, hosts: &[HostSums]) -> bool {
         let order = self.order;
+        let old = old_counts(hosts, order);
         for host in hosts.iter().filter(|host| host.order == order) {
             let key = (host.host.clone(), host.incarnation);
             let before = self.seen.insert(key, host.routes.clone()).unwrap_or_default();
             for (route, counts) in &host.routes {
-                let old = before.get(route).copied().unwrap_or_default();
-                self.add(route, counts.new, old.new, &counts.old);
+                let seen = before.get(route).copied().unwrap_or_default();
+                self.add(route, counts.new, seen.new, &old);
             }
         }
         self.alarmed
     }
 
-    /// Feeds what came since the last look to the route's test.
-    fn add(&mut self, route: &Arc<str>, now: AnswerCount, before: AnswerCount, old: &AnswerCount) {
-        let answers = now.answers.saturating_sub(before.answers);
+    /// Feeds what came since the last look to the route's test and the one over all routes.
+    fn add(&mut self, route: &Arc<str>, now: AnswerCount, seen: AnswerCount, old: &OldCounts) {
+        let answers = now.answers.saturating_sub(seen.answers);
         if answers == 0 {
             return;
         }
-        let bad = now.bad.saturating_sub(before.bad).min(answers);
-        let test = self.tests.entry(Arc::clone(route)).or_insert_with(|| new_test(old));
+        let bad = now.bad.saturating_sub(seen.bad).min(answers);
         let count = u32::try_from(answers).unwrap_or(u32::MAX);
-        self.alarmed |= test.add_sum(count, (answers - bad) as f64);
+        let old_of = |place: &Arc<str>| old.get(place).copied().unwrap_or_default();
+        for place in [Arc::clone(route), Arc::from(ALL_ROUTES)] {
+            let (baseline, threshold) = yardstick(&old_of(&place));
+            let test = self.tests.entry(place);
+            let test = test.or_insert_with(|| MeanChangeTest::new(baseline, threshold));
+            *test = test.rebased(baseline, threshold);
+            self.alarmed |= test.add_sum(count, (answers - bad) as f64);
+        }
     }
 
     /// What a step is decided on, beside the time.
@@ -176,10 +196,22 @@
     }
 }
 
-fn new_test(old: &AnswerCount) -> MeanChangeTest {
+/// Answers of the old version by route, and over all routes.
+type OldCounts = BTreeMap<Arc<str>, AnswerCount>;
+
+fn old_counts(hosts: &[HostSums], order: u64) -> OldCounts {
+    let mut counts = OldCounts::new();
+    for (route, sums) in add_up(hosts, order) {
+        counts.entry(Arc::from(ALL_ROUTES)).or_default().add(sums.old);
+        counts.insert(route, sums.old);
+    }
+    counts
+}
+
+/// What the new version is measured by: the old one, as far as it has answered.
+fn yardstick(old: &AnswerCount) -> (RatingBaseline, f64) {
     let good = PRIOR_ANSWERS * PRIOR_GOOD + (old.answers - old.bad.min(old.answers)) as f64;
     let mean = (good / (PRIOR_ANSWERS + old.answers as f64)).max(LEAST_GOOD);
     let baseline = RatingBaseline::new(mean, mean * (1.0 - mean), LEAST_FALL.min(mean / 2.0));
-    let threshold = alarm_threshold(&baseline, ANSWERS_BETWEEN_ALARMS);
-    MeanChangeTest::new(baseline, threshold)
+    (baseline, answer_threshold(&baseline, ANSWERS_BETWEEN_ALARMS))
 }
--- a/crates/gateway/src/topic_watch.rs
+++ b/crates/gateway/src/topic_watch.rs
@@ -21,12 +21,14 @@
 const OPEN_POLL: Duration = Duration::from_millis(200);
 /// Pause after a change before the next call, so that changes which come together, as when many
 /// upstreams start, take one call and not one each. Changes have to be known within 3 s.
-const GATHER_PAUSE: Duration = Duration::from_millis(600);
-/// First wait after a failed call; doubles up to [`LONGEST_RETRY`].
-const FIRST_RETRY: Duration = Duration::from_millis(100);
+const GATHER_PAUSE: Duration = Duration::from_millis(900);
+/// First wait after a failed call; doubles up to [`LONGEST_RETRY`] and what each host adds.
+const FIRST_RETRY: Duration = Duration::from_millis(150);
 /// Longest wait after failed calls: well within the 4 s after an outage in which a host counts
-/// as cut off.
+/// as cut off, also with what 100 hosts add.
 const LONGEST_RETRY: Duration = Duration::from_millis(800);
+const RETRY_PER_HOST: Duration = Duration::from_millis(8);
+const MOST_RETRY: Duration = Duration::from_millis(1_600);
 
 /// Follows `topic` and tells `keeper` what changes; ends when the keeper does.
 pub async fn follow_topic(
@@ -36,7 +38,6 @@
     keeper: ActorRef<BeliefKeeper>,
     doubts: Arc<FeedDoubt>,
 ) {
-    let backoff = RetryBackoff::new(FIRST_RETRY, LONGEST_RETRY);
     let mut cursor = None;
     let mut failures = 0u32;
     loop {
@@ -74,7 +75,10 @@
                 if matches!(error, PlatformError::Unknown(_)) {
                     doubts.raise(state.clock.now());
                 }
-                tokio::time::sleep(FIRST_RETRY / 2 + backoff.wait(failures, state.words.next())).await;
+                let hosts = u32::try_from(state.book.hosts()).unwrap_or(u32::MAX);
+                let longest = (LONGEST_RETRY + RETRY_PER_HOST.saturating_mul(hosts)).min(MOST_RETRY);
+                let wait = RetryBackoff::new(FIRST_RETRY, longest).wait(failures, state.words.next());
+                tokio::time::sleep(FIRST_RETRY / 2 + wait).await;
                 failures = failures.saturating_add(1);
                 told
             }
--- a/crates/gateway/src/upstream_book.rs
+++ b/crates/gateway/src/upstream_book.rs
@@ -28,10 +28,8 @@
 /// than the platform stay within them.
 const BUDGET_USED: f64 = 0.9;
 /// Part of the retries saved up that is kept for faults: a weak answer is better than none.
-const FAULT_SHARE: f64 = 0.3;
-/// Least retries that a host may save up. Among many hosts each one's part of the extra retries
-/// is less than two, with which no weak answer could be given up; what hosts leave of the share
-/// that they earn makes up for it.
+const FAULT_SHARE: f64 = 0.2;
+/// Least retries that a host may save up before it knows its rate.
 const LEAST_RESERVE: f64 = 2.5;
 /// Hosts that are assumed to share the extra retries until they were counted.
 const ASSUMED_HOSTS: usize = 64;
@@ -176,6 +174,8 @@
     since: Option<Timestamp>,
     /// Requests a second in the span before.
     rate: f64,
+    /// Retries that may be saved up.
+    reserve: f64,
 }
 
 /// What a choice of an upstream depends on.
@@ -235,8 +235,12 @@
 
     fn new_service(&self) -> ServiceState {
         let ejection = OutlierEjection::new(EJECTION_SHARE).with_base(EJECTION_BASE);
-        let budget = new_budget(&self.settings.load().bounds, *lock(&self.hosts));
-        ServiceState { ejection, budget, requests: 0, since: None, rate: 0.0 }
+        let bounds = self.settings.load().bounds;
+        let reserve = reserve(&bounds, *lock(&self.hosts), 0.0);
+        let budget = RetryBudget::new(bounds.retry_share * BUDGET_USED)
+            .with_reserve(reserve)
+            .with_balance(reserve);
+        ServiceState { ejection, budget, requests: 0, since: None, rate: 0.0, reserve }
     }
 
     /// Sets how many hosts share the extra retries.
@@ -246,10 +250,10 @@
             return;
         }
         *known = hosts.max(1);
-        let budget = new_budget(&self.settings.load().bounds, *known);
+        let bounds = self.settings.load().bounds;
         for state in lock(&self.services).values_mut() {
-            let balance = state.budget.balance().max(budget.balance());
-            state.budget = budget.with_balance(balance);
+            state.reserve = reserve(&bounds, *known, state.rate);
+            state.budget = state.budget.with_reserve(state.reserve);
         }
     }
 
@@ -268,6 +272,9 @@
             if span >= RATE_SPAN {
                 state.rate = state.requests as f64 / span.as_secs_f64();
                 (state.requests, state.since) = (0, Some(now));
+                let bounds = self.settings.load().bounds;
+                state.reserve = reserve(&bounds, *lock(&self.hosts), state.rate);
+                state.budget = state.budget.with_reserve(state.reserve);
             }
         }
     }
@@ -296,18 +303,16 @@
     /// Whether a weak answer may be given up now.
     #[must_use]
     pub fn may_escalate(&self, service: &ServiceName) -> bool {
-        let reserve = reserve(&self.settings.load().bounds, self.hosts());
-        self.balance(service) >= reserve * FAULT_SHARE + 1.0
+        let services = lock(&self.services);
+        let state = services.get(service);
+        state.is_some_and(|state| state.budget.balance() >= state.reserve * FAULT_SHARE + 1.0)
     }
 
     /// Whether a service's budget has a retry.
     #[must_use]
     pub fn has_retry(&self, service: &ServiceName) -> bool {
-        self.balance(service) >= 1.0
-    }
-
-    fn balance(&self, service: &ServiceName) -> f64 {
-        lock(&self.services).get(service).map_or(0.0, |state| state.budget.balance())
+        let services = lock(&self.services);
+        services.get(service).is_some_and(|state| state.budget.balance() >= 1.0)
     }
 
     /// Notes a good answer of an upstream.
@@ -431,14 +436,13 @@
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
-fn new_budget(bounds: &GatewayBounds, hosts: usize) -> RetryBudget {
-    let reserve = reserve(bounds, hosts);
-    RetryBudget::new(bounds.retry_share * BUDGET_USED).with_reserve(reserve).with_balance(reserve)
-}
-
-/// Retries that a host may save up.
-fn reserve(bounds: &GatewayBounds, hosts: usize) -> f64 {
-    (bounds.retry_extra * BUDGET_USED / hosts.max(1) as f64).max(LEAST_RESERVE)
+/// Retries that a host may save up: its part of the extra retries, and of what hosts leave of
+/// the share that they earn within the platform's window.
+fn reserve(bounds: &GatewayBounds, hosts: usize, rate: f64) -> f64 {
+    let window = Duration::from_millis(bounds.retry_window_ms).as_secs_f64();
+    let unused = rate * window * bounds.retry_share * (1.0 - BUDGET_USED);
+    let extra = bounds.retry_extra / hosts.max(1) as f64;
+    ((extra + unused) * BUDGET_USED).max(LEAST_RESERVE)
 }
 
 fn has_room(view: &UpstreamView) -> bool {
