--- a/crates/gateway/src/rollout_plan.rs
+++ b/crates/gateway/src/rollout_plan.rs
@@ -29,7 +29,9 @@
 pub const FINISH_MARGIN: Duration = Duration::from_millis(1_400);
 /// Part of the allowance that is used by plan; the rest is for hosts that learn late.
 const ALLOWANCE_USED: f64 = 0.75;
-/// Least time between moving all work and the end, so that short answers of old upstreams end.
+/// Part of it that a short roll-out may use, so that its move is not too short.
+const ALLOWANCE_LIMIT: f64 = 0.95;
+/// Least time, where the allowance covers it, between moving all work and the end, so that short answers of old upstreams end.
 const LEAST_MOVE: Duration = Duration::from_millis(1_500);
 /// Most time between them: longer gains nothing once the answers of old upstreams have ended.
 const LONGEST_MOVE: Duration = Duration::from_secs(6);
@@ -241,9 +243,12 @@
     let elapsed = evidence.elapsed.as_secs_f64().max(1.0);
     let rate = evidence.requests as f64 / elapsed;
     let expected = rate * duration.as_secs_f64();
-    let allowance = (bound.share * expected + bound.slack) * ALLOWANCE_USED;
-    let left = (allowance - evidence.exposed as f64).max(0.0);
-    let seconds = if rate > 0.0 { left / rate } else { f64::INFINITY };
-    let span = Duration::try_from_secs_f64(seconds).unwrap_or(LONGEST_MOVE);
-    span.clamp(LEAST_MOVE, LONGEST_MOVE.max(LEAST_MOVE)).min(duration / 2)
+    let allowance = bound.share * expected + bound.slack;
+    let covered = |used: f64| {
+        let left = (allowance * used - evidence.exposed as f64).max(0.0);
+        let seconds = if rate > 0.0 { left / rate } else { f64::INFINITY };
+        Duration::try_from_secs_f64(seconds).unwrap_or(LONGEST_MOVE)
+    };
+    let least = LEAST_MOVE.min(covered(ALLOWANCE_LIMIT));
+    covered(ALLOWANCE_USED).max(least).min(LONGEST_MOVE).min(duration / 2)
 }
--- /dev/null
+++ b/crates/gateway/tests/beliefs.rs
@@ -0,0 +1,211 @@
+//! What a process believes, over histories of late, stale and missing news.
+
+use oleander_core::stable_hash::{mix, unit_point};
+use oleander_core::units::Timestamp;
+use oleander_gateway::beliefs::{BeliefBook, BeliefNote, LAPSE_GRACE};
+use oleander_gateway::control_port::{Topic, TopicChange, TopicRow, TopicValue};
+use oleander_gateway::rollout_plan::{RolloutDecision, RolloutOrder, RolloutPhase, VersionRule};
+use oleander_gateway::routes::RouteTable;
+use oleander_gateway::upstream_entry::{UpstreamEntry, UpstreamState};
+use std::sync::Arc;
+use std::time::Duration;
+
+const START: Timestamp = Timestamp::from_millis(10_000);
+
+fn upstream(name: &str, port: u16, state: UpstreamState) -> TopicValue {
+    TopicValue::Upstream(Arc::new(UpstreamEntry {
+        name: name.parse().unwrap(),
+        service: "desk".parse().unwrap(),
+        address: ([10, 0, 0, 1], port).into(),
+        domain: "puget-a".parse().unwrap(),
+        version: Arc::from("v1"),
+        slots: 6,
+        state,
+        born: 1,
+    }))
+}
+
+fn row(key: &str, version: u64, value: TopicValue) -> TopicRow {
+    TopicRow { key: Arc::from(key), version, value }
+}
+
+fn change(whole: bool, cursor: u64, rows: Vec<TopicRow>) -> TopicChange {
+    TopicChange { whole, cursor, store_now: Timestamp::from_millis(500), rows }
+}
+
+fn routes(version: u64) -> TopicValue {
+    TopicValue::Routes(Arc::new(RouteTable::new(version)))
+}
+
+fn names(book: &BeliefBook) -> Vec<String> {
+    let beliefs = book.beliefs();
+    let all = beliefs.upstreams.values().flatten();
+    all.map(|entry| entry.name.to_string()).collect()
+}
+
+fn ready_book() -> BeliefBook {
+    let mut book = BeliefBook::new();
+    let rows = vec![
+        row("i-1", 1, upstream("i-1", 1, UpstreamState::Ready)),
+        row("i-2", 2, upstream("i-2", 2, UpstreamState::Ready)),
+    ];
+    book.take(Topic::Upstreams, &change(true, 3, rows), START);
+    book
+}
+
+#[test]
+fn beliefs_are_complete_once_every_topic_was_read() {
+    let mut book = ready_book();
+    assert!(!book.beliefs().complete);
+    book.take(Topic::Orders, &change(true, 3, vec![row("config", 3, routes(7))]), START);
+    assert!(!book.beliefs().complete);
+    book.take(Topic::Decisions, &change(true, 3, vec![]), START);
+    assert!(book.beliefs().complete);
+}
+
+/// The configuration never steps back, whatever order answers come in.
+#[test]
+fn the_configuration_never_steps_back() {
+    for seed in 0..300u64 {
+        let mut book = BeliefBook::new();
+        let mut highest = 0;
+        for step in 0..60u64 {
+            let word = mix(seed * 1_000 + step);
+            let version = 1 + (unit_point(word) * 40.0) as u64;
+            let stale = mix(word) % 4 == 0;
+            let cursor = if stale { version / 2 } else { version };
+            // Versions of the configuration need not follow those of its row.
+            let table = if mix(word ^ 9) % 5 == 0 { version / 3 } else { version };
+            let whole = mix(word ^ 5) % 3 == 0;
+            let rows = vec![row("config", version, routes(table))];
+            book.take(Topic::Orders, &change(whole, cursor, rows), START);
+            let now = book.beliefs().routes.map_or(0, |table| table.version());
+            assert!(now >= highest, "seed {seed} step {step}: {now} after {highest}");
+            highest = now;
+        }
+    }
+}
+
+#[test]
+fn an_unreadable_configuration_leaves_the_last_one_in_force() {
+    let mut book = BeliefBook::new();
+    book.take(Topic::Orders, &change(true, 1, vec![row("config", 1, routes(7))]), START);
+    let odd = row("config", 2, TopicValue::Unreadable("no configuration".into()));
+    let notes = book.take(Topic::Orders, &change(false, 2, vec![odd]), START);
+    assert!(matches!(notes[0], BeliefNote::Skipped(..)));
+    assert_eq!(book.beliefs().routes.unwrap().version(), 7);
+}
+
+#[test]
+fn a_draining_upstream_takes_no_work_and_a_stale_answer_does_not_bring_it_back() {
+    let mut book = ready_book();
+    let rows = vec![row("i-1", 4, upstream("i-1", 1, UpstreamState::Draining))];
+    book.take(Topic::Upstreams, &change(false, 4, rows), START);
+    assert_eq!(names(&book), ["i-2"]);
+    let stale = vec![row("i-1", 1, upstream("i-1", 1, UpstreamState::Ready))];
+    let notes = book.take(Topic::Upstreams, &change(true, 3, stale.clone()), START);
+    assert_eq!(notes, [BeliefNote::Stale(Topic::Upstreams)]);
+    book.take(Topic::Upstreams, &change(false, 5, stale), START);
+    assert_eq!(names(&book), ["i-2"]);
+}
+
+#[test]
+fn an_upstream_that_a_whole_read_lacks_is_gone() {
+    let mut book = ready_book();
+    let rows = vec![row("i-2", 2, upstream("i-2", 2, UpstreamState::Ready))];
+    book.take(Topic::Upstreams, &change(true, 9, rows), START);
+    assert_eq!(names(&book), ["i-2"]);
+}
+
+#[test]
+fn entries_that_lapsed_while_the_store_was_away_have_a_while_to_come_back() {
+    let mut book = ready_book();
+    book.note_lost(Topic::Upstreams);
+    let back = START + Duration::from_secs(10);
+    let rows = vec![row("i-1", 8, TopicValue::Removed), row("i-2", 9, TopicValue::Removed)];
+    book.take(Topic::Upstreams, &change(false, 9, rows), back);
+    assert_eq!(names(&book), ["i-1", "i-2"], "they may live");
+    let rows = vec![row("i-2", 10, upstream("i-2", 2, UpstreamState::Ready))];
+    book.take(Topic::Upstreams, &change(false, 10, rows), back + Duration::from_millis(900));
+    assert!(book.expire(back + (LAPSE_GRACE - Duration::from_millis(1))).is_empty());
+    assert_eq!(book.expire(back + LAPSE_GRACE).len(), 1);
+    assert_eq!(names(&book), ["i-2"]);
+}
+
+#[test]
+fn an_upstream_that_was_seen_draining_gets_no_grace() {
+    let mut book = ready_book();
+    let rows = vec![row("i-1", 4, upstream("i-1", 1, UpstreamState::Draining))];
+    book.take(Topic::Upstreams, &change(false, 4, rows), START);
+    book.note_lost(Topic::Upstreams);
+    let rows = vec![row("i-1", 8, TopicValue::Removed)];
+    book.take(Topic::Upstreams, &change(false, 8, rows), START + Duration::from_secs(9));
+    assert_eq!(names(&book), ["i-2"]);
+}
+
+#[test]
+fn an_address_belongs_to_the_entry_that_was_written_last() {
+    let mut book = ready_book();
+    let rows = vec![row("i-3", 5, upstream("i-3", 1, UpstreamState::Ready))];
+    book.take(Topic::Upstreams, &change(false, 5, rows), START);
+    assert_eq!(names(&book), ["i-3", "i-2"]);
+}
+
+fn order(version: u64, to: &str) -> TopicRow {
+    let order = RolloutOrder {
+        service: "desk".parse().unwrap(),
+        to: to.into(),
+        duration: Duration::from_secs(24),
+        order: version,
+    };
+    row("rollout/desk", version, TopicValue::Rollout(order))
+}
+
+fn decision(version: u64, of: u64, phase: RolloutPhase) -> TopicRow {
+    let decision = RolloutDecision {
+        service: "desk".parse().unwrap(),
+        to: "v2".into(),
+        order: of,
+        phase,
+        began: START,
+        canary: 80,
+    };
+    row("rollout/desk", version, TopicValue::Decision(decision))
+}
+
+#[test]
+fn a_decision_on_an_earlier_order_says_nothing_of_the_next() {
+    let mut book = ready_book();
+    let service = "desk".parse().unwrap();
+    book.take(Topic::Orders, &change(true, 10, vec![order(10, "v2")]), START);
+    book.take(Topic::Decisions, &change(true, 12, vec![decision(12, 10, RolloutPhase::Done)]), START);
+    let rule = book.beliefs().version_rule(&service, "session", None);
+    assert_eq!(rule, VersionRule::Prefer("v2".into()));
+    assert!(!book.beliefs().has_open_rollout());
+    book.take(Topic::Orders, &change(false, 20, vec![order(20, "v3")]), START);
+    let beliefs = book.beliefs();
+    assert_eq!(beliefs.version_rule(&service, "session", None), VersionRule::Not("v3".into()));
+    assert!(beliefs.has_open_rollout());
+    assert_eq!(beliefs.rollouts[&service].decision_version, 12, "to be written over");
+}
+
+#[test]
+fn sessions_under_way_keep_their_version_in_a_canary() {
+    let mut book = ready_book();
+    let service = "desk".parse().unwrap();
+    book.take(Topic::Orders, &change(true, 10, vec![order(10, "v2")]), START);
+    let rows = vec![decision(12, 10, RolloutPhase::Canary)];
+    book.take(Topic::Decisions, &change(true, 12, rows), START);
+    let beliefs = book.beliefs();
+    let mut new = 0;
+    for number in 0..1_000 {
+        let session = format!("session-{number}");
+        let drawn = beliefs.version_rule(&service, &session, None);
+        new += usize::from(drawn == VersionRule::Prefer("v2".into()));
+        let old = beliefs.version_rule(&service, &session, Some("v1"));
+        assert_eq!(old, VersionRule::Not("v2".into()));
+        let kept = beliefs.version_rule(&service, &session, Some("v2"));
+        assert_eq!(kept, VersionRule::Prefer("v2".into()));
+    }
+    assert!((50..=110).contains(&new), "{new} of 1000 for a share of 80");
+}
--- /dev/null
+++ b/crates/gateway/tests/load.rs
@@ -0,0 +1,383 @@
+//! Where work goes and who waits under load, without any network.
+
+use oleander_core::ids::UpstreamName;
+use oleander_core::units::{Money, Timestamp};
+use oleander_gateway::choice_price::{ChoicePrices, PricedRequest, prices};
+use oleander_gateway::fault::AttemptFault;
+use oleander_gateway::rollout_plan::VersionRule;
+use oleander_gateway::settings::{GatewayBounds, GatewaySettings, SharedSettings};
+use oleander_gateway::upstream_book::{ChoiceInput, UpstreamBook, UpstreamPermit};
+use oleander_gateway::upstream_entry::{UpstreamEntry, UpstreamState};
+use oleander_gateway::wire_format::{AnswerLoad, TokenSize};
+use oleander_core::attempt_retry::FaultKind;
+use oleander_core::stable_hash::mix;
+use std::collections::{BTreeMap, HashMap, HashSet};
+use std::sync::Arc;
+use std::time::Duration;
+
+const REGIONS: [&str; 3] = ["puget", "willamette", "inland"];
+
+fn settings(region: &str, bounds: GatewayBounds) -> SharedSettings {
+    let free = ([127, 0, 0, 1], 0).into();
+    let domains = REGIONS.map(|name| {
+        (format!("{name}-a").parse().unwrap(), name.parse().unwrap())
+    });
+    SharedSettings::new(arc_swap::ArcSwap::from_pointee(GatewaySettings {
+        host: format!("host-{region}").parse().unwrap(),
+        region: region.parse().unwrap(),
+        domain: format!("{region}-a").parse().unwrap(),
+        domains: domains.into(),
+        callers: free,
+        ready: free,
+        metrics: None,
+        peers: None,
+        store: free,
+        memory_bytes: 100_000_000,
+        bounds,
+    }))
+}
+
+/// Upstreams spread over the regions.
+fn entries(count: usize) -> Vec<Arc<UpstreamEntry>> {
+    let entry = |number: usize| UpstreamEntry {
+        name: format!("i-{number}").parse().unwrap(),
+        service: "writer".parse().unwrap(),
+        address: ([10, 0, 0, number as u8], 80).into(),
+        domain: format!("{}-a", REGIONS[number % REGIONS.len()]).parse().unwrap(),
+        version: Arc::from("v1"),
+        slots: 64,
+        state: UpstreamState::Ready,
+        born: 1,
+    };
+    (0..count).map(|number| Arc::new(entry(number))).collect()
+}
+
+fn book_in(region: &str, entries: &[Arc<UpstreamEntry>]) -> UpstreamBook {
+    let book = UpstreamBook::new(settings(region, GatewayBounds::default()));
+    book.set_hosts(7);
+    book.update(&BTreeMap::from([("writer".parse().unwrap(), entries.to_vec())]));
+    book
+}
+
+struct Ask {
+    size: TokenSize,
+    shared: Option<(String, u32)>,
+    read: Duration,
+}
+
+impl Ask {
+    fn plan(subject: usize) -> Self {
+        Self {
+            size: TokenSize { prompt: 12_000, answer: 384 },
+            shared: Some((format!("subject-{subject}"), 5_400)),
+            read: Duration::from_millis(130),
+        }
+    }
+
+    fn tag() -> Self {
+        Self {
+            size: TokenSize { prompt: 1_200, answer: 24 },
+            shared: None,
+            read: Duration::from_millis(13),
+        }
+    }
+
+    fn prices(&self) -> ChoicePrices {
+        prices(&PricedRequest {
+            size: Some(self.size),
+            shared_tokens: self.shared.as_ref().map_or(0, |shared| shared.1),
+            body_bytes: self.size.prompt as usize,
+            rank: 1,
+            goal: Duration::from_secs(4),
+            model_cost: 0.26,
+        })
+    }
+
+    fn choose(
+        &self,
+        book: &UpstreamBook,
+        entries: &[Arc<UpstreamEntry>],
+        random: u64,
+        now: u64,
+    ) -> Option<UpstreamPermit> {
+        self.choose_but(book, entries, &HashSet::new(), random, now)
+    }
+
+    fn choose_but(
+        &self,
+        book: &UpstreamBook,
+        entries: &[Arc<UpstreamEntry>],
+        tried: &HashSet<UpstreamName>,
+        random: u64,
+        now: u64,
+    ) -> Option<UpstreamPermit> {
+        book.choose(&ChoiceInput {
+            entries,
+            rule: &VersionRule::Any,
+            tried,
+            size: self.size,
+            read: self.read,
+            shared: self.shared.as_ref().map(|shared| shared.0.as_str()),
+            prices: self.prices(),
+            random: mix(random),
+            now: Timestamp::from_millis(now),
+        })
+    }
+}
+
+fn counts(permits: &[UpstreamPermit]) -> HashMap<String, usize> {
+    let mut counts = HashMap::new();
+    for permit in permits {
+        *counts.entry(permit.cell.entry.name.to_string()).or_default() += 1;
+    }
+    counts
+}
+
+/// Pattern: long prompts come together. Counted as requests they look alike; counted as unread
+/// prompts, no upstream gets several while another is idle.
+#[test]
+fn long_prompts_that_come_together_are_spread() {
+    let entries = entries(9);
+    let book = book_in("puget", &entries);
+    let long = Ask {
+        size: TokenSize { prompt: 50_000, answer: 384 },
+        shared: None,
+        read: Duration::from_millis(1_600),
+    };
+    let permits: Vec<_> = (0..9).filter_map(|n| long.choose(&book, &entries, n, 1_000)).collect();
+    let most = counts(&permits).into_values().max().unwrap();
+    assert!(most <= 2, "{:?}", counts(&permits));
+}
+
+/// Pattern: short requests behind a long prompt. They go where nothing is unread.
+#[test]
+fn short_requests_avoid_an_upstream_that_reads_a_long_prompt() {
+    let entries = entries(9);
+    let book = book_in("puget", &entries);
+    let long = Ask {
+        size: TokenSize { prompt: 50_000, answer: 384 },
+        shared: None,
+        read: Duration::from_millis(1_600),
+    };
+    let busy = long.choose(&book, &entries, 1, 1_000).unwrap();
+    let name = busy.cell.entry.name.to_string();
+    let permits: Vec<_> =
+        (0..40).filter_map(|n| Ask::tag().choose(&book, &entries, n, 1_000)).collect();
+    assert_eq!(counts(&permits).get(&name), None);
+    drop(busy);
+    let permits: Vec<_> =
+        (0..400).filter_map(|n| Ask::tag().choose(&book, &entries, n, 1_000)).collect();
+    assert!(counts(&permits).contains_key(&name), "it is used again once the prompt is read");
+}
+
+/// Pattern: many hosts read the same old report of one idle upstream. They do not all rush to it.
+#[test]
+fn hosts_do_not_herd_to_what_a_stale_report_calls_idle() {
+    let entries = entries(30);
+    let mut got = HashMap::new();
+    for host in 0..40u64 {
+        let book = book_in("puget", &entries);
+        // Every host heard half a second ago that all are busy but the first.
+        let permits: Vec<_> = (0..30)
+            .filter_map(|n| {
+                let others: HashSet<_> = entries
+                    .iter()
+                    .enumerate()
+                    .filter(|(index, _)| *index != n as usize)
+                    .map(|(_, entry)| entry.name.clone())
+                    .collect();
+                Ask::tag().choose_but(&book, &entries, &others, n, 1_000)
+            })
+            .collect();
+        for permit in &permits {
+            let idle = permit.cell.entry.name.as_str() == "i-0";
+            let running = if idle { 0 } else { 20 };
+            permit.cell.note_load(
+                AnswerLoad { running, waiting: 0, slots: 64 },
+                Timestamp::from_millis(1_000),
+            );
+        }
+        drop(permits);
+        let permit = Ask::tag().choose(&book, &entries, host * 77, 1_500).unwrap();
+        *got.entry(permit.cell.entry.name.to_string()).or_insert(0) += 1;
+    }
+    let rush = got.get("i-0").copied().unwrap_or(0);
+    assert!(rush <= 13, "{rush} of 40 hosts took the same upstream: {got:?}");
+}
+
+/// Pattern: requests share a long start of their prompts. They go to the same upstream from
+/// every region, as long as it is not loaded much above the others.
+#[test]
+fn requests_with_a_long_shared_prompt_stay_together() {
+    let entries = entries(9);
+    for subject in 0..20 {
+        let mut places = HashSet::new();
+        for region in REGIONS {
+            let book = book_in(region, &entries);
+            for n in 0..5 {
+                let permit = Ask::plan(subject).choose(&book, &entries, n, 1_000).unwrap();
+                places.insert(permit.cell.entry.name.to_string());
+            }
+        }
+        assert_eq!(places.len(), 1, "subject {subject}: {places:?}");
+    }
+}
+
+/// Pattern: one subject gets most of the traffic. Its upstream does not drown.
+#[test]
+fn a_hot_subject_spills_over() {
+    let entries = entries(9);
+    let book = book_in("puget", &entries);
+    let permits: Vec<_> =
+        (0..45).filter_map(|n| Ask::plan(1).choose(&book, &entries, n, 1_000)).collect();
+    let counts = counts(&permits);
+    let most = counts.values().max().unwrap();
+    assert!(*most <= 15 && counts.len() >= 5, "{counts:?}");
+}
+
+/// Pattern: nothing is shared. Work stays in the region, since bytes between regions cost.
+#[test]
+fn work_stays_in_its_region_while_there_is_room() {
+    let entries = entries(9);
+    let book = book_in("willamette", &entries);
+    let mut permits = Vec::new();
+    for n in 0..30 {
+        let permit = Ask::tag().choose(&book, &entries, n, 1_000).unwrap();
+        assert_eq!(permit.cell.entry.domain.as_str(), "willamette-a");
+        permits.push(permit);
+    }
+}
+
+/// Pattern: a region's upstreams are gone. Work goes to the others.
+#[test]
+fn work_goes_to_other_regions_when_its_own_has_no_upstream() {
+    let entries = entries(9);
+    let others: Vec<_> =
+        entries.iter().filter(|entry| entry.domain.as_str() != "puget-a").cloned().collect();
+    let book = book_in("puget", &others);
+    assert!(Ask::tag().choose(&book, &others, 1, 1_000).is_some());
+}
+
+/// Pattern: an upstream cannot be reached. It is out at the second time, and let back one
+/// request at a time.
+#[test]
+fn an_unreachable_upstream_is_left_out_and_let_back_carefully() {
+    let entries = entries(3);
+    let book = book_in("puget", &entries);
+    let entry = &entries[0];
+    let fault = AttemptFault::new(FaultKind::Connect, "no connection");
+    let chosen_at = |now: u64| -> Vec<UpstreamPermit> {
+        (0..60).filter_map(|n| Ask::tag().choose(&book, &entries, n, now)).collect()
+    };
+    assert!(!book.note_fault(entry, &fault, Timestamp::from_millis(1_000)));
+    assert!(book.note_fault(entry, &fault, Timestamp::from_millis(1_010)));
+    assert!(!counts(&chosen_at(1_500)).contains_key("i-0"));
+    let back = counts(&chosen_at(9_000)).get("i-0").copied().unwrap_or(0);
+    assert!(back <= 1, "{back} at once after it came back");
+    book.note_success(entry);
+    assert!(counts(&chosen_at(20_000)).get("i-0").copied().unwrap_or(0) > 1);
+}
+
+/// Pattern: all upstreams fail. Some are tried all the same.
+#[test]
+fn a_service_is_never_left_without_upstreams() {
+    let entries = entries(2);
+    let book = book_in("puget", &entries);
+    let fault = AttemptFault::new(FaultKind::Connect, "no connection");
+    for entry in &entries {
+        for at in 0..6 {
+            book.note_fault(entry, &fault, Timestamp::from_millis(1_000 + at));
+        }
+    }
+    assert!(Ask::tag().choose(&book, &entries, 1, 1_100).is_some());
+}
+
+/// Pattern: an attempt has waited long. It is left only for an upstream that promises to be
+/// quick; in a general jam it keeps its place in the queue.
+#[test]
+fn a_queue_is_left_only_for_a_quicker_one() {
+    let entries = entries(3);
+    let book = book_in("puget", &entries);
+    let ask = Ask::tag();
+    let tried = HashSet::from([entries[0].name.clone()]);
+    let quick = |book: &UpstreamBook| {
+        let input = ChoiceInput {
+            entries: &entries,
+            rule: &VersionRule::Any,
+            tried: &tried,
+            size: ask.size,
+            read: ask.read,
+            shared: None,
+            prices: ask.prices(),
+            random: 1,
+            now: Timestamp::from_millis(1_000),
+        };
+        book.has_quick(&input, Duration::from_millis(500))
+    };
+    assert!(quick(&book));
+    let long = Ask { read: Duration::from_millis(2_000), ..Ask::tag() };
+    let jam: Vec<_> = (0..12).filter_map(|n| long.choose(&book, &entries, n, 1_000)).collect();
+    assert!(!quick(&book), "{:?}", counts(&jam));
+}
+
+/// Pattern: every request fails on every host. All hosts together stay within what the
+/// deployment allows in every window.
+#[yare::parameterized(
+    few_hosts = { 7, 8.0 },
+    many_hosts = { 84, 5.0 },
+    uneven = { 20, 30.0 },
+)]
+fn retries_of_all_hosts_stay_within_the_bounds(hosts: usize, rate: f64) {
+    let extra = if hosts > 50 { 204.0 } else { 54.0 };
+    let bounds = GatewayBounds { retry_extra: extra, ..GatewayBounds::default() };
+    let service = "writer".parse().unwrap();
+    let list = entries(3);
+    let mut retried = Vec::new();
+    let mut requested = Vec::new();
+    for host in 0..hosts {
+        let book = UpstreamBook::new(settings("puget", bounds));
+        book.set_hosts(hosts);
+        book.update(&BTreeMap::from([("writer".parse().unwrap(), list.clone())]));
+        // Half of the hosts get three times as much as the others.
+        let own = if host % 2 == 0 { rate * 1.5 } else { rate * 0.5 };
+        let mut at = 1_000.0 + host as f64;
+        while at < 61_000.0 {
+            book.note_request(&service, Timestamp::from_millis(at as u64));
+            requested.push(at);
+            // Nothing fails in the first half minute, so that all save up what they may.
+            for _ in 0..3 {
+                if at > 30_000.0 && book.try_retry(&service) {
+                    retried.push(at);
+                }
+            }
+            at += 1_000.0 / own;
+        }
+    }
+    let within = |times: &[f64], from: f64| {
+        times.iter().filter(|&&at| at >= from && at < from + 10_000.0).count() as f64
+    };
+    for from in (0..50).map(|step| 1_000.0 * f64::from(step)) {
+        let allowed = bounds.retry_share * within(&requested, from) + extra;
+        let made = within(&retried, from);
+        assert!(made <= allowed, "{made} of {allowed} from {from}");
+    }
+    assert!(!retried.is_empty());
+}
+
+/// Pattern: weak answers use retries up. What is kept for faults is still there.
+#[test]
+fn weak_answers_leave_retries_for_faults() {
+    let entries = entries(3);
+    let book = book_in("puget", &entries);
+    let service = "writer".parse().unwrap();
+    while book.try_escalate(&service) {}
+    assert!(book.has_retry(&service));
+    assert!(book.try_retry(&service));
+}
+
+#[test]
+fn prices_are_those_of_the_users_sheet() {
+    let found = Ask::plan(1).prices();
+    assert!(found.read_again > found.transfer, "a long shared prompt pays for another region");
+    assert!(Ask::tag().prices().transfer > Money::ZERO);
+}
--- /dev/null
+++ b/crates/gateway/tests/rollouts.rs
@@ -0,0 +1,212 @@
+//! Roll-outs: what the sums of all hosts say, and when phases change.
+
+use oleander_core::stable_hash::{mix, unit_point};
+use oleander_gateway::rollout_plan::{
+    ExposureBound, FINISH_MARGIN, RolloutPhase, StepEvidence, canary_share, next_phase,
+};
+use oleander_gateway::rollout_sums::{AnswerCount, HostSums, RolloutJudge, RouteSums, add_up};
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+const ROUTES: [&str; 3] = ["plans", "notes", "tags"];
+const BOUND: ExposureBound = ExposureBound { share: 0.12, slack: 30.0 };
+
+fn host(name: usize, incarnation: u64) -> HostSums {
+    HostSums {
+        host: format!("host-{name}").parse().unwrap(),
+        incarnation,
+        service: "writer".parse().unwrap(),
+        order: 7,
+        routes: BTreeMap::new(),
+    }
+}
+
+/// A fleet whose hosts count answers of a version with a chance to be bad on each route.
+struct Fleet {
+    hosts: Vec<HostSums>,
+    word: u64,
+}
+
+impl Fleet {
+    fn new(hosts: usize, seed: u64) -> Self {
+        Self { hosts: (0..hosts).map(|name| host(name, 1)).collect(), word: seed }
+    }
+
+    fn point(&mut self) -> f64 {
+        self.word = mix(self.word);
+        unit_point(self.word)
+    }
+
+    fn answer(&mut self, is_new: bool, bad_share: impl Fn(&str) -> f64) {
+        let host = (self.point() * self.hosts.len() as f64) as usize;
+        let route = ROUTES[(self.point() * 3.0) as usize];
+        let is_bad = self.point() < bad_share(route);
+        let sums = self.hosts[host].routes.entry(Arc::from(route)).or_default();
+        let count = if is_new { &mut sums.new } else { &mut sums.old };
+        count.answers += 1;
+        count.bad += u64::from(is_bad);
+        sums.requests += 1;
+        sums.exposed += u64::from(is_new);
+    }
+}
+
+/// Answers of the new version until a judge that looks after every third one is alarmed.
+fn answers_to_alarm(hosts: usize, seed: u64, bad: impl Fn(&str, usize) -> f64) -> Option<usize> {
+    let mut fleet = Fleet::new(hosts, seed);
+    let mut judge = RolloutJudge::new(7);
+    for answer in 0..400 {
+        for _ in 0..11 {
+            fleet.answer(false, |_| 0.02);
+        }
+        fleet.answer(true, |route| bad(route, answer));
+        if answer % 3 == 2 && judge.look(&fleet.hosts) {
+            return Some(answer + 1);
+        }
+    }
+    None
+}
+
+#[yare::parameterized(
+    everywhere = { 0.35, 1.0, 40.0 },
+    on_one_route = { 0.5, 0.0, 120.0 },
+)]
+fn a_bad_version_is_found_within_its_allowance(bad: f64, elsewhere: f64, most: f64) {
+    let mut total = 0.0;
+    for seed in 0..60u64 {
+        let share = |route: &str, _| if route == "notes" { bad } else { bad * elsewhere + 0.01 };
+        let found = answers_to_alarm(20, seed * 31 + 5, share);
+        total += found.unwrap_or_else(|| panic!("seed {seed}: not found")) as f64;
+    }
+    assert!(total / 60.0 <= most, "{} answers on average", total / 60.0);
+}
+
+#[test]
+fn a_version_that_turns_bad_late_is_found() {
+    for seed in 0..40u64 {
+        let share = |_: &str, answer| if answer < 100 { 0.02 } else { 0.45 };
+        let found = answers_to_alarm(20, seed * 17 + 3, share);
+        let found = found.unwrap_or_else(|| panic!("seed {seed}: not found"));
+        assert!(found <= 170, "seed {seed}: {found}");
+    }
+}
+
+#[test]
+fn a_good_version_raises_few_alarms() {
+    let alarms = (0..200u64).filter(|seed| answers_to_alarm(20, seed * 7 + 1, |_, _| 0.02).is_some());
+    let alarms = alarms.count();
+    // Four tests of at most 400 answers each, with 20,000 answers between alarms.
+    assert!(alarms <= 8, "{alarms} of 200");
+}
+
+/// The order in which hosts write and judges look changes no sum.
+#[test]
+fn sums_do_not_depend_on_who_looks_when() {
+    for seed in 0..50u64 {
+        let mut fleet = Fleet::new(9, seed + 1);
+        let (mut often, mut once) = (RolloutJudge::new(7), RolloutJudge::new(7));
+        for answer in 0..200 {
+            fleet.answer(answer % 4 == 0, |_| 0.03);
+            if mix(seed + answer) % 3 == 0 {
+                often.look(&fleet.hosts);
+            }
+        }
+        often.look(&fleet.hosts);
+        once.look(&fleet.hosts);
+        let elapsed = Duration::from_secs(1);
+        let seen = |judge: &RolloutJudge| {
+            let evidence = judge.evidence(&fleet.hosts, elapsed);
+            (evidence.requests, evidence.exposed)
+        };
+        assert_eq!(seen(&often), seen(&once));
+        assert_eq!(seen(&often).0, 200);
+    }
+}
+
+#[test]
+fn a_host_that_restarts_counts_from_nothing() {
+    let counts = |answers, bad| RouteSums {
+        new: AnswerCount { answers, bad },
+        old: AnswerCount { answers: 100, bad: 1 },
+        exposed: answers,
+        requests: 100 + answers,
+    };
+    let mut before = host(1, 1);
+    before.routes.insert("plans".into(), counts(30, 1));
+    let mut after = host(1, 2);
+    after.routes.insert("plans".into(), counts(8, 8));
+    let mut judge = RolloutJudge::new(7);
+    assert!(!judge.look(&[before]));
+    assert!(judge.look(&[after]), "its new answers count, though there are fewer than before");
+}
+
+#[test]
+fn sums_of_another_order_do_not_count() {
+    let mut fleet = Fleet::new(2, 1);
+    (0..50).for_each(|_| fleet.answer(true, |_| 1.0));
+    assert!(add_up(&fleet.hosts, 8).is_empty());
+    assert!(!RolloutJudge::new(8).look(&fleet.hosts));
+}
+
+/// Plays a roll-out of a good version second by second; returns when it is done and what the
+/// new version got.
+fn play(rate: f64, duration: Duration) -> (Duration, f64) {
+    let share = f64::from(canary_share(rate)) / 1_000.0;
+    let (mut phase, mut exposed, mut requests) = (RolloutPhase::Canary, 0.0, 0.0);
+    let step = Duration::from_millis(100);
+    let mut elapsed = Duration::ZERO;
+    while elapsed <= duration + Duration::from_secs(5) {
+        elapsed += step;
+        let now = rate * step.as_secs_f64();
+        requests += now;
+        exposed += if phase == RolloutPhase::Canary { now * share } else { now };
+        let evidence = StepEvidence {
+            elapsed,
+            requests: requests as u64,
+            exposed: exposed as u64,
+            alarmed: false,
+        };
+        if let Some((next, _)) = next_phase(phase, duration, &evidence, &BOUND) {
+            phase = next;
+        }
+        if phase == RolloutPhase::Done {
+            return (elapsed, exposed);
+        }
+    }
+    panic!("not done at {rate} requests a second");
+}
+
+#[yare::parameterized(
+    quiet = { 2.0, 24 },
+    small = { 45.0, 24 },
+    small_and_short = { 45.0, 12 },
+    large = { 425.0, 24 },
+    large_and_short = { 425.0, 16 },
+    target = { 2_700.0, 24 },
+)]
+fn a_good_version_is_done_in_time_and_within_what_a_bad_one_may_get(rate: f64, seconds: u64) {
+    let duration = Duration::from_secs(seconds);
+    let (done, exposed) = play(rate, duration);
+    assert!(done <= duration - Duration::from_millis(1_000), "done after {done:?}");
+    assert!(done + FINISH_MARGIN + Duration::from_millis(200) >= duration);
+    // The bound counts all requests between the order and its deadline.
+    let requests = rate * duration.as_secs_f64();
+    assert!(exposed <= BOUND.share * requests + BOUND.slack, "{exposed} of {requests}");
+}
+
+#[test]
+fn an_alarm_takes_a_version_back_in_every_open_phase_only() {
+    let evidence = StepEvidence {
+        elapsed: Duration::from_secs(3),
+        requests: 100,
+        exposed: 10,
+        alarmed: true,
+    };
+    let next = |phase| next_phase(phase, Duration::from_secs(24), &evidence, &BOUND);
+    for phase in [RolloutPhase::Canary, RolloutPhase::Moving] {
+        assert_eq!(next(phase).map(|(next, _)| next), Some(RolloutPhase::Reverted));
+    }
+    for phase in [RolloutPhase::Done, RolloutPhase::Reverted] {
+        assert_eq!(next(phase), None);
+    }
+}
