Take no doubt from rows that were removed before a process started

Change: what another host tells is compared with the cursor up to which everything is known. Test: a_whole_read_knows_of_rows_that_were_removed_before.

--- a/crates/gateway/src/beacon.rs
+++ b/crates/gateway/src/beacon.rs
@@ -151,8 +151,8 @@
                 send_at += BEACON_SPAN;
                 send(&state, &socket, &peers).await;
                 let now = state.clock.now();
-                if watch.is_late(&state.beliefs.load().versions, now) {
-                    log::warn!(target: "dependency", versions:? = state.beliefs.load().versions; "another host knows more, connections doubted");
+                if watch.is_late(&state.beliefs.load().cursors, now) {
+                    log::warn!(target: "dependency", cursors:? = state.beliefs.load().cursors; "another host knows more, connections doubted");
                     doubt.raise(now);
                 }
             }
@@ -171,7 +171,8 @@
     let beliefs = state.beliefs.load();
     let now = state.clock.now();
     for (topic, version) in Topic::ALL.into_iter().zip(message.versions) {
-        let own = beliefs.versions.get(&topic).copied().unwrap_or(0);
+        // A row that was removed before this process started is no news to it.
+        let own = beliefs.cursors.get(&topic).copied().unwrap_or(0);
         watch.note(topic, version, own, now);
     }
 }
--- a/crates/gateway/src/belief_keeper.rs
+++ b/crates/gateway/src/belief_keeper.rs
@@ -69,7 +69,7 @@
             log::info!(target: "dependency", topic:% = topic, cursor = change.cursor; "store regained");
         }
         let notes = self.book.take(topic, &change, self.clock.now());
-        if !notes.is_empty() || change.whole {
+        if !notes.is_empty() || change.whole || !change.rows.is_empty() {
             self.publish(&notes, &format!("{topic} at {}", change.cursor));
         }
     }
--- a/crates/gateway/src/beliefs.rs
+++ b/crates/gateway/src/beliefs.rs
@@ -31,6 +31,8 @@
     pub complete: bool,
     /// Highest row version that was taken in, by topic.
     pub versions: BTreeMap<Topic, u64>,
+    /// Version up to which everything is known, by topic; not lower than the one above.
+    pub cursors: BTreeMap<Topic, u64>,
     /// Difference of the store's steady clock to this process's, in milliseconds.
     pub store_offset: i64,
 }
@@ -326,6 +328,7 @@
             rollouts: self.rollouts(),
             complete: Topic::ALL.iter().all(read) && self.routes.is_some(),
             versions: self.versions(),
+            cursors: self.topics.iter().map(|(topic, standing)| (*topic, standing.cursor)).collect(),
             store_offset: self.store_offset,
         }
     }
--- a/crates/gateway/tests/beliefs.rs
+++ b/crates/gateway/tests/beliefs.rs
@@ -209,3 +209,18 @@
     }
     assert!((50..=110).contains(&new), "{new} of 1000 for a share of 80");
 }
+
+/// A process that starts knows everything up to its first whole read, also of rows that were
+/// removed before: another host that saw them removed knows no more than it does.
+#[test]
+fn a_whole_read_knows_of_rows_that_were_removed_before() {
+    let mut old = ready_book();
+    old.take(Topic::Upstreams, &change(false, 40, vec![row("i-1", 40, TopicValue::Removed)]), START);
+    let mut fresh = BeliefBook::new();
+    let rows = vec![row("i-2", 2, upstream("i-2", 2, UpstreamState::Ready))];
+    fresh.take(Topic::Upstreams, &change(true, 41, rows), START);
+    let told = old.beliefs().versions[&Topic::Upstreams];
+    assert_eq!(told, 40);
+    assert!(fresh.beliefs().versions[&Topic::Upstreams] < told);
+    assert!(fresh.beliefs().cursors[&Topic::Upstreams] >= told);
+}
