--- a/crates/core/src/ejection.rs
+++ b/crates/core/src/ejection.rs
@@ -108,7 +108,9 @@
     /// request at a time until it does.
     #[must_use]
     pub fn is_returning(&self, upstream: &UpstreamName, now: Timestamp) -> bool {
-        self.records.get(upstream).is_some_and(|record| record.until.is_some() && !record.is_out(now))
+        self.records
+            .get(upstream)
+            .is_some_and(|record| record.until.is_some() && !record.is_out(now))
     }
 
     /// Share of an upstream's latest attempts that failed, from 0 to 1; it fades while none is
--- a/crates/gateway/src/admitted.rs
+++ b/crates/gateway/src/admitted.rs
@@ -88,7 +88,8 @@
     fn take(state: &Arc<GatewayState>, bytes: i64) -> Result<Self, Refusal> {
         let before = state.metrics.add_buffered(bytes);
         let hold = Self { state: Arc::clone(state), bytes };
-        let most = i64::try_from(state.settings.load().memory_bytes / BUFFER_SHARE).unwrap_or(i64::MAX);
+        let most =
+            i64::try_from(state.settings.load().memory_bytes / BUFFER_SHARE).unwrap_or(i64::MAX);
         if before > 0 && before.saturating_add(bytes) > most {
             let refusal = Refusal::new(StatusCode::SERVICE_UNAVAILABLE, "too many bytes are held");
             return Err(refusal.with_retry_after(CROWDED_WAIT));
@@ -226,12 +227,7 @@
     }
 }
 
-fn outgoing(
-    state: &GatewayState,
-    parts: Parts,
-    body: Bytes,
-    route: &Route,
-) -> OutgoingRequest {
+fn outgoing(state: &GatewayState, parts: Parts, body: Bytes, route: &Route) -> OutgoingRequest {
     let mut headers = parts.headers;
     remove_hop_headers(&mut headers);
     headers.remove(EXPECT);
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -75,9 +75,9 @@
 /// How long the connection of an answer may be idle; zero when it closes.
 fn idle_life(headers: &HeaderMap) -> Option<Duration> {
     let tokens = headers.get_all(CONNECTION).iter().filter_map(|value| value.to_str().ok());
-    let closes = tokens.flat_map(|text| text.split(',')).any(|token| {
-        token.trim().eq_ignore_ascii_case("close")
-    });
+    let closes = tokens
+        .flat_map(|text| text.split(','))
+        .any(|token| token.trim().eq_ignore_ascii_case("close"));
     if closes {
         return Some(Duration::ZERO);
     }
--- a/crates/gateway/src/beliefs.rs
+++ b/crates/gateway/src/beliefs.rs
@@ -328,7 +328,11 @@
             rollouts: self.rollouts(),
             complete: Topic::ALL.iter().all(read) && self.routes.is_some(),
             versions: self.versions(),
-            cursors: self.topics.iter().map(|(topic, standing)| (*topic, standing.cursor)).collect(),
+            cursors: self
+                .topics
+                .iter()
+                .map(|(topic, standing)| (*topic, standing.cursor))
+                .collect(),
             store_offset: self.store_offset,
         }
     }
--- a/crates/gateway/src/control_port.rs
+++ b/crates/gateway/src/control_port.rs
@@ -134,8 +134,10 @@
     fn write_sums(&self, sums: HostSums) -> PortFuture<'_, Result<(), PlatformError>>;
 
     /// Reads the sums of all hosts for a service's roll-outs.
-    fn read_sums(&self, service: ServiceName)
-    -> PortFuture<'_, Result<Vec<HostSums>, PlatformError>>;
+    fn read_sums(
+        &self,
+        service: ServiceName,
+    ) -> PortFuture<'_, Result<Vec<HostSums>, PlatformError>>;
 
     /// Notes that a host exists.
     fn announce(&self, host: HostPlace) -> PortFuture<'_, Result<(), PlatformError>>;
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -20,7 +20,10 @@
 const MAX_ANSWER_BYTES: usize = 5 * 1024 * 1024;
 
 /// Answers one request.
-pub async fn answer(state: Arc<GatewayState>, request: Request<Incoming>) -> Response<ResponseBody> {
+pub async fn answer(
+    state: Arc<GatewayState>,
+    request: Request<Incoming>,
+) -> Response<ResponseBody> {
     let mut response = answer_open(Arc::clone(&state), request).await;
     if state.stop.since(state.clock.now()).is_some() {
         response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
--- a/crates/gateway/src/gateway_process.rs
+++ b/crates/gateway/src/gateway_process.rs
@@ -140,8 +140,13 @@
     state.stop.begin(state.clock.now());
     log::info!(target: "process", in_flight = state.metrics.in_flight(); "stopping");
     let _ = tokio::time::timeout(BALANCER_LAG, callers.accept()).await;
-    let patience =
-        state.settings.load().bounds.stop().saturating_sub(BALANCER_LAG).saturating_sub(STOP_RESERVE);
+    let patience = state
+        .settings
+        .load()
+        .bounds
+        .stop()
+        .saturating_sub(BALANCER_LAG)
+        .saturating_sub(STOP_RESERVE);
     match callers.close(patience).await {
         0 => GatewayStop::Finished,
         left => GatewayStop::Cut(left),
--- a/crates/gateway/src/request_run.rs
+++ b/crates/gateway/src/request_run.rs
@@ -439,9 +439,8 @@
     pub fn refusal(&self, end: &RunEnd) -> Refusal {
         let (least, most) = RETRY_AFTER;
         let wait = least + (most - least).mul_f64(self.state.words.point());
-        let not_run = |reason| {
-            Refusal::new(StatusCode::SERVICE_UNAVAILABLE, reason).with_retry_after(wait)
-        };
+        let not_run =
+            |reason| Refusal::new(StatusCode::SERVICE_UNAVAILABLE, reason).with_retry_after(wait);
         match end {
             RunEnd::TimedOut if self.may_have_run => {
                 Refusal::new(StatusCode::GATEWAY_TIMEOUT, "the time of the request is over")
--- a/crates/gateway/src/stream_relay.rs
+++ b/crates/gateway/src/stream_relay.rs
@@ -85,8 +85,7 @@
                 return Err(RunEnd::TimedOut);
             }
             // A stream that cannot go on elsewhere is waited for as long as there is time.
-            let patience =
-                if self.run.could_resume() { self.patience.min(left) } else { left };
+            let patience = if self.run.could_resume() { self.patience.min(left) } else { left };
             let Some(answer) = &mut self.answer else { return Ok(Piece::End) };
             match tokio::time::timeout(patience, answer.body.frame()).await {
                 Ok(Some(Ok(frame))) => {
--- a/crates/gateway/src/topic_watch.rs
+++ b/crates/gateway/src/topic_watch.rs
@@ -22,7 +22,7 @@
 /// Pause after a change before the next call, so that changes which come together, as when many
 /// upstreams start, take one call and not one each. Changes have to be known within 3 s; orders
 /// and decisions are few, and roll-outs are timed from them.
-const UPSTREAM_PAUSE: Duration = Duration::from_millis(900);
+const UPSTREAM_PAUSE: Duration = Duration::from_millis(1_300);
 const ORDER_PAUSE: Duration = Duration::from_millis(200);
 /// First wait after a failed call; doubles up to [`LONGEST_RETRY`] and what each host adds.
 const FIRST_RETRY: Duration = Duration::from_millis(150);
@@ -80,8 +80,10 @@
                     doubts.raise(state.clock.now());
                 }
                 let hosts = u32::try_from(state.book.hosts()).unwrap_or(u32::MAX);
-                let longest = (LONGEST_RETRY + RETRY_PER_HOST.saturating_mul(hosts)).min(MOST_RETRY);
-                let wait = RetryBackoff::new(FIRST_RETRY, longest).wait(failures, state.words.next());
+                let longest =
+                    (LONGEST_RETRY + RETRY_PER_HOST.saturating_mul(hosts)).min(MOST_RETRY);
+                let wait =
+                    RetryBackoff::new(FIRST_RETRY, longest).wait(failures, state.words.next());
                 tokio::time::sleep(FIRST_RETRY / 2 + wait).await;
                 failures = failures.saturating_add(1);
                 told
--- a/crates/gateway/tests/beliefs.rs
+++ b/crates/gateway/tests/beliefs.rs
@@ -72,11 +72,11 @@
         for step in 0..60u64 {
             let word = mix(seed * 1_000 + step);
             let version = 1 + (unit_point(word) * 40.0) as u64;
-            let stale = mix(word) % 4 == 0;
+            let stale = mix(word).is_multiple_of(4);
             let cursor = if stale { version / 2 } else { version };
             // Versions of the configuration need not follow those of its row.
-            let table = if mix(word ^ 9) % 5 == 0 { version / 3 } else { version };
-            let whole = mix(word ^ 5) % 3 == 0;
+            let table = if mix(word ^ 9).is_multiple_of(5) { version / 3 } else { version };
+            let whole = mix(word ^ 5).is_multiple_of(3);
             let rows = vec![row("config", version, routes(table))];
             book.take(Topic::Orders, &change(whole, cursor, rows), START);
             let now = book.beliefs().routes.map_or(0, |table| table.version());
@@ -178,7 +178,11 @@
     let mut book = ready_book();
     let service = "desk".parse().unwrap();
     book.take(Topic::Orders, &change(true, 10, vec![order(10, "v2")]), START);
-    book.take(Topic::Decisions, &change(true, 12, vec![decision(12, 10, RolloutPhase::Done)]), START);
+    book.take(
+        Topic::Decisions,
+        &change(true, 12, vec![decision(12, 10, RolloutPhase::Done)]),
+        START,
+    );
     let rule = book.beliefs().version_rule(&service, "session", None);
     assert_eq!(rule, VersionRule::Prefer("v2".into()));
     assert!(!book.beliefs().has_open_rollout());
@@ -215,7 +219,11 @@
 #[test]
 fn a_whole_read_knows_of_rows_that_were_removed_before() {
     let mut old = ready_book();
-    old.take(Topic::Upstreams, &change(false, 40, vec![row("i-1", 40, TopicValue::Removed)]), START);
+    old.take(
+        Topic::Upstreams,
+        &change(false, 40, vec![row("i-1", 40, TopicValue::Removed)]),
+        START,
+    );
     let mut fresh = BeliefBook::new();
     let rows = vec![row("i-2", 2, upstream("i-2", 2, UpstreamState::Ready))];
     fresh.take(Topic::Upstreams, &change(true, 41, rows), START);
--- a/crates/gateway/tests/load.rs
+++ b/crates/gateway/tests/load.rs
@@ -1,6 +1,8 @@
 //! Where work goes and who waits under load, without any network.
 
+use oleander_core::attempt_retry::FaultKind;
 use oleander_core::ids::UpstreamName;
+use oleander_core::stable_hash::mix;
 use oleander_core::units::{Money, Timestamp};
 use oleander_gateway::choice_price::{ChoicePrices, PricedRequest, prices};
 use oleander_gateway::fault::AttemptFault;
@@ -9,8 +11,6 @@
 use oleander_gateway::upstream_book::{ChoiceInput, UpstreamBook, UpstreamPermit};
 use oleander_gateway::upstream_entry::{UpstreamEntry, UpstreamState};
 use oleander_gateway::wire_format::{AnswerLoad, TokenSize};
-use oleander_core::attempt_retry::FaultKind;
-use oleander_core::stable_hash::mix;
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::sync::Arc;
 use std::time::Duration;
@@ -19,9 +19,7 @@
 
 fn settings(region: &str, bounds: GatewayBounds) -> SharedSettings {
     let free = ([127, 0, 0, 1], 0).into();
-    let domains = REGIONS.map(|name| {
-        (format!("{name}-a").parse().unwrap(), name.parse().unwrap())
-    });
+    let domains = REGIONS.map(|name| (format!("{name}-a").parse().unwrap(), name.parse().unwrap()));
     SharedSettings::new(arc_swap::ArcSwap::from_pointee(GatewaySettings {
         host: format!("host-{region}").parse().unwrap(),
         region: region.parse().unwrap(),
--- a/crates/gateway/tests/rollouts.rs
+++ b/crates/gateway/tests/rollouts.rs
@@ -93,7 +93,8 @@
 
 #[test]
 fn a_good_version_raises_few_alarms() {
-    let alarms = (0..200u64).filter(|seed| answers_to_alarm(20, seed * 7 + 1, |_, _| 0.02).is_some());
+    let alarms =
+        (0..200u64).filter(|seed| answers_to_alarm(20, seed * 7 + 1, |_, _| 0.02).is_some());
     let alarms = alarms.count();
     // Four tests of at most 400 answers each, with 20,000 answers between alarms.
     assert!(alarms <= 8, "{alarms} of 200");
@@ -107,7 +108,7 @@
         let (mut often, mut once) = (RolloutJudge::new(7), RolloutJudge::new(7));
         for answer in 0..200 {
             fleet.answer(answer % 4 == 0, |_| 0.03);
-            if mix(seed + answer) % 3 == 0 {
+            if mix(seed + answer).is_multiple_of(3) {
                 often.look(&fleet.hosts);
             }
         }
@@ -196,12 +197,8 @@
 
 #[test]
 fn an_alarm_takes_a_version_back_in_every_open_phase_only() {
-    let evidence = StepEvidence {
-        elapsed: Duration::from_secs(3),
-        requests: 100,
-        exposed: 10,
-        alarmed: true,
-    };
+    let evidence =
+        StepEvidence { elapsed: Duration::from_secs(3), requests: 100, exposed: 10, alarmed: true };
     let next = |phase| next_phase(phase, Duration::from_secs(24), &evidence, &BOUND);
     for phase in [RolloutPhase::Canary, RolloutPhase::Moving] {
         assert_eq!(next(phase).map(|(next, _)| next), Some(RolloutPhase::Reverted));
--- a/crates/gateway/tests/streams.rs
+++ b/crates/gateway/tests/streams.rs
@@ -7,7 +7,8 @@
 use proptest::prelude::*;
 use std::collections::BTreeMap;
 
-const STREAM: &str = "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\n: note\n\nid: 4\nweight-versions: 2\ndata: c\n\n";
+const STREAM: &str =
+    "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\n: note\n\nid: 4\nweight-versions: 2\ndata: c\n\n";
 
 proptest! {
     #![proptest_config(ProptestConfig { rng_seed: proptest::test_runner::RngSeed::Fixed(7), ..ProptestConfig::default() })]
