--- a/crates/gateway/src/beacon.rs
+++ b/crates/gateway/src/beacon.rs
@@ -23,7 +23,7 @@
 const FAN_OUT: usize = 2;
 /// Time in which news of the store should be there after another host has it; links between
 /// regions take 30 ms, and a host gathers changes for 1,300 ms.
-const NEWS_PATIENCE: Duration = Duration::from_millis(1_600);
+pub const NEWS_PATIENCE: Duration = Duration::from_millis(1_600);
 /// Least time between doubts, so that a store that is away is not called without end.
 const DOUBT_SPAN: Duration = Duration::from_millis(1_500);
 /// Hosts that are kept; more than there will be.
--- a/crates/gateway/tests/streams.rs
+++ b/crates/gateway/tests/streams.rs
@@ -1,7 +1,7 @@
 //! Cutting streams into events, and news between hosts.
 
 use oleander_core::units::Timestamp;
-use oleander_gateway::beacon::NewsWatch;
+use oleander_gateway::beacon::{NEWS_PATIENCE, NewsWatch};
 use oleander_gateway::control_port::Topic;
 use oleander_gateway::event_splitter::{EventSplitter, MAX_EVENT_BYTES};
 use proptest::prelude::*;
@@ -63,6 +63,7 @@
     assert!(!watch.is_late(&own, at(12_000)), "it came");
     watch.note(Topic::Orders, 14, 12, at(20_000));
     watch.note(Topic::Orders, 15, 12, at(21_000));
-    assert!(watch.is_late(&own, at(21_300)));
-    assert!(!watch.is_late(&own, at(21_400)));
+    assert!(!watch.is_late(&own, at(19_999) + NEWS_PATIENCE));
+    assert!(watch.is_late(&own, at(20_000) + NEWS_PATIENCE), "counted from the first of them");
+    assert!(!watch.is_late(&own, at(20_001) + NEWS_PATIENCE));
 }
