Answer the one request of a connection that comes late in a stop

Cause: a connection that was accepted after idle ones were told to end was itself ended before its first request was read, in about half of the cases (a random branch of a select): its caller saw a close without an answer where a refusal with a time to come back was due. Change: such a connection is served its request, whose answer closes it, and waits 1 s for it.

--- a/crates/gateway/src/caller_server.rs
+++ b/crates/gateway/src/caller_server.rs
@@ -21,6 +21,8 @@
 /// Times the configured idle time that a connection stays open, so that none is closed in a
 /// caller's face: callers may use nearly all of that time.
 const IDLE_FACTOR: f64 = 1.5;
+/// Time for the head of the one request of a connection that comes late in a stop.
+const LATE_PATIENCE: Duration = Duration::from_millis(1_000);
 /// Wait after a failed accept, as when descriptors run out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 /// Time between looks at the connections that are left while stopping.
@@ -110,8 +112,10 @@
 
 async fn serve(state: Arc<GatewayState>, socket: TcpStream, mut closing: watch::Receiver<bool>) {
     crate::link::watch_silence(&socket);
+    let is_late = *closing.borrow();
     let limits = state.beliefs.load().routes.as_ref().map(|table| *table.limits());
     let idle = limits.unwrap_or_default().idle_time.mul_f64(IDLE_FACTOR);
+    let idle = if is_late { LATE_PATIENCE } else { idle };
     let service = service_fn(move |request: Request<Incoming>| {
         let state = Arc::clone(&state);
         async move { Ok::<_, Infallible>(answer(state, request).await) }
@@ -123,6 +127,10 @@
         .serve_connection(TokioIo::new(socket), service);
     tokio::pin!(connection);
     let closes = async move {
+        if is_late {
+            // Its one request is answered, which closes it; ending it now would lose that.
+            std::future::pending::<()>().await;
+        }
         // The sender outlives every connection.
         let _ = closing.wait_for(|closing| *closing).await.is_ok();
     };
