Count what a new version gets between the end of a roll-out and its deadline

A version that is bad on one route only and is found late then gets too many. Change: the allowance covers that time first; the canary is at most 5 in 100; a roll-out whose allowance leaves no time to move ends without one.

--- a/crates/gateway/src/rollout_plan.rs
+++ b/crates/gateway/src/rollout_plan.rs
@@ -13,9 +13,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-/// Largest share of sessions that the new version gets first: two thirds of the least share
-/// (0.12) that deployments allow a bad version, so that the draw of sessions may be uneven.
-const CANARY_SHARE: f64 = 0.08;
+/// Largest share of sessions that the new version gets first: less than half of the least share
+/// (0.12) that deployments allow a bad version, since it also gets all requests at the end.
+const CANARY_SHARE: f64 = 0.05;
 /// Least such share.
 const LEAST_CANARY_SHARE: f64 = 0.005;
 /// Requests a second that are enough to judge a version within seconds. More of them only
@@ -30,7 +30,7 @@
 /// Part of the allowance that is used by plan; the rest is for hosts that learn late.
 const ALLOWANCE_USED: f64 = 0.75;
 /// Part of it that a short roll-out may use, so that its move is not too short.
-const ALLOWANCE_LIMIT: f64 = 0.95;
+const ALLOWANCE_LIMIT: f64 = 0.85;
 /// Least time, where the allowance covers it, between moving all work and the end, so that short answers of old upstreams end.
 const LEAST_MOVE: Duration = Duration::from_millis(1_500);
 /// Most time between them: longer gains nothing once the answers of old upstreams have ended.
@@ -103,7 +103,7 @@
 /// ```
 /// use oleander_gateway::rollout_plan::canary_share;
 ///
-/// assert_eq!(canary_share(45.0), 80);
+/// assert_eq!(canary_share(45.0), 50);
 /// assert_eq!(canary_share(400.0), 15);
 /// ```
 #[must_use]
@@ -228,24 +228,24 @@
     }
     let left = duration.saturating_sub(FINISH_MARGIN).saturating_sub(evidence.elapsed);
     match phase {
+        _ if left.is_zero() => Some((RolloutPhase::Done, "no worse answer was seen")),
         RolloutPhase::Canary if left <= move_span(duration, evidence, bound) => {
             Some((RolloutPhase::Moving, "the allowance covers the rest of the time"))
         }
-        RolloutPhase::Moving if left.is_zero() => {
-            Some((RolloutPhase::Done, "no worse answer was seen"))
-        }
         _ => None,
     }
 }
 
-/// Time that the allowance lets all requests go to the new version.
+/// Time before the end that the allowance lets all requests go to the new version. It gets them
+/// from the end to the deadline too, which the allowance has to cover first.
 fn move_span(duration: Duration, evidence: &StepEvidence, bound: &ExposureBound) -> Duration {
     let elapsed = evidence.elapsed.as_secs_f64().max(1.0);
     let rate = evidence.requests as f64 / elapsed;
     let expected = rate * duration.as_secs_f64();
     let allowance = bound.share * expected + bound.slack;
     let covered = |used: f64| {
-        let left = (allowance * used - evidence.exposed as f64).max(0.0);
+        let at_the_end = rate * FINISH_MARGIN.as_secs_f64();
+        let left = (allowance * used - at_the_end - evidence.exposed as f64).max(0.0);
         let seconds = if rate > 0.0 { left / rate } else { f64::INFINITY };
         Duration::try_from_secs_f64(seconds).unwrap_or(LONGEST_MOVE)
     };
--- a/crates/gateway/tests/rollouts.rs
+++ b/crates/gateway/tests/rollouts.rs
@@ -189,6 +189,8 @@
     let duration = Duration::from_secs(seconds);
     let (done, exposed) = play(rate, duration);
     assert!(done <= duration - Duration::from_millis(1_000), "done after {done:?}");
+    // All requests go to it from the end on.
+    let exposed = exposed + rate * duration.saturating_sub(done).as_secs_f64();
     assert!(done + FINISH_MARGIN + Duration::from_millis(200) >= duration);
     // The bound counts all requests between the order and its deadline.
     let requests = rate * duration.as_secs_f64();
