Find a bad version of one route sooner: head start, nearer threshold, canary of 6 in 100

Change: the tests begin with a head start, as the product's own do, and raise one false alarm in 5,000 answers instead of 20,000; the canary is 6 in 100 at most.

--- a/crates/gateway/src/rollout_plan.rs
+++ b/crates/gateway/src/rollout_plan.rs
@@ -13,9 +13,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-/// Largest share of sessions that the new version gets first: less than half of the least share
-/// (0.12) that deployments allow a bad version, since it also gets all requests at the end.
-const CANARY_SHARE: f64 = 0.05;
+/// Largest share of sessions that the new version gets first: half of the least share
+/// (0.12 to 0.15) that deployments allow a bad version, since it also gets all requests at the end.
+const CANARY_SHARE: f64 = 0.06;
 /// Least such share.
 const LEAST_CANARY_SHARE: f64 = 0.005;
 /// Requests a second that are enough to judge a version within seconds. More of them only
@@ -103,7 +103,7 @@
 /// ```
 /// use oleander_gateway::rollout_plan::canary_share;
 ///
-/// assert_eq!(canary_share(45.0), 50);
+/// assert_eq!(canary_share(45.0), 60);
 /// assert_eq!(canary_share(400.0), 15);
 /// ```
 #[must_use]
--- a/crates/gateway/src/rollout_sums.rs
+++ b/crates/gateway/src/rollout_sums.rs
@@ -21,9 +21,10 @@
 /// Fall of the share of good answers that has to be found; bad versions here fail about a third
 /// of their requests or more.
 const LEAST_FALL: f64 = 0.2;
-/// Mean number of answers between false alarms. A roll-out sees a few hundred answers, and there
-/// is one test for each of a handful of routes.
-const ANSWERS_BETWEEN_ALARMS: f64 = 20_000.0;
+/// Mean number of answers between false alarms. A roll-out sees about a hundred answers on small
+/// deployments before all work moves, so that one good version in thirty is taken back for
+/// nothing; a bad one that is not found in time costs far more.
+const ANSWERS_BETWEEN_ALARMS: f64 = 5_000.0;
 /// Name of the test over all routes; no route has an empty name.
 const ALL_ROUTES: &str = "";
 /// Good share of an old version below which nothing can be told from a fall.
@@ -177,7 +178,9 @@
         for place in [Arc::clone(route), Arc::from(ALL_ROUTES)] {
             let (baseline, threshold) = yardstick(&old_of(&place));
             let test = self.tests.entry(place);
-            let test = test.or_insert_with(|| MeanChangeTest::new(baseline, threshold));
+            // It may be bad from its first answer.
+            let test =
+                test.or_insert_with(|| MeanChangeTest::new(baseline, threshold).with_head_start());
             *test = test.rebased(baseline, threshold);
             self.alarmed |= test.add_sum(count, (answers - bad) as f64);
         }
