Do not go on with a roll-out in doubt

Change: a roll-out that would move or end goes back instead when some route had more than one bad answer and 15 in 100 more of them than the old version there. Test: a_roll_out_does_not_go_on_in_doubt.

--- a/crates/gateway/src/rollout_plan.rs
+++ b/crates/gateway/src/rollout_plan.rs
@@ -210,6 +210,8 @@
     pub exposed: u64,
     /// Whether the new version is worse than the old one.
     pub alarmed: bool,
+    /// Whether some of its few answers on a route were bad, which is no alarm yet.
+    pub doubtful: bool,
 }
 
 /// The phase to move to, or `None` to stay, with the reason as text.
@@ -227,7 +229,13 @@
         return Some((RolloutPhase::Reverted, "the new version answers worse than the old one"));
     }
     let left = duration.saturating_sub(FINISH_MARGIN).saturating_sub(evidence.elapsed);
+    let goes_on = left.is_zero()
+        || (phase == RolloutPhase::Canary && left <= move_span(duration, evidence, bound));
     match phase {
+        // A step cannot be taken back once the old upstreams are gone.
+        _ if goes_on && evidence.doubtful => {
+            Some((RolloutPhase::Reverted, "too many of its few answers were bad"))
+        }
         _ if left.is_zero() => Some((RolloutPhase::Done, "no worse answer was seen")),
         RolloutPhase::Canary if left <= move_span(duration, evidence, bound) => {
             Some((RolloutPhase::Moving, "the allowance covers the rest of the time"))
--- a/crates/gateway/src/rollout_sums.rs
+++ b/crates/gateway/src/rollout_sums.rs
@@ -25,6 +25,9 @@
 /// deployments before all work moves, so that one good version in thirty is taken back for
 /// nothing; a bad one that is not found in time costs far more.
 const ANSWERS_BETWEEN_ALARMS: f64 = 5_000.0;
+/// Excess of bad answers at which a roll-out does not go on; bad versions here fail a third of
+/// their answers or more, and a route may have had ten.
+const DOUBT_SHARE: f64 = 0.15;
 /// Name of the test over all routes; no route has an empty name.
 const ALL_ROUTES: &str = "";
 /// Good share of an old version below which nothing can be told from a fall.
@@ -195,10 +198,18 @@
             requests: sums.values().map(|route| route.requests).sum(),
             exposed: sums.values().map(|route| route.exposed).sum(),
             alarmed: self.alarmed,
+            doubtful: sums.values().any(is_doubtful),
         }
     }
 }
 
+/// Whether the new version had more bad answers on a route than one, and a larger share of them
+/// than the old one by [`DOUBT_SHARE`].
+fn is_doubtful(sums: &RouteSums) -> bool {
+    let share = |count: &AnswerCount| count.bad as f64 / count.answers.max(1) as f64;
+    sums.new.bad > 1 && share(&sums.new) > share(&sums.old) + DOUBT_SHARE
+}
+
 /// Answers of the old version by route, and over all routes.
 type OldCounts = BTreeMap<Arc<str>, AnswerCount>;
 
--- a/crates/gateway/tests/rollouts.rs
+++ b/crates/gateway/tests/rollouts.rs
@@ -167,6 +167,7 @@
             requests: requests as u64,
             exposed: exposed as u64,
             alarmed: false,
+            doubtful: false,
         };
         if let Some((next, _)) = next_phase(phase, duration, &evidence, &BOUND) {
             phase = next;
@@ -200,8 +201,13 @@
 
 #[test]
 fn an_alarm_takes_a_version_back_in_every_open_phase_only() {
-    let evidence =
-        StepEvidence { elapsed: Duration::from_secs(3), requests: 100, exposed: 10, alarmed: true };
+    let evidence = StepEvidence {
+        elapsed: Duration::from_secs(3),
+        requests: 100,
+        exposed: 10,
+        alarmed: true,
+        doubtful: false,
+    };
     let next = |phase| next_phase(phase, Duration::from_secs(24), &evidence, &BOUND);
     for phase in [RolloutPhase::Canary, RolloutPhase::Moving] {
         assert_eq!(next(phase).map(|(next, _)| next), Some(RolloutPhase::Reverted));
@@ -210,3 +216,26 @@
         assert_eq!(next(phase), None);
     }
 }
+
+/// A version that is bad on one quiet route has had a handful of answers there when the time is
+/// nearly up: no alarm, but no reason to give it everything either.
+#[test]
+fn a_roll_out_does_not_go_on_in_doubt() {
+    let counts = |bad| RouteSums {
+        new: AnswerCount { answers: 6, bad },
+        old: AnswerCount { answers: 100, bad: 3 },
+        exposed: 6,
+        requests: 106,
+    };
+    let duration = Duration::from_secs(16);
+    let next = |bad, elapsed| {
+        let mut sums = host(1, 1);
+        sums.routes.insert("notes".into(), counts(bad));
+        let evidence = RolloutJudge::new(7).evidence(&[sums], elapsed);
+        next_phase(RolloutPhase::Canary, duration, &evidence, &BOUND).map(|(phase, _)| phase)
+    };
+    let end = duration - FINISH_MARGIN;
+    assert_eq!(next(2, Duration::from_secs(5)), None, "it may still show to be good");
+    assert_eq!(next(2, end), Some(RolloutPhase::Reverted));
+    assert_eq!(next(1, end), Some(RolloutPhase::Done), "one bad answer is no reason");
+}
