--- a/crates/gateway/src/rollout_sums.rs
+++ b/crates/gateway/src/rollout_sums.rs
@@ -28,6 +28,8 @@
 /// Excess of bad answers at which a roll-out does not go on; bad versions here fail a third of
 /// their answers or more, and a route may have had ten.
 const DOUBT_SHARE: f64 = 0.15;
+/// Answers among which a single bad one is reason for doubt.
+const FEW_ANSWERS: u64 = 3;
 /// Name of the test over all routes; no route has an empty name.
 const ALL_ROUTES: &str = "";
 /// Good share of an old version below which nothing can be told from a fall.
@@ -204,10 +206,11 @@
 }
 
 /// Whether the new version had more bad answers on a route than one, and a larger share of them
-/// than the old one by [`DOUBT_SHARE`].
+/// than the old one by [`DOUBT_SHARE`]; or a bad one among very few.
 fn is_doubtful(sums: &RouteSums) -> bool {
     let share = |count: &AnswerCount| count.bad as f64 / count.answers.max(1) as f64;
-    sums.new.bad > 1 && share(&sums.new) > share(&sums.old) + DOUBT_SHARE
+    let is_worse = share(&sums.new) > share(&sums.old) + DOUBT_SHARE;
+    is_worse && (sums.new.bad > 1 || (sums.new.bad == 1 && sums.new.answers <= FEW_ANSWERS))
 }
 
 /// Answers of the old version by route, and over all routes.
--- a/crates/gateway/tests/rollouts.rs
+++ b/crates/gateway/tests/rollouts.rs
@@ -221,21 +221,22 @@
 /// nearly up: no alarm, but no reason to give it everything either.
 #[test]
 fn a_roll_out_does_not_go_on_in_doubt() {
-    let counts = |bad| RouteSums {
-        new: AnswerCount { answers: 6, bad },
+    let counts = |answers, bad| RouteSums {
+        new: AnswerCount { answers, bad },
         old: AnswerCount { answers: 100, bad: 3 },
-        exposed: 6,
-        requests: 106,
+        exposed: answers,
+        requests: 100 + answers,
     };
     let duration = Duration::from_secs(16);
-    let next = |bad, elapsed| {
+    let next = |answers, bad, elapsed| {
         let mut sums = host(1, 1);
-        sums.routes.insert("notes".into(), counts(bad));
+        sums.routes.insert("notes".into(), counts(answers, bad));
         let evidence = RolloutJudge::new(7).evidence(&[sums], elapsed);
         next_phase(RolloutPhase::Canary, duration, &evidence, &BOUND).map(|(phase, _)| phase)
     };
     let end = duration - FINISH_MARGIN;
-    assert_eq!(next(2, Duration::from_secs(5)), None, "it may still show to be good");
-    assert_eq!(next(2, end), Some(RolloutPhase::Reverted));
-    assert_eq!(next(1, end), Some(RolloutPhase::Done), "one bad answer is no reason");
+    assert_eq!(next(6, 2, Duration::from_secs(5)), None, "it may still show to be good");
+    assert_eq!(next(6, 2, end), Some(RolloutPhase::Reverted));
+    assert_eq!(next(6, 1, end), Some(RolloutPhase::Done), "one bad answer is no reason");
+    assert_eq!(next(1, 1, end), Some(RolloutPhase::Reverted), "unless it is all there is");
 }
