Wait for new copies before the second ledger of a test is paused

Nothing was lost or doubled; the design says that two ledgers which go within 20 s keep back what only they held, so the test asked for more than is promised.

Change: one test waits until copies are made again and keeps asking for every record while the second ledger is paused; a new one pauses it at once and asks that everything is billed once when it wakes.

--- a/tests/ledger_processes.rs
+++ b/tests/ledger_processes.rs
@@ -23,9 +23,16 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
 
 const PATIENCE: Duration = Duration::from_secs(90);
 const POLL: Duration = Duration::from_millis(100);
+/// Four rounds of a ledger, which copies in each.
+const QUIET_ROUNDS: Duration = Duration::from_secs(8);
+
+/// Counter of runs that were copied again.
+const RECOPIES: &str = "oleander_ledger_recopies_total";
 
 /// Numbers the settings files of this run.
 static FILES: AtomicU32 = AtomicU32::new(0);
@@ -33,6 +40,7 @@
 struct LedgerProcess {
     child: Child,
     address: SocketAddr,
+    admin: SocketAddr,
     settings: PathBuf,
 }
 
@@ -51,7 +59,19 @@
         let mut line = String::new();
         BufReader::new(child.stdout.take().unwrap()).read_line(&mut line).unwrap();
         let ready: ReadyLine = serde_json::from_str(&line).unwrap();
-        Self { child, address: ready.peers.unwrap(), settings: path }
+        let (address, admin) = (ready.peers.unwrap(), ready.admin.unwrap());
+        Self { child, address, admin, settings: path }
+    }
+
+    /// Runs that it has copied again, from its metrics.
+    async fn recopies(&self) -> u64 {
+        let mut socket = TcpStream::connect(self.admin).await.unwrap();
+        let request = b"GET /metrics HTTP/1.1\r\nHost: ledger\r\nConnection: close\r\n\r\n";
+        socket.write_all(request).await.unwrap();
+        let mut page = String::new();
+        socket.read_to_string(&mut page).await.unwrap();
+        let line = page.lines().find_map(|line| line.strip_prefix(RECOPIES));
+        line.unwrap().trim().parse().unwrap()
     }
 
     fn signal(&self, name: &str) {
@@ -171,6 +191,23 @@
         }
     }
 
+    /// Waits until the live ledgers have copied what had one live holder left, and for some
+    /// rounds no more of it turns up.
+    async fn copies_made_again(&self) {
+        let (mut copied, mut since) = (0, tokio::time::Instant::now());
+        until("copies are made again", async || {
+            let mut now = 0;
+            for ledger in &self.ledgers {
+                now += ledger.recopies().await;
+            }
+            if now != copied {
+                (copied, since) = (now, tokio::time::Instant::now());
+            }
+            copied > 0 && since.elapsed() >= QUIET_ROUNDS
+        })
+        .await;
+    }
+
     async fn billed(&self) -> u64 {
         let ports = &self.host.platform;
         let reader = StatementReader::new(Arc::clone(&ports.table), Arc::clone(&ports.objects));
@@ -190,6 +227,7 @@
     let killed = trial.take_first();
     killed.signal("-KILL");
     trial.send(20..30).await;
+    trial.copies_made_again().await;
 
     let paused = trial.take_first();
     paused.signal("-STOP");
@@ -205,6 +243,28 @@
     trial.host.stop().await;
 }
 
+/// The second ledger is paused before what the first one had is copied again. It may be the only
+/// one that holds this; what it holds is billed once it runs, and nothing twice.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn ledger_that_is_paused_as_the_only_holder_writes_when_it_wakes() {
+    let mut trial = Trial::start(4).await;
+    trial.platform.table.set_down(true);
+    trial.send(0..20).await;
+    let killed = trial.take_first();
+    killed.signal("-KILL");
+    let paused = trial.take_first();
+    paused.signal("-STOP");
+    trial.send(20..30).await;
+    trial.platform.table.set_down(false);
+    until("the records after the pause are billed", async || trial.billed().await >= 10).await;
+
+    paused.signal("-CONT");
+    until("every record is billed", async || trial.billed().await == 30).await;
+    tokio::time::sleep(Duration::from_secs(5)).await;
+    assert_eq!(trial.billed().await, 30);
+    trial.host.stop().await;
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn stopped_ledger_hands_over_and_ends_well() {
     let mut trial = Trial::start(3).await;
