Let hosts tell each other the loads of upstreams

Each of 82 hosts hears one answer in 82: a trial found the load it knew of the upstream it chose to be seconds old, while all hosts together hear of each upstream every 0.3 s. Each request that waits there adds about 80 ms to the next head (13,000 answers).

Change: datagrams between hosts carry the latest loads, those told by others included; four a second, to two hosts of the own region and now and then to any. Others' waiting requests count as backlog, by the mean time to read a prompt. upstream_book is split into upstream_cell and placement; set_hosts no longer holds two locks at once. Tests: a fleet that heard little goes round queues after four rounds (it does not before); later loads are not replaced by earlier ones.

--- a/crates/core/src/upstream_choice.rs
+++ b/crates/core/src/upstream_choice.rs
@@ -249,13 +249,18 @@
     if reports.is_empty() { 0.0 } else { reports.iter().sum::<f64>() / reports.len() as f64 }
 }
 
+/// How much a load report of an age still counts, from 1 for a new one to 0.
+#[must_use]
+pub fn report_trust(age: Duration) -> f64 {
+    0.5f64.powf(age.as_secs_f64() / REPORT_HALF_LIFE.as_secs_f64())
+}
+
 /// Requests expected at an upstream now. `mean_others` stands in for what the report no longer
 /// tells.
 #[must_use]
 pub fn expected_load(view: &UpstreamView, mean_others: f64) -> f64 {
     let others = view.report.map_or(mean_others, |load| {
-        let halves = load.age.as_secs_f64() / REPORT_HALF_LIFE.as_secs_f64();
-        let trust = 0.5f64.powf(halves);
+        let trust = report_trust(load.age);
         f64::from(load.others()) * trust + mean_others * (1.0 - trust)
     });
     f64::from(view.in_flight) + others
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -2,7 +2,7 @@
 
 use crate::fault::AttemptFault;
 use crate::link::UpstreamLink;
-use crate::upstream_book::UpstreamPermit;
+use crate::upstream_cell::UpstreamPermit;
 use crate::wire_format::{AnswerHead, UpstreamHead, WireFormat};
 use bytes::Bytes;
 use http::header::{CONNECTION, CONTENT_ENCODING, CONTENT_LENGTH, HeaderName};
--- a/crates/gateway/src/beacon.rs
+++ b/crates/gateway/src/beacon.rs
@@ -1,12 +1,15 @@
-//! Hosts tell each other how new what they know is.
+//! Hosts tell each other how new what they know is, and how loaded upstreams are.
 //!
 //! A call to the store that waits for changes can hang on a connection that went silent for
 //! good. Every host sends small datagrams to a few others with the newest row version that it
 //! knows of each topic. Who hears of a newer one, and does not get it from the store soon,
-//! doubts its connections and opens new ones. Nothing else is taken from a datagram, so that a
-//! forged one costs a few calls at most.
+//! doubts its connections and opens new ones. Of the rest only loads are taken from a datagram,
+//! which decide between upstreams that may be used anyway, so that a forged one costs a few calls
+//! and some latency at most.
 
 use crate::control_port::Topic;
+use crate::load_news::LoadNews;
+use crate::peer_book::{PeerBook, RegionMark};
 use crate::state::GatewayState;
 use oleander_core::units::Timestamp;
 use serde::{Deserialize, Serialize};
@@ -17,51 +20,30 @@
 use tokio::net::UdpSocket;
 use tokio::sync::watch;
 
-/// Time between datagrams.
-const BEACON_SPAN: Duration = Duration::from_millis(500);
-/// Hosts that are told each time: at 500 ms and 60 bytes this is 240 bytes a second.
-const FAN_OUT: usize = 2;
+/// Time between datagrams: half of the half-life of a load report.
+const BEACON_SPAN: Duration = Duration::from_millis(250);
+/// Hosts of the own region that are told each time. A load is known to thirty hosts after three
+/// to four times. At 1,150 bytes at most this is 9.2 kB a second.
+const NEAR_FAN_OUT: usize = 2;
+/// A host of any region is told each so many times: bytes between regions are paid for.
+const FAR_STRIDE: u64 = 2;
 /// Time in which news of the store should be there after another host has it; links between
 /// regions take 30 ms, and a host gathers changes for 1,300 ms.
 pub const NEWS_PATIENCE: Duration = Duration::from_millis(1_600);
 /// Least time between doubts, so that a store that is away is not called without end.
 const DOUBT_SPAN: Duration = Duration::from_millis(1_500);
-/// Hosts that are kept; more than there will be.
-const MAX_PEERS: usize = 1_024;
 /// Largest datagram that is read, in bytes.
-const MAX_DATAGRAM: usize = 256;
+const MAX_DATAGRAM: usize = 1_400;
 
 /// What a datagram says.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct BeaconMessage {
     /// Highest row version that the sender knows, in the order of [`Topic::ALL`].
     pub versions: [u64; Topic::ALL.len()],
-}
-
-/// Where other hosts take datagrams.
-#[derive(Debug, Default)]
-pub struct PeerBook(Mutex<Vec<SocketAddr>>);
-
-impl PeerBook {
-    /// A book without hosts.
-    #[must_use]
-    pub fn new() -> Self {
-        Self::default()
-    }
-
-    /// Adds a host.
-    pub fn add(&self, address: SocketAddr) {
-        let mut peers = lock(&self.0);
-        if peers.len() < MAX_PEERS && !peers.contains(&address) {
-            peers.push(address);
-        }
-    }
-
-    /// The host at a point in 0..1.
-    fn at(&self, point: f64) -> Option<SocketAddr> {
-        let peers = lock(&self.0);
-        peers.get((point * peers.len() as f64) as usize).copied()
-    }
+    /// Region of the sender.
+    pub region: RegionMark,
+    /// Loads of upstreams, the latest first.
+    pub loads: Vec<LoadNews>,
 }
 
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
@@ -137,19 +119,22 @@
 ) {
     let mut watch = NewsWatch::default();
     let mut buffer = [0u8; MAX_DATAGRAM];
-    let mut send_at = tokio::time::Instant::now() + BEACON_SPAN;
+    let mut send_at = tokio::time::Instant::now() + BEACON_SPAN.mul_f64(state.words.point());
+    let mut sent = 0u64;
     loop {
         tokio::select! {
             received = socket.recv_from(&mut buffer) => match received {
                 Ok((length, sender)) => {
-                    receive(&state, &buffer[..length], &mut watch);
-                    peers.add(sender);
+                    if let Some(region) = receive(&state, &buffer[..length], &mut watch) {
+                        peers.add(sender, region);
+                    }
                 }
                 Err(error) => log::debug!(target: "beacon", error:%; "no datagram"),
             },
             () = tokio::time::sleep_until(send_at) => {
                 send_at += BEACON_SPAN;
-                send(&state, &socket, &peers).await;
+                sent += 1;
+                send(&state, &socket, &peers, sent.is_multiple_of(FAR_STRIDE)).await;
                 let now = state.clock.now();
                 if watch.is_late(&state.beliefs.load().cursors, now) {
                     log::warn!(target: "dependency", cursors:? = state.beliefs.load().cursors; "another host knows more, connections doubted");
@@ -160,12 +145,13 @@
     }
 }
 
-fn receive(state: &GatewayState, bytes: &[u8], watch: &mut NewsWatch) {
+/// Takes a datagram in and returns the sender's region.
+fn receive(state: &GatewayState, bytes: &[u8], watch: &mut NewsWatch) -> Option<RegionMark> {
     let message: BeaconMessage = match postcard::from_bytes(bytes) {
         Ok(message) => message,
         Err(error) => {
             log::debug!(target: "beacon", error:%; "datagram skipped");
-            return;
+            return None;
         }
     };
     let beliefs = state.beliefs.load();
@@ -175,15 +161,21 @@
         let own = beliefs.cursors.get(&topic).copied().unwrap_or(0);
         watch.note(topic, version, own, now);
     }
+    state.book.take_load_news(&message.loads, now);
+    Some(message.region)
 }
 
-async fn send(state: &GatewayState, socket: &UdpSocket, peers: &PeerBook) {
+async fn send(state: &GatewayState, socket: &UdpSocket, peers: &PeerBook, far: bool) {
     let beliefs = state.beliefs.load_full();
     let version = |topic| beliefs.versions.get(&topic).copied().unwrap_or(0);
-    let message = BeaconMessage { versions: Topic::ALL.map(version) };
+    let region = RegionMark::new(&state.settings.load().region);
+    let loads = state.book.load_news(state.clock.now());
+    let message = BeaconMessage { versions: Topic::ALL.map(version), region, loads };
     let Ok(bytes) = postcard::to_allocvec(&message) else { return };
-    for _ in 0..FAN_OUT {
-        let Some(peer) = peers.at(state.words.point()) else { return };
+    let near = (0..NEAR_FAN_OUT).map(|_| peers.near(region, state.words.point()));
+    let any = far.then(|| peers.any(state.words.point()));
+    let told: Vec<SocketAddr> = near.chain(any).flatten().collect();
+    for peer in told {
         if let Err(error) = socket.send_to(&bytes, peer).await {
             log::debug!(target: "beacon", error:%, peer:%; "datagram not sent");
         }
--- a/crates/gateway/src/control_port.rs
+++ b/crates/gateway/src/control_port.rs
@@ -7,7 +7,7 @@
 use crate::rollout_sums::HostSums;
 use crate::routes::RouteTable;
 use crate::upstream_entry::UpstreamEntry;
-use oleander_core::ids::{HostId, ServiceName};
+use oleander_core::ids::{HostId, RegionName, ServiceName};
 use oleander_core::units::Timestamp;
 use oleander_ports::{PlatformError, PortFuture};
 use serde::{Deserialize, Serialize};
@@ -97,6 +97,8 @@
 pub struct HostPlace {
     /// The host.
     pub host: HostId,
+    /// Its region.
+    pub region: RegionName,
     /// Where it takes datagrams of other hosts.
     pub peers: Option<SocketAddr>,
 }
--- a/crates/gateway/src/gateway_process.rs
+++ b/crates/gateway/src/gateway_process.rs
@@ -1,6 +1,6 @@
 //! A gateway as a process: listeners, followers of the store, roll-outs, and an orderly stop.
 
-use crate::beacon::{FeedDoubt, PeerBook, run_beacon};
+use crate::beacon::{FeedDoubt, run_beacon};
 use crate::belief_keeper::{BeliefKeeper, ExpiryDue, SharedBeliefs};
 use crate::beliefs::Beliefs;
 use crate::caller_server::CallerServer;
@@ -8,6 +8,7 @@
 use crate::host_count::count_hosts;
 use crate::latency_book::{LatencyBook, ReadBook};
 use crate::metrics::GatewayMetrics;
+use crate::peer_book::PeerBook;
 use crate::rollout_driver::RolloutDriver;
 use crate::rollout_tally::RolloutTally;
 use crate::seeded_words::SeededWords;
--- a/crates/gateway/src/host_count.rs
+++ b/crates/gateway/src/host_count.rs
@@ -1,7 +1,7 @@
 //! How many hosts share what the deployment allows all of them together.
 
-use crate::beacon::PeerBook;
 use crate::control_port::{ControlPort, HostPlace};
+use crate::peer_book::{PeerBook, RegionMark};
 use crate::state::GatewayState;
 use std::sync::Arc;
 use std::time::Duration;
@@ -20,7 +20,11 @@
     peers: Arc<PeerBook>,
 ) {
     let settings = state.settings.load_full();
-    let place = HostPlace { host: settings.host.clone(), peers: settings.peers };
+    let place = HostPlace {
+        host: settings.host.clone(),
+        region: settings.region.clone(),
+        peers: settings.peers,
+    };
     while let Err(error) = port.announce(place.clone()).await {
         log::warn!(target: "dependency", error:%; "host was not announced");
         tokio::time::sleep(RETRY_SPAN).await;
@@ -32,7 +36,10 @@
             Ok(hosts) => {
                 state.book.set_hosts(hosts.len());
                 let others = hosts.iter().filter(|other| other.host != place.host);
-                others.filter_map(|other| other.peers).for_each(|address| peers.add(address));
+                for other in others {
+                    let Some(address) = other.peers else { continue };
+                    peers.add(address, RegionMark::new(&other.region));
+                }
                 COUNT_SPAN
             }
             Err(error) => {
--- /dev/null
+++ b/crates/gateway/src/peer_book.rs
@@ -0,0 +1,75 @@
+//! Where other hosts take datagrams, and which of them are in the own region.
+
+use oleander_core::ids::RegionName;
+use oleander_core::stable_hash::hash_parts;
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::{Mutex, MutexGuard, PoisonError};
+
+/// Hosts that are kept; more than there will be.
+const MAX_PEERS: usize = 1_024;
+
+/// Names a region in few bytes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RegionMark(u32);
+
+impl RegionMark {
+    /// The mark of a region.
+    #[must_use]
+    pub fn new(region: &RegionName) -> Self {
+        Self(hash_parts(&[region.as_str()]) as u32)
+    }
+}
+
+/// Where other hosts take datagrams.
+///
+/// ```
+/// use oleander_core::ids::RegionName;
+/// use oleander_gateway::peer_book::{PeerBook, RegionMark};
+///
+/// let mark = |name: &str| RegionMark::new(&RegionName::new(name).unwrap());
+/// let book = PeerBook::new();
+/// book.add("127.0.0.1:7000".parse().unwrap(), mark("puget"));
+/// book.add("127.0.0.1:7001".parse().unwrap(), mark("inland"));
+/// assert_eq!(book.near(mark("inland"), 0.1).unwrap().port(), 7001);
+/// assert_eq!(book.near(mark("willamette"), 0.1), None);
+/// assert!(book.any(0.9).is_some());
+/// ```
+#[derive(Debug, Default)]
+pub struct PeerBook(Mutex<BTreeMap<SocketAddr, RegionMark>>);
+
+impl PeerBook {
+    /// A book without hosts.
+    #[must_use]
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, BTreeMap<SocketAddr, RegionMark>> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Adds a host of a region.
+    pub fn add(&self, address: SocketAddr, region: RegionMark) {
+        let mut peers = self.lock();
+        if peers.len() < MAX_PEERS || peers.contains_key(&address) {
+            peers.insert(address, region);
+        }
+    }
+
+    /// A host of a region, at a point in 0..1 of all of them.
+    #[must_use]
+    pub fn near(&self, region: RegionMark, point: f64) -> Option<SocketAddr> {
+        let peers = self.lock();
+        let near = || peers.iter().filter(|(_, found)| **found == region).map(|(peer, _)| *peer);
+        near().nth((point * near().count() as f64) as usize)
+    }
+
+    /// Any host, at a point in 0..1 of all of them.
+    #[must_use]
+    pub fn any(&self, point: f64) -> Option<SocketAddr> {
+        let peers = self.lock();
+        peers.keys().nth((point * peers.len() as f64) as usize).copied()
+    }
+}
--- a/crates/gateway/src/upstream_book.rs
+++ b/crates/gateway/src/upstream_book.rs
@@ -1,20 +1,16 @@
 //! Upstreams as this host uses them: connections, requests in flight, load, failures, budgets.
 
-use crate::choice_price::ChoicePrices;
 use crate::fault::AttemptFault;
-use crate::link::UpstreamLink;
-use crate::rollout_plan::VersionRule;
+use crate::load_news::{LoadNews, MAX_LOAD_NEWS, UpstreamMark};
+use crate::placement::{ChoiceInput, attempt_work, has_room, holder};
 use crate::settings::{GatewayBounds, SharedSettings};
+use crate::upstream_cell::{UpstreamCell, UpstreamPermit};
 use crate::upstream_entry::UpstreamEntry;
-use crate::wire_format::{AnswerLoad, TokenSize};
 use oleander_core::ejection::OutlierEjection;
 use oleander_core::ids::{ServiceName, UpstreamName};
 use oleander_core::retry_budget::RetryBudget;
-use oleander_core::stable_hash::hash_parts;
 use oleander_core::units::{Millis, Money, Timestamp, TokenCount};
-use oleander_core::upstream_choice::{
-    AttemptWork, ReportedLoad, UpstreamRule, UpstreamView, choose_upstream, expected_load,
-};
+use oleander_core::upstream_choice::{UpstreamRule, UpstreamView, choose_upstream};
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -35,136 +31,10 @@
 const ASSUMED_HOSTS: usize = 64;
 /// Delay to another region and back, in milliseconds; what the users' links have.
 const REGION_DELAY: Millis = Millis::new(60);
-/// Load of an upstream's slots from which it is no better than waiting elsewhere.
-const SLOTS_FULL: f64 = 0.85;
-/// Load above the mean at which an upstream no longer attracts prompts that it has cached.
-const HOLDER_EXCESS: f64 = 1.25;
-/// Requests above the mean that are always fine for a holder of cached prompts.
-const HOLDER_SLACK: f64 = 3.0;
-/// Engines of the users make the first token in about 60 ms and another one in about 6 ms when
-/// a few dozen requests run.
-const FIRST_TOKEN_BASE: u64 = 60;
-const TOKEN_GAP: Millis = Millis::new(6);
+/// Weight of one request in the mean time to read a prompt: that of the last twenty or so.
+const READ_GAIN: f64 = 0.05;
 /// Span over which requests are counted for their rate.
 const RATE_SPAN: Duration = Duration::from_secs(3);
-/// Longest time that an idle connection is used again when the upstream names none.
-const IDLE_LIFE: Duration = Duration::from_secs(4);
-/// Idle connections that are kept for one upstream.
-const MAX_IDLE: usize = 4;
-
-struct IdleLink {
-    link: UpstreamLink,
-    until: Timestamp,
-}
-
-#[derive(Clone, Copy)]
-struct SeenLoad {
-    load: AnswerLoad,
-    own: u32,
-    at: Timestamp,
-}
-
-#[derive(Default)]
-struct CellState {
-    in_flight: u32,
-    /// Expected time of this host's prompts that are not read yet, in ms.
-    unread: u64,
-    load: Option<SeenLoad>,
-    idle: Vec<IdleLink>,
-}
-
-/// One upstream as this host uses it.
-pub struct UpstreamCell {
-    /// The upstream, as listed.
-    pub entry: Arc<UpstreamEntry>,
-    state: Mutex<CellState>,
-}
-
-impl UpstreamCell {
-    fn new(entry: Arc<UpstreamEntry>) -> Self {
-        Self { entry, state: Mutex::default() }
-    }
-
-    fn lock(&self) -> MutexGuard<'_, CellState> {
-        self.state.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-
-    /// An idle connection that may be used now.
-    pub fn take_idle(&self, now: Timestamp) -> Option<UpstreamLink> {
-        let mut state = self.lock();
-        while let Some(idle) = state.idle.pop() {
-            if now < idle.until && idle.link.is_idle() {
-                return Some(idle.link.with_reuse());
-            }
-        }
-        None
-    }
-
-    /// Keeps a connection for later requests, at most for `life` where the upstream names it.
-    pub fn keep_idle(&self, link: UpstreamLink, life: Option<Duration>, now: Timestamp) {
-        let life = life.unwrap_or(IDLE_LIFE).min(IDLE_LIFE);
-        let mut state = self.lock();
-        state.idle.retain(|idle| now < idle.until);
-        if state.idle.len() < MAX_IDLE {
-            state.idle.push(IdleLink { link, until: now + life });
-        }
-    }
-
-    /// Notes the load that an answer tells.
-    pub fn note_load(&self, load: AnswerLoad, now: Timestamp) {
-        let mut state = self.lock();
-        let own = state.in_flight;
-        state.load = Some(SeenLoad { load, own, at: now });
-    }
-
-    fn view(&self, now: Timestamp) -> UpstreamView {
-        let state = self.lock();
-        let mut view = UpstreamView::new(self.entry.name.clone(), self.entry.slots);
-        view.in_flight = state.in_flight;
-        view.backlog = Millis::new(state.unread);
-        view.report = state.load.map(|seen| ReportedLoad {
-            running: seen.load.running,
-            queued: seen.load.waiting,
-            own: seen.own,
-            age: now.since(seen.at),
-        });
-        view
-    }
-}
-
-/// A request in flight at an upstream; it is over when this is dropped.
-pub struct UpstreamPermit {
-    /// The upstream.
-    pub cell: Arc<UpstreamCell>,
-    /// Expected time of its prompt until it is read, in ms.
-    unread: u64,
-}
-
-impl UpstreamPermit {
-    fn new(cell: Arc<UpstreamCell>, unread: u64) -> Self {
-        {
-            let mut state = cell.lock();
-            state.in_flight += 1;
-            state.unread += unread;
-        }
-        Self { cell, unread }
-    }
-
-    /// Notes that the prompt is read: the answer has begun.
-    pub fn note_read(&mut self) {
-        let unread = std::mem::take(&mut self.unread);
-        let mut state = self.cell.lock();
-        state.unread = state.unread.saturating_sub(unread);
-    }
-}
-
-impl Drop for UpstreamPermit {
-    fn drop(&mut self) {
-        self.note_read();
-        let mut state = self.cell.lock();
-        state.in_flight = state.in_flight.saturating_sub(1);
-    }
-}
 
 struct ServiceState {
     ejection: OutlierEjection,
@@ -176,28 +46,8 @@
     rate: f64,
     /// Retries that may be saved up.
     reserve: f64,
-}
-
-/// What a choice of an upstream depends on.
-pub struct ChoiceInput<'a> {
-    /// Upstreams of the service that take work.
-    pub entries: &'a [Arc<UpstreamEntry>],
-    /// Which versions may be used.
-    pub rule: &'a VersionRule,
-    /// Upstreams that were tried already.
-    pub tried: &'a HashSet<UpstreamName>,
-    /// Tokens of the request, at engines.
-    pub size: TokenSize,
-    /// Expected time to read its prompt, at engines.
-    pub read: Duration,
-    /// What requests share that should stay together, if anything.
-    pub shared: Option<&'a str>,
-    /// What the choice is weighed in.
-    pub prices: ChoicePrices,
-    /// Decides the draws.
-    pub random: u64,
-    /// The time.
-    pub now: Timestamp,
+    /// Moving mean of the time to read a prompt.
+    read: Duration,
 }
 
 /// All upstreams as this host uses them.
@@ -240,19 +90,19 @@
         let budget = RetryBudget::new(bounds.retry_share * BUDGET_USED)
             .with_reserve(reserve)
             .with_balance(reserve);
-        ServiceState { ejection, budget, requests: 0, since: None, rate: 0.0, reserve }
+        let read = Duration::ZERO;
+        ServiceState { ejection, budget, requests: 0, since: None, rate: 0.0, reserve, read }
     }
 
     /// Sets how many hosts share the extra retries.
     pub fn set_hosts(&self, hosts: usize) {
-        let mut known = lock(&self.hosts);
-        if *known == hosts.max(1) {
+        let hosts = hosts.max(1);
+        if std::mem::replace(&mut *lock(&self.hosts), hosts) == hosts {
             return;
         }
-        *known = hosts.max(1);
         let bounds = self.settings.load().bounds;
         for state in lock(&self.services).values_mut() {
-            state.reserve = reserve(&bounds, *known, state.rate);
+            state.reserve = reserve(&bounds, hosts, state.rate);
             state.budget = state.budget.with_reserve(state.reserve);
         }
     }
@@ -330,9 +180,34 @@
         state.is_some_and(|state| state.ejection.note_failures(&entry.name, weight, now))
     }
 
+    /// Loads of upstreams that were told lately, the latest first, for other hosts.
+    #[must_use]
+    pub fn load_news(&self, now: Timestamp) -> Vec<LoadNews> {
+        let cells = lock(&self.cells);
+        let mut news: Vec<LoadNews> = cells.values().filter_map(|cell| cell.news(now)).collect();
+        news.sort_unstable_by_key(LoadNews::age);
+        news.truncate(MAX_LOAD_NEWS);
+        news
+    }
+
+    /// Takes in loads that another host told; upstreams that are not known here are left out.
+    pub fn take_load_news(&self, news: &[LoadNews], now: Timestamp) {
+        let told: HashMap<UpstreamMark, &LoadNews> =
+            news.iter().map(|news| (news.upstream, news)).collect();
+        for cell in lock(&self.cells).values() {
+            if let Some(news) = told.get(&cell.mark) {
+                let at = Timestamp::from_millis(
+                    now.as_millis().saturating_sub(news.age().as_millis() as u64),
+                );
+                cell.note_load(news.load(cell.entry.slots), at);
+            }
+        }
+    }
+
     /// Chooses an upstream; `None` when there is none that may be used.
     #[must_use]
     pub fn choose(&self, input: &ChoiceInput<'_>) -> Option<UpstreamPermit> {
+        self.note_read(input);
         let untried = |entry: &&Arc<UpstreamEntry>| !input.tried.contains(&entry.name);
         let usable: Vec<&Arc<UpstreamEntry>> = input
             .entries
@@ -346,6 +221,13 @@
         chosen.or_else(|| self.choose_among(&usable, input))
     }
 
+    fn note_read(&self, input: &ChoiceInput<'_>) {
+        let Some(service) = input.entries.first().map(|entry| &entry.service) else { return };
+        if let Some(state) = lock(&self.services).get_mut(service) {
+            state.read = state.read.mul_f64(1.0 - READ_GAIN) + input.read.mul_f64(READ_GAIN);
+        }
+    }
+
     fn choose_among(
         &self,
         entries: &[&Arc<UpstreamEntry>],
@@ -395,9 +277,11 @@
     }
 
     fn view(&self, cell: &UpstreamCell, now: Timestamp) -> UpstreamView {
-        let mut view = cell.view(now);
+        let services = lock(&self.services);
+        let state = services.get(&cell.entry.service);
+        let mut view = cell.view(state.map_or(Duration::ZERO, |state| state.read), now);
         let name = &cell.entry.name;
-        if let Some(state) = lock(&self.services).get(&cell.entry.service) {
+        if let Some(state) = state {
             view.ejected = state.ejection.is_ejected(name, now);
             view.failing = state.ejection.failing(name, now);
             if state.ejection.is_returning(name, now) {
@@ -444,37 +328,3 @@
     let extra = bounds.retry_extra / hosts.max(1) as f64;
     ((extra + unused) * BUDGET_USED).max(LEAST_RESERVE)
 }
-
-fn has_room(view: &UpstreamView) -> bool {
-    expected_load(view, 0.0) < f64::from(view.slots) * SLOTS_FULL
-}
-
-/// The upstream that should hold what the request shares with others: the first one in the
-/// order of a hash of both that is not loaded much above the mean. Where it saves less than the
-/// way to another region costs, it is one of the nearest.
-fn holder(views: &[UpstreamView], input: &ChoiceInput<'_>) -> Option<usize> {
-    let shared = input.shared?;
-    let open = |index: &usize| views[*index].is_open();
-    let nearest = (0..views.len()).filter(open).map(|index| views[index].delay).min()?;
-    let is_far = input.prices.read_again > input.prices.transfer;
-    let fits: Vec<usize> = (0..views.len())
-        .filter(open)
-        .filter(|&index| is_far || views[index].delay == nearest)
-        .collect();
-    let load = |index: usize| expected_load(&views[index], 0.0);
-    let mean = fits.iter().map(|&index| load(index)).sum::<f64>() / fits.len().max(1) as f64;
-    let most = mean * HOLDER_EXCESS + HOLDER_SLACK;
-    let rank = |index: &usize| hash_parts(&[shared, views[*index].name.as_str()]);
-    fits.into_iter().filter(|&index| load(index) <= most).max_by_key(rank)
-}
-
-fn attempt_work(input: &ChoiceInput<'_>) -> AttemptWork {
-    let read = u64::try_from(input.read.as_millis()).unwrap_or(u64::MAX);
-    AttemptWork {
-        prompt: TokenCount::new(input.size.prompt),
-        answer: TokenCount::new(input.size.answer),
-        first_token: Millis::new(FIRST_TOKEN_BASE.saturating_add(read)),
-        token_gap: TOKEN_GAP,
-        price_per_second: input.prices.second,
-    }
-}
--- a/crates/gateway/tests/load.rs
+++ b/crates/gateway/tests/load.rs
@@ -6,9 +6,11 @@
 use oleander_core::units::{Money, Timestamp};
 use oleander_gateway::choice_price::{ChoicePrices, PricedRequest, prices};
 use oleander_gateway::fault::AttemptFault;
+use oleander_gateway::placement::ChoiceInput;
 use oleander_gateway::rollout_plan::VersionRule;
 use oleander_gateway::settings::{GatewayBounds, GatewaySettings, SharedSettings};
-use oleander_gateway::upstream_book::{ChoiceInput, UpstreamBook, UpstreamPermit};
+use oleander_gateway::upstream_book::UpstreamBook;
+use oleander_gateway::upstream_cell::UpstreamPermit;
 use oleander_gateway::upstream_entry::{UpstreamEntry, UpstreamState};
 use oleander_gateway::wire_format::{AnswerLoad, TokenSize};
 use std::collections::{BTreeMap, HashMap, HashSet};
@@ -203,6 +205,77 @@
     assert!(rush <= 13, "{rush} of 40 hosts took the same upstream: {got:?}");
 }
 
+/// What 60 hosts before 90 upstreams heard themselves: one answer each. Ten upstreams have eight
+/// requests waiting.
+fn hosts_that_heard_little(entries: &[Arc<UpstreamEntry>]) -> Vec<UpstreamBook> {
+    let mut books = Vec::new();
+    for host in 0..60u64 {
+        let book = book_in("puget", entries);
+        for n in 0..2 {
+            let permit = Ask::tag().choose(&book, entries, host * 100 + n, 1_000).unwrap();
+            let number: u32 = permit.cell.entry.name.as_str()[2..].parse().unwrap();
+            let waiting = if number.is_multiple_of(10) { 8 } else { 0 };
+            let load = AnswerLoad { running: 6, waiting, slots: 24 };
+            permit.cell.note_load(load, Timestamp::from_millis(1_000));
+        }
+        books.push(book);
+    }
+    books
+}
+
+/// Share of short requests that all hosts send to an upstream where others wait.
+fn share_into_queues(books: &[UpstreamBook], entries: &[Arc<UpstreamEntry>], now: u64) -> f64 {
+    let mut queued = 0;
+    for (host, book) in books.iter().enumerate() {
+        let permit = Ask::tag().choose(book, entries, host as u64 * 7 + 3, now).unwrap();
+        let number: u32 = permit.cell.entry.name.as_str()[2..].parse().unwrap();
+        queued += u32::from(number.is_multiple_of(10));
+    }
+    f64::from(queued) / books.len() as f64
+}
+
+/// Pattern: many hosts, each of which hears next to nothing of an upstream's queue. After they
+/// have told each other loads a few times, all of them go round the queues.
+#[test]
+fn hosts_that_tell_each_other_loads_go_round_queues() {
+    let entries = entries(90);
+    let books = hosts_that_heard_little(&entries);
+    let before = share_into_queues(&books, &entries, 1_000);
+    for round in 1..=4u64 {
+        let now = Timestamp::from_millis(1_000 + round * 100);
+        for (host, book) in books.iter().enumerate() {
+            let news = book.load_news(now);
+            for peer in 0..2 {
+                let word = mix(round * 1_000 + host as u64 * 10 + peer);
+                books[(word % 60) as usize].take_load_news(&news, now);
+            }
+        }
+    }
+    let after = share_into_queues(&books, &entries, 1_400);
+    assert!(before > 0.05, "{before}: without it they go there like anywhere");
+    assert!(after <= 0.02, "{after} after, {before} before");
+}
+
+/// Pattern: news of the same upstream come by several ways. The latest counts, and a load that
+/// is too old is not told on.
+#[test]
+fn later_loads_are_not_replaced_by_earlier_ones() {
+    let entries = entries(1);
+    let (book, other) = (book_in("puget", &entries), book_in("puget", &entries));
+    let at = Timestamp::from_millis;
+    for (host, waiting, told) in [(&book, 9, 1_000), (&other, 1, 1_500)] {
+        let permit = Ask::tag().choose(host, &entries, 1, told).unwrap();
+        permit.cell.note_load(AnswerLoad { running: 5, waiting, slots: 24 }, at(told));
+    }
+    let old = book.load_news(at(1_600));
+    other.take_load_news(&old, at(1_600));
+    let told = other.load_news(at(1_600));
+    assert_eq!(told[0].load(24).waiting, 1);
+    book.take_load_news(&told, at(1_600));
+    assert_eq!(book.load_news(at(1_600))[0].load(24).waiting, 1);
+    assert!(book.load_news(at(9_000)).is_empty());
+}
+
 /// Pattern: requests share a long start of their prompts. They go to the same upstream from
 /// every region, as long as it is not loaded much above the others.
 #[test]
