Let hosts tell each other how late answers begin

Cause: an upstream that reads a long prompt tells no waiting request once it is read, and its load looks idle.

Change: with the load of an answer goes how much longer than expected it took to begin, also when an attempt is given up; the longer of that and of the waiting requests counts as backlog and fades like a load report.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -121,12 +121,9 @@
     let (link, response) = tokio::time::timeout(patience, work).await.unwrap_or_else(|_| {
         Err(AttemptFault::new(FaultKind::Silent, format!("no answer within {patience:?}")))
     })?;
-    permit.note_read();
     let (parts, body) = response.into_parts();
     let answer = (wire.read_answer)(&parts.headers);
-    if let Some(load) = answer.load {
-        permit.cell.note_load(load, clock.now());
-    }
+    permit.note_head(answer.load);
     check_answer(&parts.status, &parts.headers, &answer, wanted_id(wire, request).as_ref())?;
     let (status, headers) = (parts.status, parts.headers);
     Ok(LiveAnswer { status, headers, head: answer, body, link, permit })
--- a/crates/gateway/src/gateway_process.rs
+++ b/crates/gateway/src/gateway_process.rs
@@ -173,7 +173,7 @@
     let beliefs: SharedBeliefs = Arc::new(ArcSwap::default());
     Arc::new(GatewayState {
         beliefs,
-        book: UpstreamBook::new(Arc::clone(&settings)),
+        book: UpstreamBook::new(Arc::clone(&settings), Arc::clone(&clock)),
         wire,
         clock,
         latencies: LatencyBook::new(),
--- a/crates/gateway/src/load_news.rs
+++ b/crates/gateway/src/load_news.rs
@@ -13,11 +13,12 @@
 
 /// Oldest load that is told on: three half-lives of a report, after which it says little.
 const OLDEST_NEWS: Duration = Duration::from_millis(1_500);
-/// Unit of the age on the wire, in milliseconds; its largest value is 2.5 s.
+/// Units of the age and the lag on the wire, in milliseconds; their largest values are 2.5 s and 5 s.
 const AGE_UNIT: u64 = 10;
-/// Loads in one datagram. At eight bytes at most each they fit into 1,200 bytes, which every
+const LAG_UNIT: u64 = 20;
+/// Loads in one datagram. At nine bytes at most each they fit into 1,200 bytes, which every
 /// link takes whole; of six hundred upstreams the latest quarter is told.
-pub const MAX_LOAD_NEWS: usize = 140;
+pub const MAX_LOAD_NEWS: usize = 125;
 
 /// Names an upstream in few bytes. Two upstreams of 600 share one in one deployment of 20,000;
 /// each is then thought as busy as the other.
@@ -42,9 +43,11 @@
 ///
 /// let mark = UpstreamMark::new(&UpstreamName::new("i-1").unwrap());
 /// let load = AnswerLoad { running: 7, waiting: 300, slots: 24 };
-/// let news = LoadNews::new(mark, load, Duration::from_millis(240)).unwrap();
+/// let (lag, age) = (Duration::from_millis(90), Duration::from_millis(240));
+/// let news = LoadNews::new(mark, load, lag, age).unwrap();
 /// assert_eq!(news.load(24), AnswerLoad { running: 7, waiting: 255, slots: 24 });
-/// assert!(LoadNews::new(mark, load, Duration::from_secs(2)).is_none(), "too old");
+/// assert_eq!((news.lag().as_millis(), news.age()), (80, age));
+/// assert!(LoadNews::new(mark, load, lag, Duration::from_secs(2)).is_none(), "too old");
 /// ```
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LoadNews {
@@ -52,6 +55,8 @@
     pub upstream: UpstreamMark,
     running: u8,
     waiting: u8,
+    /// How much longer than expected an answer took to begin, in units of twenty milliseconds.
+    lag: u8,
     /// In units of ten milliseconds.
     age: u8,
 }
@@ -59,11 +64,21 @@
 impl LoadNews {
     /// A load that was told `age` ago; `None` when it says nothing any more.
     #[must_use]
-    pub fn new(upstream: UpstreamMark, load: AnswerLoad, age: Duration) -> Option<Self> {
-        let small = |count: u32| u8::try_from(count).unwrap_or(u8::MAX);
-        let age = (age <= OLDEST_NEWS).then_some(age.as_millis() as u64 / AGE_UNIT)?;
-        let age = u8::try_from(age).unwrap_or(u8::MAX);
-        Some(Self { upstream, running: small(load.running), waiting: small(load.waiting), age })
+    pub fn new(
+        upstream: UpstreamMark,
+        load: AnswerLoad,
+        lag: Duration,
+        age: Duration,
+    ) -> Option<Self> {
+        let small = |count: u64| u8::try_from(count).unwrap_or(u8::MAX);
+        let units = |span: Duration, unit: u64| small(span.as_millis() as u64 / unit);
+        (age <= OLDEST_NEWS).then(|| Self {
+            upstream,
+            running: small(load.running.into()),
+            waiting: small(load.waiting.into()),
+            lag: units(lag, LAG_UNIT),
+            age: units(age, AGE_UNIT),
+        })
     }
 
     /// The load of an upstream with so many slots.
@@ -72,6 +87,12 @@
         AnswerLoad { running: self.running as u32, waiting: self.waiting as u32, slots }
     }
 
+    /// How much longer than expected an answer took to begin.
+    #[must_use]
+    pub const fn lag(&self) -> Duration {
+        Duration::from_millis(self.lag as u64 * LAG_UNIT)
+    }
+
     /// Its age when it was sent.
     #[must_use]
     pub const fn age(&self) -> Duration {
--- a/crates/gateway/src/upstream_book.rs
+++ b/crates/gateway/src/upstream_book.rs
@@ -11,6 +11,7 @@
 use oleander_core::retry_budget::RetryBudget;
 use oleander_core::units::{Millis, Money, Timestamp, TokenCount};
 use oleander_core::upstream_choice::{UpstreamRule, UpstreamView, choose_upstream};
+use oleander_ports::clock::ClockPort;
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -53,6 +54,7 @@
 /// All upstreams as this host uses them.
 pub struct UpstreamBook {
     settings: SharedSettings,
+    clock: Arc<dyn ClockPort>,
     cells: Mutex<HashMap<UpstreamName, Arc<UpstreamCell>>>,
     services: Mutex<BTreeMap<ServiceName, ServiceState>>,
     hosts: Mutex<usize>,
@@ -61,9 +63,10 @@
 impl UpstreamBook {
     /// A book of a host that uses no upstream yet.
     #[must_use]
-    pub fn new(settings: SharedSettings) -> Self {
+    pub fn new(settings: SharedSettings, clock: Arc<dyn ClockPort>) -> Self {
         Self {
             settings,
+            clock,
             cells: Mutex::default(),
             services: Mutex::default(),
             hosts: Mutex::new(ASSUMED_HOSTS),
@@ -212,7 +215,7 @@
                 let at = Timestamp::from_millis(
                     now.as_millis().saturating_sub(news.age().as_millis() as u64),
                 );
-                cell.note_load(news.load(cell.entry.slots), at);
+                cell.note_load(news.load(cell.entry.slots), news.lag(), at);
             }
         }
     }
@@ -272,8 +275,8 @@
         }
         let work = attempt_work(input);
         let index = choose_upstream(UpstreamRule::ExpectedCost, &views, &work, input.random)?;
-        let unread = u64::try_from(input.read.as_millis()).unwrap_or(u64::MAX);
-        Some(UpstreamPermit::new(Arc::clone(&cells[index]), unread))
+        let clock = Arc::clone(&self.clock);
+        Some(UpstreamPermit::new(Arc::clone(&cells[index]), input.read, clock))
     }
 
     /// Whether an upstream that was not tried would read the prompt within `limit`, as far as is
--- a/crates/gateway/src/upstream_cell.rs
+++ b/crates/gateway/src/upstream_cell.rs
@@ -6,6 +6,7 @@
 use crate::wire_format::AnswerLoad;
 use oleander_core::units::{Millis, Timestamp};
 use oleander_core::upstream_choice::{ReportedLoad, UpstreamView, report_trust};
+use oleander_ports::clock::ClockPort;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -14,6 +15,10 @@
 /// Idle connections that are kept for one upstream.
 const MAX_IDLE: usize = 4;
 
+/// Silence beyond what was expected that says something of the upstream when an attempt is given
+/// up: less than this is the time of a connection that was refused or of a caller that left.
+const LEAST_SILENCE: Duration = Duration::from_millis(300);
+
 struct IdleLink {
     link: UpstreamLink,
     until: Timestamp,
@@ -25,6 +30,8 @@
     /// This host's own requests there at that time, and those of them without an answer.
     own: u32,
     own_waiting: u32,
+    /// How much longer than expected the answer that told it took to begin.
+    lag: Duration,
     at: Timestamp,
 }
 
@@ -79,20 +86,29 @@
         }
     }
 
-    /// Notes the load that an answer told at a time, unless a later one is known.
-    pub fn note_load(&self, load: AnswerLoad, at: Timestamp) {
+    /// Notes the load that an answer told at a time, and how much longer than expected it took to
+    /// begin, unless a later one is known.
+    pub fn note_load(&self, load: AnswerLoad, lag: Duration, at: Timestamp) {
         let mut state = self.lock();
         if state.load.is_some_and(|known| known.at > at) {
             return;
         }
         let (own, own_waiting) = (state.in_flight, state.waiting);
-        state.load = Some(SeenLoad { load, own, own_waiting, at });
+        state.load = Some(SeenLoad { load, own, own_waiting, lag, at });
+    }
+
+    /// Notes that an answer had not begun so much later than expected. The rest of what is known
+    /// of the upstream stays as old as it is.
+    fn note_silence(&self, lag: Duration, now: Timestamp) {
+        if let Some(load) = &mut self.lock().load {
+            (load.lag, load.at) = (lag, now);
+        }
     }
 
     /// Its load, for other hosts.
     pub(crate) fn news(&self, now: Timestamp) -> Option<LoadNews> {
         let seen = self.lock().load?;
-        LoadNews::new(self.mark, seen.load, now.since(seen.at))
+        LoadNews::new(self.mark, seen.load, seen.lag, now.since(seen.at))
     }
 
     /// The upstream as a choice sees it; `read` is the usual time to read a prompt there.
@@ -100,11 +116,11 @@
         let state = self.lock();
         let mut view = UpstreamView::new(self.entry.name.clone(), self.entry.slots);
         view.in_flight = state.in_flight;
-        let others = state.load.map_or(0.0, |seen| {
+        let others = state.load.map_or(Duration::ZERO, |seen| {
             let waiting = f64::from(seen.load.waiting.saturating_sub(seen.own_waiting));
-            waiting * report_trust(now.since(seen.at))
+            read.mul_f64(waiting).max(seen.lag).mul_f64(report_trust(now.since(seen.at)))
         });
-        let others = read.mul_f64(others).as_millis() as u64;
+        let others = others.as_millis() as u64;
         view.backlog = Millis::new(state.unread.saturating_add(others));
         view.report = state.load.map(|seen| ReportedLoad {
             running: seen.load.running,
@@ -120,33 +136,46 @@
 pub struct UpstreamPermit {
     /// The upstream.
     pub cell: Arc<UpstreamCell>,
-    /// Expected time of its prompt in ms, until it is read.
-    unread: Option<u64>,
+    clock: Arc<dyn ClockPort>,
+    begun: Timestamp,
+    /// Expected time of its prompt, until it is read.
+    unread: Option<Duration>,
 }
 
 impl UpstreamPermit {
-    pub(crate) fn new(cell: Arc<UpstreamCell>, unread: u64) -> Self {
+    pub(crate) fn new(cell: Arc<UpstreamCell>, read: Duration, clock: Arc<dyn ClockPort>) -> Self {
         {
             let mut state = cell.lock();
             state.in_flight += 1;
             state.waiting += 1;
-            state.unread += unread;
+            state.unread += read.as_millis() as u64;
         }
-        Self { cell, unread: Some(unread) }
+        Self { cell, begun: clock.now(), clock, unread: Some(read) }
     }
 
-    /// Notes that the prompt is read: the answer has begun.
-    pub fn note_read(&mut self) {
-        let Some(unread) = self.unread.take() else { return };
+    /// Notes that the answer has begun, and the load that it tells.
+    pub fn note_head(&mut self, load: Option<AnswerLoad>) {
+        let Some(lag) = self.end_read() else { return };
+        if let Some(load) = load {
+            self.cell.note_load(load, lag, self.clock.now());
+        }
+    }
+
+    /// Ends the reading of the prompt; returns how much longer than expected it took so far.
+    fn end_read(&mut self) -> Option<Duration> {
+        let read = self.unread.take()?;
         let mut state = self.cell.lock();
         state.waiting = state.waiting.saturating_sub(1);
-        state.unread = state.unread.saturating_sub(unread);
+        state.unread = state.unread.saturating_sub(read.as_millis() as u64);
+        Some(self.clock.now().since(self.begun).saturating_sub(read))
     }
 }
 
 impl Drop for UpstreamPermit {
     fn drop(&mut self) {
-        self.note_read();
+        if let Some(lag) = self.end_read().filter(|lag| *lag >= LEAST_SILENCE) {
+            self.cell.note_silence(lag, self.clock.now());
+        }
         let mut state = self.cell.lock();
         state.in_flight = state.in_flight.saturating_sub(1);
     }
--- a/crates/gateway/tests/load.rs
+++ b/crates/gateway/tests/load.rs
@@ -13,8 +13,10 @@
 use oleander_gateway::upstream_cell::UpstreamPermit;
 use oleander_gateway::upstream_entry::{UpstreamEntry, UpstreamState};
 use oleander_gateway::wire_format::{AnswerLoad, TokenSize};
+use oleander_ports::clock::ClockPort;
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 const REGIONS: [&str; 3] = ["puget", "willamette", "inland"];
@@ -37,6 +39,16 @@
     }))
 }
 
+/// A clock that is set by hand, in milliseconds.
+#[derive(Debug, Default)]
+struct SetClock(AtomicU64);
+
+impl ClockPort for SetClock {
+    fn now(&self) -> Timestamp {
+        Timestamp::from_millis(self.0.load(Ordering::Relaxed))
+    }
+}
+
 /// Upstreams spread over the regions.
 fn entries(count: usize) -> Vec<Arc<UpstreamEntry>> {
     let entry = |number: usize| UpstreamEntry {
@@ -53,7 +65,10 @@
 }
 
 fn book_in(region: &str, entries: &[Arc<UpstreamEntry>]) -> UpstreamBook {
-    let book = UpstreamBook::new(settings(region, GatewayBounds::default()));
+    let book = UpstreamBook::new(
+        settings(region, GatewayBounds::default()),
+        Arc::new(SetClock::default()),
+    );
     book.set_hosts(7);
     book.update(&BTreeMap::from([("writer".parse().unwrap(), entries.to_vec())]));
     book
@@ -194,6 +209,7 @@
             let running = if idle { 0 } else { 20 };
             permit.cell.note_load(
                 AnswerLoad { running, waiting: 0, slots: 64 },
+                Duration::ZERO,
                 Timestamp::from_millis(1_000),
             );
         }
@@ -216,7 +232,7 @@
             let number: u32 = permit.cell.entry.name.as_str()[2..].parse().unwrap();
             let waiting = if number.is_multiple_of(10) { 8 } else { 0 };
             let load = AnswerLoad { running: 6, waiting, slots: 24 };
-            permit.cell.note_load(load, Timestamp::from_millis(1_000));
+            permit.cell.note_load(load, Duration::ZERO, Timestamp::from_millis(1_000));
         }
         books.push(book);
     }
@@ -256,6 +272,41 @@
     assert!(after <= 0.02, "{after} after, {before} before");
 }
 
+/// Pattern: an upstream reads a long prompt of another host. Its answer came late, and it told
+/// that nobody waits any more; the host that is told of it goes elsewhere, until that is old.
+#[yare::parameterized(
+    answered_late = { true },
+    given_up = { false },
+)]
+fn an_upstream_that_answered_late_elsewhere_is_left_out(answered: bool) {
+    let entries = entries(9);
+    let clock = Arc::new(SetClock::default());
+    clock.0.store(1_000, Ordering::Relaxed);
+    let settings = settings("puget", GatewayBounds::default());
+    let other = UpstreamBook::new(settings, Arc::clone(&clock) as Arc<dyn ClockPort>);
+    other.update(&BTreeMap::from([("writer".parse().unwrap(), entries.clone())]));
+    let idle = AnswerLoad { running: 3, waiting: 0, slots: 24 };
+    let mut slow = Ask::tag().choose(&other, &entries, 5, 1_000).unwrap();
+    let name = slow.cell.entry.name.to_string();
+    slow.cell.note_load(idle, Duration::ZERO, Timestamp::from_millis(1_000));
+    clock.0.store(2_500, Ordering::Relaxed);
+    if answered {
+        slow.note_head(Some(idle));
+    }
+    drop(slow);
+    let told = other.load_news(Timestamp::from_millis(2_500));
+    let book = book_in("puget", &entries);
+    let used = |now: u64| {
+        let permits: Vec<_> =
+            (0..200).filter_map(|n| Ask::tag().choose(&book, &entries, n, now)).collect();
+        counts(&permits).get(&name).copied().unwrap_or(0)
+    };
+    assert!(used(2_500) > 0, "it was one of those that are used");
+    book.take_load_news(&told, Timestamp::from_millis(2_600));
+    assert_eq!(used(2_600), 0);
+    assert!(used(9_000) > 0);
+}
+
 /// Pattern: news of the same upstream come by several ways. The latest counts, and a load that
 /// is too old is not told on.
 #[test]
@@ -265,7 +316,8 @@
     let at = Timestamp::from_millis;
     for (host, waiting, told) in [(&book, 9, 1_000), (&other, 1, 1_500)] {
         let permit = Ask::tag().choose(host, &entries, 1, told).unwrap();
-        permit.cell.note_load(AnswerLoad { running: 5, waiting, slots: 24 }, at(told));
+        let load = AnswerLoad { running: 5, waiting, slots: 24 };
+        permit.cell.note_load(load, Duration::ZERO, at(told));
     }
     let old = book.load_news(at(1_600));
     other.take_load_news(&old, at(1_600));
@@ -406,7 +458,7 @@
     let mut retried = Vec::new();
     let mut requested = Vec::new();
     for host in 0..hosts {
-        let book = UpstreamBook::new(settings("puget", bounds));
+        let book = UpstreamBook::new(settings("puget", bounds), Arc::new(SetClock::default()));
         book.set_hosts(hosts);
         book.update(&BTreeMap::from([("writer".parse().unwrap(), list.clone())]));
         // Half of the hosts get three times as much as the others.
