Gather changes for longer where there are many hosts

Cause: each change of the store costs a call of every host.

Change: the pause after news of upstreams and orders grows by 8 ms a host, at most 0.7 s; how long other hosts' news may take to come follows from it by topic; sums of the old version are written up to 4 s later.

--- a/crates/gateway/src/beacon.rs
+++ b/crates/gateway/src/beacon.rs
@@ -11,6 +11,7 @@
 use crate::load_news::LoadNews;
 use crate::peer_book::{PeerBook, RegionMark};
 use crate::state::GatewayState;
+use crate::topic_watch::news_patience;
 use oleander_core::units::Timestamp;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
@@ -27,9 +28,6 @@
 const NEAR_FAN_OUT: usize = 2;
 /// A host of any region is told each so many times: bytes between regions are paid for.
 const FAR_STRIDE: u64 = 2;
-/// Time in which news of the store should be there after another host has it; links between
-/// regions take 30 ms, and a host gathers changes for 1,300 ms.
-pub const NEWS_PATIENCE: Duration = Duration::from_millis(1_600);
 /// Least time between doubts, so that a store that is away is not called without end.
 const DOUBT_SPAN: Duration = Duration::from_millis(1_500);
 /// Largest datagram that is read, in bytes.
@@ -100,9 +98,11 @@
     }
 
     /// Whether news that another host had did not come in time; forgets what has come.
-    pub fn is_late(&mut self, own: &BTreeMap<Topic, u64>, now: Timestamp) -> bool {
+    pub fn is_late(&mut self, own: &BTreeMap<Topic, u64>, hosts: usize, now: Timestamp) -> bool {
         self.ahead.retain(|topic, (version, _)| own.get(topic).copied().unwrap_or(0) < *version);
-        let late = self.ahead.values().any(|(_, since)| now.since(*since) >= NEWS_PATIENCE);
+        let is_late =
+            |topic: &Topic, since: Timestamp| now.since(since) >= news_patience(*topic, hosts);
+        let late = self.ahead.iter().any(|(topic, (_, since))| is_late(topic, *since));
         if late {
             self.ahead.clear();
         }
@@ -136,7 +136,8 @@
                 sent += 1;
                 send(&state, &socket, &peers, sent.is_multiple_of(FAR_STRIDE)).await;
                 let now = state.clock.now();
-                if watch.is_late(&state.beliefs.load().cursors, now) {
+                let hosts = state.book.hosts();
+                if watch.is_late(&state.beliefs.load().cursors, hosts, now) {
                     log::warn!(target: "dependency", cursors:? = state.beliefs.load().cursors; "another host knows more, connections doubted");
                     doubt.raise(now);
                 }
--- a/crates/gateway/src/rollout_driver.rs
+++ b/crates/gateway/src/rollout_driver.rs
@@ -27,6 +27,9 @@
 const REPORT_SPAN_PER_HOST: Duration = Duration::from_millis(15);
 /// Longest time between two writes while only the old version answers.
 const FULL_REPORT_SPAN: Duration = Duration::from_secs(8);
+/// What each host adds to it, up to the most: there is more of the old version's answers.
+const FULL_REPORT_SPAN_PER_HOST: Duration = Duration::from_millis(50);
+const MOST_ADDED_REPORT_SPAN: Duration = Duration::from_secs(4);
 /// Least time between two looks of a host at all sums.
 const JUDGE_SPAN: Duration = Duration::from_millis(600);
 /// Time between looks that one more host adds: eight looks a second over all hosts.
@@ -129,6 +132,8 @@
         let now = self.state.clock.now();
         let span = REPORT_SPAN + REPORT_SPAN_PER_HOST * self.host_count();
         let sums = self.state.tally.sums(service).filter(|sums| sums.order == belief.order.order);
+        let added = FULL_REPORT_SPAN_PER_HOST.saturating_mul(self.host_count());
+        let added = added.min(MOST_ADDED_REPORT_SPAN);
         let duty = self.duty(service);
         let Some(sums) = sums else { return };
         if now < duty.report_at {
@@ -140,7 +145,7 @@
         if !is_due && reported.is_some_and(|reported| !sums.has_new_answers(reported)) {
             return;
         }
-        duty.full_report_at = now + FULL_REPORT_SPAN;
+        duty.full_report_at = now + FULL_REPORT_SPAN + added;
         duty.report_at = now + span;
         duty.reported = Some(sums.clone());
         if let Err(error) = self.port.write_sums(sums).await {
--- a/crates/gateway/src/topic_watch.rs
+++ b/crates/gateway/src/topic_watch.rs
@@ -24,6 +24,15 @@
 /// and decisions are few, and roll-outs are timed from them.
 const UPSTREAM_PAUSE: Duration = Duration::from_millis(1_300);
 const ORDER_PAUSE: Duration = Duration::from_millis(200);
+/// What each host adds to a pause, since each change costs as many calls as there are hosts, and
+/// the most that all add: two thirds of the 3 s, with what a call and a lost connection take.
+const PAUSE_PER_HOST: Duration = Duration::from_millis(8);
+const MOST_ADDED_PAUSE: Duration = Duration::from_millis(700);
+/// What news of the store take beside the pause: links between regions take 30 ms, a slow store
+/// 240 ms.
+const NEWS_MARGIN: Duration = Duration::from_millis(300);
+/// Least time before connections are doubted, since each doubt costs a call for each topic.
+const LEAST_PATIENCE: Duration = Duration::from_millis(1_400);
 /// First wait after a failed call; doubles up to [`LONGEST_RETRY`] and what each host adds.
 const FIRST_RETRY: Duration = Duration::from_millis(150);
 /// Longest wait after failed calls: well within the 4 s after an outage in which a host counts
@@ -63,9 +72,7 @@
                 let is_news = !change.rows.is_empty();
                 let told = keeper.tell(TopicChanged(topic, change)).await.is_ok();
                 if told && is_news {
-                    let is_upstreams = topic == Topic::Upstreams;
-                    let pause = if is_upstreams { UPSTREAM_PAUSE } else { ORDER_PAUSE };
-                    tokio::time::sleep(pause).await;
+                    tokio::time::sleep(pause_after(topic, state.book.hosts())).await;
                 }
                 told
             }
@@ -95,6 +102,25 @@
     }
 }
 
+/// Pause after news of a topic on a host among `hosts`.
+#[must_use]
+pub fn pause_after(topic: Topic, hosts: usize) -> Duration {
+    let hosts = u32::try_from(hosts).unwrap_or(u32::MAX);
+    let added = PAUSE_PER_HOST.saturating_mul(hosts).min(MOST_ADDED_PAUSE);
+    match topic {
+        Topic::Upstreams => UPSTREAM_PAUSE + added,
+        Topic::Orders => ORDER_PAUSE + added,
+        // Decisions come one by one, and a bad version is out as soon as they are known.
+        Topic::Decisions => ORDER_PAUSE,
+    }
+}
+
+/// Time in which news of a topic should be there after another of `hosts` has it.
+#[must_use]
+pub fn news_patience(topic: Topic, hosts: usize) -> Duration {
+    (pause_after(topic, hosts) + NEWS_MARGIN).max(LEAST_PATIENCE)
+}
+
 /// Waits until a roll-out is open: nobody decides anything before one is ordered.
 async fn open_rollout(state: &GatewayState) {
     while !state.beliefs.load().has_open_rollout() {
