--- /dev/null
+++ b/tests/soak/world.rs
@@ -0,0 +1,165 @@
+//! Everything of a run but its faults: store, upstreams, gateways, configuration.
+
+#[allow(dead_code, reason = "the platform's own tests use the rest")]
+#[path = "../../platform/tests/support/store.rs"]
+mod store;
+
+use crate::caller::{ACCOUNT, KEY};
+use crate::draw::Draw;
+use crate::gateway::GatewayHost;
+use crate::proxy::FaultLink;
+use crate::upstream::{RunLog, SoakUpstream};
+use serde_json::{Value, json};
+use std::path::Path;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::{Duration, Instant};
+pub use store::{StandinStore, StoreMood};
+
+/// Hosts of a run.
+pub const HOSTS: u8 = 4;
+/// Upstreams of each service.
+pub const UPSTREAMS: u64 = 4;
+/// Longest wait until hosts serve at the start.
+const START_TIME: Duration = Duration::from_secs(20);
+
+/// An upstream and the way to it.
+pub struct LinkedUpstream {
+    pub upstream: Arc<SoakUpstream>,
+    pub link: FaultLink,
+}
+
+impl LinkedUpstream {
+    async fn start(name: &str, service: &'static str, log: &Arc<RunLog>, seed: u64) -> Self {
+        let upstream = SoakUpstream::start(name, service, Arc::clone(log), seed).await;
+        let link = FaultLink::start(upstream.address).await;
+        Self { upstream, link }
+    }
+
+    fn row(&self, state: &str) -> Value {
+        self.upstream.row(self.link.address, state)
+    }
+}
+
+/// What a run is played in.
+pub struct SoakWorld {
+    pub store: Arc<StandinStore>,
+    pub hosts: Arc<Vec<GatewayHost>>,
+    pub upstreams: Vec<LinkedUpstream>,
+    pub runs: Arc<RunLog>,
+    version: AtomicU64,
+    names: AtomicU64,
+}
+
+impl SoakWorld {
+    /// Starts everything and waits until each host serves.
+    pub async fn start(folder: &Path, seed: u64) -> Self {
+        let (store, address) = StandinStore::start().await;
+        let runs = Arc::new(RunLog::default());
+        let mut upstreams = Vec::new();
+        for number in 0..UPSTREAMS {
+            for service in ["desk", "writer"] {
+                let name = format!("i-{service}-{number}");
+                let linked = LinkedUpstream::start(&name, service, &runs, seed ^ number).await;
+                store.put("servers", &name, &linked.row("ready"));
+                upstreams.push(linked);
+            }
+        }
+        store.put("op", "config", &configuration(1));
+        let mut hosts = Vec::new();
+        for number in 0..HOSTS {
+            hosts.push(GatewayHost::start(number, address, folder).await);
+        }
+        let (version, names) = (AtomicU64::new(1), AtomicU64::new(UPSTREAMS));
+        let world = Self { store, hosts: Arc::new(hosts), upstreams, runs, version, names };
+        world.until_served().await;
+        world
+    }
+
+    async fn until_served(&self) {
+        let begun = Instant::now();
+        for host in self.hosts.iter() {
+            while self.probe(host, 1).await != Some(200) {
+                assert!(begun.elapsed() < START_TIME, "{} does not serve", host.name);
+                tokio::time::sleep(Duration::from_millis(50)).await;
+            }
+        }
+    }
+
+    /// Writes a configuration with one more version; returns that.
+    pub fn change_configuration(&self) -> u64 {
+        let version = self.version.fetch_add(1, Ordering::Relaxed) + 1;
+        self.store.put("op", "config", &configuration(version));
+        version
+    }
+
+    /// The newest version that was written.
+    pub fn version(&self) -> u64 {
+        self.version.load(Ordering::Relaxed)
+    }
+
+    /// Status of a request on the route that a version of the configuration added.
+    pub async fn probe(&self, host: &GatewayHost, version: u64) -> Option<u16> {
+        let client = oleander_adapters::http_client::HttpClient::new();
+        let number = self.names.fetch_add(1, Ordering::Relaxed);
+        let request = http::Request::get(format!("http://{}/v{version}/", host.callers))
+            .header("Host", "desk.example")
+            .header("Attempt-Id", format!("probe{number:08x}"))
+            .header("Deadline-Ms", "1500")
+            .header("Api-Key", KEY)
+            .body(http_body_util::Full::default())
+            .unwrap();
+        let sent = client.send_whole(request, Duration::from_millis(1_500), 100_000).await;
+        sent.ok().map(|response| response.status().as_u16())
+    }
+
+    /// An upstream says that it leaves, and another one comes in its place.
+    pub async fn replace_upstream(&self, draw: &Draw) -> String {
+        let leaving = draw.pick(&self.upstreams);
+        let name = leaving.upstream.name.clone();
+        self.store.put("servers", &name, &leaving.row("draining"));
+        name
+    }
+
+    /// An upstream that left is there again, as a new start under the same name.
+    pub fn return_upstream(&self, name: &str) {
+        let found = self.upstreams.iter().find(|linked| linked.upstream.name == name).unwrap();
+        let mut row = found.row("ready");
+        row["born"] = json!(self.names.fetch_add(1, Ordering::Relaxed));
+        self.store.put("servers", name, &row);
+    }
+}
+
+/// A configuration with the routes of a run, and one each of the last two versions.
+fn configuration(version: u64) -> Value {
+    let route = |name: &str, kind: &str, more: Value| {
+        let mut route = json!({"name": name, "host": "desk.example",
+            "prefix": format!("/{name}/"), "type": kind, "timeout_ms": 2500, "goal_ms": 400,
+            "priority": 1, "attempts": 3, "service": "desk", "public": false});
+        for (field, value) in more.as_object().unwrap() {
+            route[field] = value.clone();
+        }
+        route
+    };
+    let stream = json!({"service": "writer", "itl_target_ms": 300, "timeout_ms": 5000,
+        "goal_ms": 1000});
+    let mut plan = stream.clone();
+    plan["resumable"] = json!(true);
+    plan["sizes"] = json!(["small", "large"]);
+    let mut routes = vec![
+        route("look", "safe", json!({})),
+        route("order", "unsafe", json!({"attempts": 1})),
+        route("plan", "stream", plan),
+        route("note", "stream", stream),
+    ];
+    for version in [version.saturating_sub(1), version] {
+        routes.push(route(&format!("v{version}"), "safe", json!({})));
+    }
+    json!({"version": version, "routes": routes, "services": [
+        {"name": "desk", "health_path": "/health", "max_conns": 500},
+        {"name": "writer", "health_path": "/health", "max_conns": 500, "engine": {"slots": 32,
+            "models": [{"name": "small", "cost": 0.02}, {"name": "large", "cost": 0.3}]}},
+    ], "limits": {"max_hdr_bytes": 8192, "max_body_bytes": 100_000, "hdr_timeout_ms": 3000,
+        "idle_ms": 5000},
+    "tenants": [{"name": ACCOUNT, "keys": [KEY], "priority": 2}]})
+}
