Let calls that wait for changes not all end late

Change: until the hosts are counted a call waits for at most 3 s; the first long wait is of any length, so that calls of many hosts end evenly from the start on.

--- a/crates/gateway/src/topic_watch.rs
+++ b/crates/gateway/src/topic_watch.rs
@@ -51,11 +51,12 @@
 ) {
     let mut cursor = None;
     let mut failures = 0u32;
+    let mut waits = WaitPlan::default();
     loop {
         if topic == Topic::Decisions && cursor.is_some() {
             open_rollout(&state).await;
         }
-        let wait = follow_wait(state.book.hosts(), state.words.point());
+        let wait = waits.next(state.book.counted_hosts(), state.words.point());
         let doubted = doubts.doubted();
         let news = tokio::select! {
             news = next_news(topic, &*port, cursor, wait) => news,
@@ -140,9 +141,28 @@
     }
 }
 
-/// The wait of one call of a host among `hosts`; `point` in 0..1 keeps hosts apart.
-fn follow_wait(hosts: usize, point: f64) -> Duration {
-    let hosts = u32::try_from(hosts).unwrap_or(u32::MAX);
-    let wait = WAIT_PER_HOST.saturating_mul(hosts).clamp(LEAST_WAIT, LONGEST_WAIT);
-    wait.mul_f64(0.75 + point / 4.0)
+/// Length of the waits of one topic's calls.
+///
+/// All calls that wait may be lost together, as when the store takes them and answers none. It
+/// shows when the first of them ends, so calls of many hosts must not end together: until the
+/// hosts are counted waits are short, and the first long one is of any length.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct WaitPlan {
+    spread: bool,
+}
+
+impl WaitPlan {
+    /// The wait of the next call of a host among `hosts`, if they were counted, at a point in 0..1
+    /// that keeps hosts apart.
+    pub fn next(&mut self, hosts: Option<usize>, point: f64) -> Duration {
+        let Some(hosts) = hosts else {
+            return LEAST_WAIT.mul_f64((1.0 + point) / 2.0);
+        };
+        let hosts = u32::try_from(hosts).unwrap_or(u32::MAX);
+        let wait = WAIT_PER_HOST.saturating_mul(hosts).clamp(LEAST_WAIT, LONGEST_WAIT);
+        if !std::mem::replace(&mut self.spread, true) {
+            return wait.mul_f64(point);
+        }
+        wait.mul_f64(0.75 + point / 4.0)
+    }
 }
--- a/crates/gateway/src/upstream_book.rs
+++ b/crates/gateway/src/upstream_book.rs
@@ -57,7 +57,8 @@
     clock: Arc<dyn ClockPort>,
     cells: Mutex<HashMap<UpstreamName, Arc<UpstreamCell>>>,
     services: Mutex<BTreeMap<ServiceName, ServiceState>>,
-    hosts: Mutex<usize>,
+    /// Hosts, once they were counted.
+    hosts: Mutex<Option<usize>>,
 }
 
 impl UpstreamBook {
@@ -69,7 +70,7 @@
             clock,
             cells: Mutex::default(),
             services: Mutex::default(),
-            hosts: Mutex::new(ASSUMED_HOSTS),
+            hosts: Mutex::default(),
         }
     }
 
@@ -89,7 +90,7 @@
     fn new_service(&self) -> ServiceState {
         let ejection = OutlierEjection::new(EJECTION_SHARE).with_base(EJECTION_BASE);
         let bounds = self.settings.load().bounds;
-        let reserve = reserve(&bounds, *lock(&self.hosts), 0.0);
+        let reserve = reserve(&bounds, self.hosts(), 0.0);
         let budget = RetryBudget::new(bounds.retry_share * BUDGET_USED)
             .with_reserve(reserve)
             .with_balance(reserve);
@@ -100,7 +101,7 @@
     /// Sets how many hosts share the extra retries.
     pub fn set_hosts(&self, hosts: usize) {
         let hosts = hosts.max(1);
-        if std::mem::replace(&mut *lock(&self.hosts), hosts) == hosts {
+        if lock(&self.hosts).replace(hosts) == Some(hosts) {
             return;
         }
         let bounds = self.settings.load().bounds;
@@ -110,9 +111,15 @@
         }
     }
 
-    /// Hosts that share the extra retries.
+    /// Hosts that share the extra retries, or as many as are assumed before they were counted.
     #[must_use]
     pub fn hosts(&self) -> usize {
+        self.counted_hosts().unwrap_or(ASSUMED_HOSTS)
+    }
+
+    /// Hosts, once they were counted.
+    #[must_use]
+    pub fn counted_hosts(&self) -> Option<usize> {
         *lock(&self.hosts)
     }
 
@@ -126,7 +133,7 @@
                 state.rate = state.requests as f64 / span.as_secs_f64();
                 (state.requests, state.since) = (0, Some(now));
                 let bounds = self.settings.load().bounds;
-                state.reserve = reserve(&bounds, *lock(&self.hosts), state.rate);
+                state.reserve = reserve(&bounds, self.hosts(), state.rate);
                 state.budget = state.budget.with_reserve(state.reserve);
             }
         }
--- a/crates/gateway/tests/streams.rs
+++ b/crates/gateway/tests/streams.rs
@@ -1,10 +1,11 @@
 //! Cutting streams into events, and news between hosts.
 
+use oleander_core::stable_hash::{mix, unit_point};
 use oleander_core::units::Timestamp;
 use oleander_gateway::beacon::NewsWatch;
 use oleander_gateway::control_port::Topic;
 use oleander_gateway::event_splitter::{EventSplitter, MAX_EVENT_BYTES};
-use oleander_gateway::topic_watch::{news_patience, pause_after};
+use oleander_gateway::topic_watch::{WaitPlan, news_patience, pause_after};
 use proptest::prelude::*;
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -84,3 +85,25 @@
     let calls = hosts as f64 / pause_after(Topic::Upstreams, hosts).as_secs_f64();
     assert!(calls <= 200.0, "a tenth of 2,000 reads a second: {calls}");
 }
+
+/// The store takes all calls that wait for changes and answers none, at any time after all hosts
+/// started together. The first call that ends shows it, and it ends soon.
+#[yare::parameterized(few = { 4 }, many = { 82 }, target = { 370 })]
+fn calls_that_wait_do_not_all_end_late(hosts: usize) {
+    const COUNTED_AT: f64 = 3.0;
+    let mut ends = Vec::new();
+    for host in 0..hosts as u64 {
+        for topic in 0..2 {
+            let (mut plan, mut at, mut word) = (WaitPlan::default(), 0.0, host * 2 + topic);
+            while at < 60.0 {
+                word = mix(word + 1);
+                let counted = (at >= COUNTED_AT).then_some(hosts);
+                at += plan.next(counted, unit_point(word)).as_secs_f64();
+                ends.push(at);
+            }
+        }
+    }
+    ends.sort_by(f64::total_cmp);
+    let longest = ends.windows(2).map(|pair| pair[1] - pair[0]).fold(ends[0], f64::max);
+    assert!(longest <= 3.0, "for {longest} s no call of {hosts} hosts ends");
+}
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -19,7 +19,6 @@
 use caller::{CallLog, SoakCaller};
 use draw::Draw;
 use schedule::play_faults;
-use std::ops::Range;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 use world::{HOSTS, SoakWorld, StoreMood};
@@ -105,7 +104,7 @@
     found
 }
 
-async fn play_all(seeds: Range<u64>) {
+async fn play_all(seeds: impl IntoIterator<Item = u64>) {
     let mut failed = Vec::new();
     for seed in seeds {
         let breaches = play(seed).await;
@@ -116,10 +115,17 @@
     assert!(failed.is_empty(), "{}", failed.join("\n"));
 }
 
-/// One seed, so that each run of all tests plays the whole.
+/// Seeds that failed once, with the cause.
+///
+/// 304: the store took every call that waited for changes, right after all hosts had started, and
+/// answered none; each host waited for up to 25 s, since it did not know yet how few hosts there
+/// were, and all knew of no news.
+const FAILED_SEEDS: [u64; 1] = [304];
+
+/// A seed, so that each run of all tests plays the whole, and those that failed once.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn promises_hold_under_faults_that_overlap() {
-    play_all(1..2).await;
+    play_all(FAILED_SEEDS.into_iter().chain([1])).await;
 }
 
 /// Seeds by hand.
@@ -128,7 +134,8 @@
 async fn promises_hold_for_the_seeds_that_are_named() {
     let text = std::env::var("OLEANDER_SOAK_SEEDS").expect("OLEANDER_SOAK_SEEDS, as in 100..150");
     let (from, to) = text.split_once("..").expect("two numbers with .. between them");
-    play_all(from.parse().unwrap()..to.parse().unwrap()).await;
+    let (from, to): (u64, u64) = (from.parse().unwrap(), to.parse().unwrap());
+    play_all(from..to).await;
 }
 
 const _: () = assert!(HOSTS > 1, "hosts tell each other news");
