Tell a prompt that is too long to be too long; remove what nobody uses

Cause: a chat whose prompt no open version takes was refused with 403, 'no version is open to this request', as if the account might not use the model. Change: 413 too_large with the tokens of prompt and answer and the longest that an open version takes, at messages. The test failed first (403).

--- a/crates/core/src/chain_input.rs
+++ b/crates/core/src/chain_input.rs
@@ -13,7 +13,7 @@
 const TOKENS_PER_PRICE: f64 = 1_000.0;
 
 /// Tokens of a request, as far as they are known before it runs.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct RequestSize {
     /// Tokens of the prompt.
     pub prompt: TokenCount,
--- a/crates/entry/src/chat_plan.rs
+++ b/crates/entry/src/chat_plan.rs
@@ -4,12 +4,14 @@
 use crate::refusal::Refusal;
 use crate::target::{ChatTarget, model_version, withdrawn};
 use oleander_core::chain::ChainGoal;
-use oleander_core::chain::{ChainError, ChainPlan, ChainPlanner, ChainRule, ChainStep};
-use oleander_core::chain_input::{CandidateHints, candidates};
+use oleander_core::chain::{
+    ChainCandidate, ChainError, ChainPlan, ChainPlanner, ChainRule, ChainStep,
+};
+use oleander_core::chain_input::{CandidateHints, RequestSize, candidates};
 use oleander_core::ids::VersionName;
 use oleander_core::reason::Reason;
 use oleander_core::stable_hash::{hash_parts, unit_point};
-use oleander_core::units::Money;
+use oleander_core::units::{Money, TokenCount};
 use std::time::Duration;
 
 /// When a caller may come back that found no version in time.
@@ -61,25 +63,47 @@
 
 fn plan_cascade(ctx: &ChatContext, point: f64) -> Result<ChainPlan, Refusal> {
     let (state, snapshot) = (&ctx.state, &ctx.account.snapshot);
-    let (Some(cascade), Some(account)) = (&ctx.cascade, ctx.account.object()) else {
+    let Some(found) = candidates_for(ctx, ctx.size(), point) else {
         return Err(Refusal::new(Reason::NotFound, "the cascade is gone").with_place("model"));
     };
-    let ratings = state.parts.quality.estimates();
-    let wait = |version: &VersionName| state.expected_wait(snapshot, version);
-    let confidence = |version: &VersionName| state.confidence_of(cascade, version);
-    let hints = CandidateHints { ratings: &ratings, wait: &wait, confidence: &confidence };
-    let found = candidates(snapshot, account, cascade, ctx.size(), point, &hints);
     let policy = &snapshot.catalog().policy;
     let planner = ChainPlanner::new(ChainRule::from(state.parts.mode))
         .with_exploration(policy.exploration)
         .with_latency_price(policy.price_per_second);
     let goal = ChainGoal { quality: ctx.quality, left: ctx.deadline.left(ctx.now()) };
-    planner.plan(&found, &goal, state.words.next()).map_err(|error| plan_refusal(ctx, &error))
+    let planned = planner.plan(&found, &goal, state.words.next());
+    planned.map_err(|error| plan_refusal(ctx, &error, point))
+}
+
+/// The versions that may serve a request of a size; `None` when the cascade is gone.
+fn candidates_for(ctx: &ChatContext, size: RequestSize, point: f64) -> Option<Vec<ChainCandidate>> {
+    let (state, snapshot) = (&ctx.state, &ctx.account.snapshot);
+    let (cascade, account) = (ctx.cascade.as_ref()?, ctx.account.object()?);
+    let ratings = state.parts.quality.estimates();
+    let wait = |version: &VersionName| state.expected_wait(snapshot, version);
+    let confidence = |version: &VersionName| state.confidence_of(cascade, version);
+    let hints = CandidateHints { ratings: &ratings, wait: &wait, confidence: &confidence };
+    Some(candidates(snapshot, account, cascade, size, point, &hints))
+}
+
+/// The longest prompt and answer that an open version takes, when the request is longer.
+fn exceeded_context(ctx: &ChatContext, point: f64) -> Option<TokenCount> {
+    let of_any_size = candidates_for(ctx, RequestSize::default(), point)?;
+    let version = |found: &ChainCandidate| ctx.account.snapshot.version(&found.version);
+    let longest = of_any_size.iter().filter_map(version).map(|version| version.context).max()?;
+    (ctx.prompt_tokens + ctx.answer_tokens > longest).then_some(longest)
 }
 
-fn plan_refusal(ctx: &ChatContext, error: &ChainError) -> Refusal {
+fn plan_refusal(ctx: &ChatContext, error: &ChainError, point: f64) -> Refusal {
     match error {
         ChainError::NoVersion => {
+            if let Some(longest) = exceeded_context(ctx, point) {
+                let (prompt, answer) = (ctx.prompt_tokens, ctx.answer_tokens);
+                let message = format!(
+                    "about {prompt} tokens of prompt and {answer} of answer are more than {longest}"
+                );
+                return Refusal::new(Reason::TooLarge, message).with_place("messages");
+            }
             let message = format!("no version of {} is open to this request", ctx.body.target);
             Refusal::new(Reason::NotAllowed, message).with_place("model")
         }
--- a/crates/entry/tests/hostile.rs
+++ b/crates/entry/tests/hostile.rs
@@ -80,6 +80,18 @@
     assert_eq!(bed.chat("large", false, &[]).await.text(), expected_text("large@1"));
 }
 
+/// A prompt that no open version takes is told to be too long, not to be forbidden.
+#[tokio::test]
+async fn prompt_that_is_too_long_for_every_version_is_told_so() {
+    let bed = TestBed::start().await;
+    let prompt = "word ".repeat(200_000);
+    let body = json!({"model": "menu-plan", "messages": [{"role": "user", "content": prompt}]});
+    let reply = send_raw(&bed, body.to_string().into_bytes()).await;
+    assert_eq!((reply.status.as_u16(), reply.header("x-oleander-reason")), (413, "too_large"));
+    let text = &reply.body;
+    assert!(text.contains("messages") && text.contains("tokens of prompt"), "{text}");
+}
+
 #[parameterized(
     no_key = { "", 401 },
     basic = { "Basic dmFucw==", 401 },
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -10,7 +10,7 @@
 use crate::stream_relay::StreamRelay;
 use bytes::Bytes;
 use http::header::{CONNECTION, CONTENT_LENGTH};
-use http::{HeaderMap, HeaderValue, Request, Response, StatusCode};
+use http::{HeaderMap, HeaderValue, Request, Response};
 use hyper::body::Incoming;
 use oleander_adapters::http_server::{BodyReadError, ResponseBody, full_body, read_body};
 use oleander_core::attempt_retry::FaultKind;
@@ -155,9 +155,3 @@
     passed.remove(CONTENT_LENGTH);
     passed
 }
-
-/// The answer while a process cannot serve at all.
-#[must_use]
-pub fn unavailable(reason: &'static str) -> Response<ResponseBody> {
-    Refusal::new(StatusCode::SERVICE_UNAVAILABLE, reason).response()
-}
--- a/crates/gateway/src/link.rs
+++ b/crates/gateway/src/link.rs
@@ -33,7 +33,6 @@
 pub struct UpstreamLink {
     sender: SendRequest<Full<Bytes>>,
     driver: AbortHandle,
-    reused: bool,
 }
 
 impl UpstreamLink {
@@ -59,7 +58,7 @@
             // What ended a connection reaches whoever waits for an answer on it.
             let _ = connection.await;
         });
-        Ok(Self { sender, driver: driver.abort_handle(), reused: false })
+        Ok(Self { sender, driver: driver.abort_handle() })
     }
 
     /// Sends a request and waits for the head of its answer.
@@ -89,19 +88,6 @@
     pub fn is_idle(&self) -> bool {
         self.sender.is_ready()
     }
-
-    /// Whether an earlier request went over this connection.
-    #[must_use]
-    pub const fn is_reused(&self) -> bool {
-        self.reused
-    }
-
-    /// Marks the connection as used before.
-    #[must_use]
-    pub const fn with_reuse(mut self) -> Self {
-        self.reused = true;
-        self
-    }
 }
 
 impl Drop for UpstreamLink {
--- a/crates/gateway/src/routes.rs
+++ b/crates/gateway/src/routes.rs
@@ -105,8 +105,6 @@
 pub struct ServiceSpec {
     /// Its name.
     pub name: ServiceName,
-    /// Connections that one upstream takes from all hosts together.
-    pub max_connections: u32,
     /// Models of its engines; empty for plain services.
     pub models: Vec<EngineModel>,
 }
@@ -256,11 +254,6 @@
         self.services.get(name)
     }
 
-    /// All services.
-    pub fn services(&self) -> impl Iterator<Item = &ServiceSpec> {
-        self.services.values()
-    }
-
     /// What callers may send.
     #[must_use]
     pub const fn limits(&self) -> &CallerLimits {
--- a/crates/gateway/src/upstream_cell.rs
+++ b/crates/gateway/src/upstream_cell.rs
@@ -70,7 +70,7 @@
         let mut state = self.lock();
         while let Some(idle) = state.idle.pop() {
             if now < idle.until && idle.link.is_idle() {
-                return Some(idle.link.with_reuse());
+                return Some(idle.link);
             }
         }
         None
