--- a/crates/gateway/src/beacon.rs
+++ b/crates/gateway/src/beacon.rs
@@ -22,7 +22,7 @@
 use tokio::sync::watch;
 
 /// Time between datagrams: half of the half-life of a load report.
-const BEACON_SPAN: Duration = Duration::from_millis(120);
+const BEACON_SPAN: Duration = Duration::from_millis(250);
 /// Hosts of the own region that are told each time. A load is known to thirty hosts after three
 /// to four times. At 1,150 bytes at most this is 9.2 kB a second.
 const NEAR_FAN_OUT: usize = 2;
--- a/crates/gateway/src/upstream_cell.rs
+++ b/crates/gateway/src/upstream_cell.rs
@@ -97,8 +97,8 @@
         state.load = Some(SeenLoad { load, own, own_waiting, lag, at });
     }
 
-    /// Notes that an answer had not begun so much later than expected. The rest of what is known
-    /// of the upstream stays as old as it is.
+    /// Notes that an answer had not begun so much later than expected. It counts as a report of
+    /// now: that an upstream is silent says more of it than what it told before.
     fn note_silence(&self, lag: Duration, now: Timestamp) {
         if let Some(load) = &mut self.lock().load {
             (load.lag, load.at) = (lag, now);
