Cap the balance of a retry budget when its reserve falls

Cause: with_reserve set the maximum and left a higher balance from before, so that a host could spend more retries than its part after the number of hosts was known. Change: the balance is reduced to the new reserve. Measured: a_lower_reserve_reduces_the_balance fails before (balance 8, expected 3) and passes after.

--- a/crates/core/src/retry_budget.rs
+++ b/crates/core/src/retry_budget.rs
@@ -32,10 +32,11 @@
         Self { share, reserve: DEFAULT_RETRY_RESERVE, balance: 0.0 }
     }
 
-    /// Sets the reserve, the maximum balance.
+    /// Sets the reserve, the maximum balance; a higher balance is reduced to it.
     #[must_use]
     pub const fn with_reserve(mut self, reserve: f64) -> Self {
         self.reserve = reserve;
+        self.balance = self.balance.min(reserve);
         self
     }
 
--- a/crates/core/tests/limit_properties.rs
+++ b/crates/core/tests/limit_properties.rs
@@ -245,3 +245,9 @@
         prop_assert!(started <= loads && started <= max_loading.saturating_sub(loading));
     }
 }
+
+#[test]
+fn a_lower_reserve_reduces_the_balance() {
+    let budget = RetryBudget::new(0.5).with_balance(8.0).with_reserve(3.0);
+    assert!((budget.balance() - 3.0).abs() < f64::EPSILON, "{}", budget.balance());
+}
