Derive the seeds of a steward's parts by mixing

Cause: leases and driver took seed, seed + 1 and seed + 2, so stewards whose seeds lie less than three apart generated the same ids, and an ambiguous write of one could be taken for the other's. Change: write_seeds mixes seed and part. Measured: its doc example compares neighbouring seeds; the former sums share two of three.

--- a/crates/steward/src/steward.rs
+++ b/crates/steward/src/steward.rs
@@ -13,6 +13,7 @@
 use oleander_adapters::settings::SecretKey;
 use oleander_catalog::CatalogPublisher;
 use oleander_core::ids::HostId;
+use oleander_core::stable_hash::mix;
 use oleander_ledger::StatementReader;
 use oleander_ports::catalog::CatalogPort;
 use oleander_ports::clock::ClockPort;
@@ -59,18 +60,33 @@
     watcher: ActorRef<HostWatcher>,
 }
 
+/// Seeds of the three parts of a steward that generate ids. Stewards that start together may have
+/// seeds close to each other, so the derived ones must not be.
+///
+/// ```
+/// use oleander_steward::steward::write_seeds;
+///
+/// let (one, two) = (write_seeds(7), write_seeds(8));
+/// assert!(one.iter().all(|seed| !two.contains(seed)));
+/// ```
+#[must_use]
+pub fn write_seeds(seed: u64) -> [u64; 3] {
+    [1, 2, 3].map(|part| mix(mix(seed) ^ part))
+}
+
 impl StewardNode {
     /// Starts a steward; needs a running tokio runtime. `host` is the holder of its leases. `seed`
     /// must differ on every start: the rollout lease, the order lease and the rollout driver
-    /// generate the ids of their writes from `seed`, `seed` + 1 and `seed` + 2.
+    /// generate the ids of their writes from seeds derived from it.
     #[must_use]
     pub fn start(parts: StewardParts, host: &HostId, seed: u64) -> Self {
         let lease = |name, seed| {
             let (table, clock) = (Arc::clone(&parts.table), Arc::clone(&parts.clock));
             LeaseHandle::start(table, clock, name, host.clone(), seed)
         };
-        let rollout_lease = lease(ROLLOUT_LEASE, seed);
-        let order_lease = lease(ORDER_LEASE, seed.wrapping_add(1));
+        let [rollout_seed, order_seed, driver_seed] = write_seeds(seed);
+        let rollout_lease = lease(ROLLOUT_LEASE, rollout_seed);
+        let order_lease = lease(ORDER_LEASE, order_seed);
         let statistics = StatisticsTable::new(Arc::clone(&parts.table));
         let publisher = CatalogPublisher::new(
             Arc::clone(&parts.table),
@@ -99,7 +115,7 @@
             leases: vec![rollout_lease.clone(), order_lease.clone()],
         });
         Self {
-            driver: start_driver(driver_parts, seed.wrapping_add(2)),
+            driver: start_driver(driver_parts, driver_seed),
             reconciler: start_reconciler(reconciler_parts),
             watcher: start_watcher(parts.hosts, parts.members),
             operator_service: Arc::new(operator_service),
