Test a lost reply of the insert that binds a session

Cause: the branch of bind_named that reads the row back after an unknown outcome had no test; the existing one loses the reply of the look-up. Change: the racing table can lose the reply of the transaction that follows a look-up.

--- a/crates/entry/tests/sessions.rs
+++ b/crates/entry/tests/sessions.rs
@@ -135,3 +135,15 @@
     let reply = bed.chat("small", false, &[("x-oleander-session", "route-1")]).await;
     assert_eq!(reply.status, 200, "{}", reply.body);
 }
+
+/// The insert that binds a session takes effect and its reply is lost. The row decides.
+#[tokio::test]
+async fn session_is_bound_once_when_the_reply_of_the_insert_is_lost() {
+    let bed = TestBed::start().await;
+    bed.racing_table.lose_next_insert();
+    let first = bed.chat("small", false, &[("x-oleander-session", "route-1")]).await;
+    assert_eq!(first.status, 200, "{}", first.body);
+    let again = bed.chat("small", false, &[("x-oleander-session", "route-1")]).await;
+    assert_eq!(again.header("x-oleander-version"), first.header("x-oleander-version"));
+    assert_eq!(bed.engine_runs().len(), 2, "each request ran once");
+}
--- a/crates/entry/tests/support/fakes.rs
+++ b/crates/entry/tests/support/fakes.rs
@@ -14,6 +14,7 @@
 use oleander_ports::usage::{UsageError, UsagePort};
 use oleander_ports::{PlatformError, PortFuture};
 use oleander_standin::memory::MemoryTable;
+use oleander_standin::memory::table::MemoryFault;
 use serde_json::Value;
 use std::collections::HashMap;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -206,11 +207,17 @@
 pub struct RacingTable {
     inner: MemoryTable,
     racing_write: Mutex<Option<Vec<u8>>>,
+    loses_next_insert: AtomicBool,
 }
 
 impl RacingTable {
     pub fn new(inner: MemoryTable) -> Self {
-        Self { inner, racing_write: Mutex::default() }
+        Self { inner, racing_write: Mutex::default(), loses_next_insert: AtomicBool::new(false) }
+    }
+
+    /// Applies the transaction after the next look-up, and loses its reply.
+    pub fn lose_next_insert(&self) {
+        self.loses_next_insert.store(true, Ordering::SeqCst);
     }
 
     /// Writes `value` as another host right after the next look-up, under the same key.
@@ -230,6 +237,9 @@
     fn get<'a>(&'a self, key: &'a str) -> PortFuture<'a, Result<Option<TableRow>, PlatformError>> {
         Box::pin(async move {
             let found = self.inner.get(key).await?;
+            if self.loses_next_insert.swap(false, Ordering::SeqCst) {
+                self.inner.inject(MemoryFault::ReplyLost);
+            }
             let racing_write = self.racing_write.lock().unwrap().take();
             if let Some(value) = racing_write {
                 self.inner.transact(TableTransaction::new().with_put(key, value)).await?;
