Apply the time limit on request headers

Cause: the configuration's hdr_timeout_ms was read and used nowhere; only one and a half times the idle timeout bounded headers. Change: a timer per connection counts from the first byte of headers; a connection whose headers stay incomplete is closed. Idle connections and bodies are not affected.

--- a/crates/gateway/src/caller_server.rs
+++ b/crates/gateway/src/caller_server.rs
@@ -1,6 +1,7 @@
 //! Caller connections: served until the process stops, then closed without cutting a request.
 
 use crate::exchange::answer;
+use crate::head_timer::HeadTimer;
 use crate::state::GatewayState;
 use http::Request;
 use hyper::body::Incoming;
@@ -116,15 +117,24 @@
     let limits = state.snapshot.load().routes.as_ref().map(|table| *table.limits());
     let idle = limits.unwrap_or_default().idle_timeout.mul_f64(IDLE_FACTOR);
     let idle = if is_late { LATE_HEAD_TIMEOUT } else { idle };
+    let head_timeout = limits.unwrap_or_default().head_timeout;
+    let timer = HeadTimer::new();
+    let watched = TokioIo::new(timer.clone().watch(socket));
+    let requests = timer.clone();
     let service = service_fn(move |request: Request<Incoming>| {
-        let state = Arc::clone(&state);
-        async move { Ok::<_, Infallible>(answer(state, request).await) }
+        let (state, requests) = (Arc::clone(&state), requests.clone());
+        requests.begin_request();
+        async move {
+            let response = answer(state, request).await;
+            requests.end_request();
+            Ok::<_, Infallible>(response)
+        }
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(idle)
         .max_buf_size(MAX_HEAD_BYTES)
-        .serve_connection(TokioIo::new(socket), service);
+        .serve_connection(watched, service);
     tokio::pin!(connection);
     let closes = async move {
         if is_late {
@@ -141,6 +151,13 @@
             connection.as_mut().graceful_shutdown();
             connection.await
         }
+        () = timer.expired(head_timeout) => {
+            log::debug!(
+                target: "connection", timeout_ms = head_timeout.as_millis() as u64;
+                "caller sent incomplete headers, closing its connection"
+            );
+            return;
+        }
     };
     if let Err(error) = ended {
         log::debug!(target: "connection", error:% = error; "caller connection failed");
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod fault;
 pub mod gateway_process;
 pub mod gossip;
+pub mod head_timer;
 pub mod host_count;
 pub mod latency_tracker;
 pub mod load_report;
