Stop sending to upstreams that are leaving or asked for a pause

Cause: nothing read what an upstream says of itself: Server-Leaving in any answer, and Retry-After with a 503. Hosts went on sending until the store listed the upstream as leaving, and retried into one that wanted nothing. Change: core::upstream_standing keeps, per incarnation, whether an upstream is leaving or paused; the choice of an upstream, retries, resumed streams and switches pass over it, also while a connection was being opened. What other hosts heard only ranks it last. When all upstreams of a service pause, callers are refused at once until the first of them is open again, spread.

--- /dev/null
+++ b/crates/core/tests/upstream_standing.rs
@@ -0,0 +1,125 @@
+//! What upstreams say about further requests, over random histories and with unusable values.
+
+use oleander_core::ids::{Incarnation, UpstreamName};
+use oleander_core::retry_after::RetryAfter;
+use oleander_core::stable_hash::mix;
+use oleander_core::units::Timestamp;
+use oleander_core::upstream_standing::{SendPermission, StandingTable};
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+fn name(number: u64) -> UpstreamName {
+    UpstreamName::new(&format!("i-{number}")).unwrap()
+}
+
+/// In any order of answers of several incarnations, an incarnation that said that it is leaving
+/// gets nothing more, and one that asked for a pause gets nothing until its end.
+#[test]
+fn an_upstream_gets_nothing_that_it_asked_not_to_get() {
+    for seed in 0..400u64 {
+        let mut table = StandingTable::new();
+        let mut newest: HashMap<u64, u64> = HashMap::new();
+        let mut left: HashMap<(u64, u64), bool> = HashMap::new();
+        let mut paused: HashMap<(u64, u64), Timestamp> = HashMap::new();
+        for step in 0..200u64 {
+            let word = mix(seed * 1_000 + step);
+            let now = Timestamp::from_millis(1_000 + step * 37);
+            let upstream = word % 3;
+            let current = newest.entry(upstream).or_insert(1);
+            if (word >> 8).is_multiple_of(20) {
+                *current += 1;
+            }
+            // Late answers of the incarnation before come too.
+            let is_late = (word >> 16).is_multiple_of(5);
+            let started = current.saturating_sub(u64::from(is_late)).max(1);
+            let (name, incarnation) = (name(upstream), Incarnation::new(started));
+            match (word >> 24) % 4 {
+                0 => {
+                    table.mark_leaving(&name, incarnation, now);
+                    left.insert((upstream, started), true);
+                }
+                1 | 2 => {
+                    let pause: RetryAfter = format!("0.{}", (word >> 32) % 10).parse().unwrap();
+                    table.pause(&name, incarnation, pause, now);
+                    let end = paused.entry((upstream, started)).or_default();
+                    *end = (*end).max(now + pause.get());
+                }
+                _ => table.report_leaving(&name, incarnation, now),
+            }
+            for (&upstream, &started) in &newest {
+                let incarnation = Incarnation::new(started);
+                let found = table.permission(&self::name(upstream), incarnation, now);
+                let end = paused.get(&(upstream, started)).copied().unwrap_or_default();
+                if left.contains_key(&(upstream, started)) {
+                    assert_eq!(found, SendPermission::Leaving, "seed {seed} step {step}");
+                } else if end > now {
+                    assert_eq!(found, SendPermission::Paused(end), "seed {seed} step {step}");
+                } else {
+                    let may_send = [SendPermission::Open, SendPermission::Reported];
+                    assert!(may_send.contains(&found), "seed {seed} step {step}: {found:?}");
+                }
+            }
+        }
+    }
+}
+
+#[test]
+fn a_report_of_another_host_ends() {
+    let (mut table, now) = (StandingTable::new(), Timestamp::from_millis(1_000));
+    let (name, incarnation) = (name(1), Incarnation::new(1));
+    table.report_leaving(&name, incarnation, now);
+    assert_eq!(table.permission(&name, incarnation, now), SendPermission::Reported);
+    let later = now + Duration::from_secs(20);
+    assert_eq!(table.permission(&name, incarnation, later), SendPermission::Open);
+}
+
+#[test]
+fn an_unlisted_upstream_of_unknown_incarnation_starts_fresh() {
+    let (mut table, now) = (StandingTable::new(), Timestamp::from_millis(1_000));
+    for (number, started) in [(1, 0), (2, 5)] {
+        table.mark_leaving(&name(number), Incarnation::new(started), now);
+    }
+    table.retain_listed(|_| false);
+    assert_eq!(table.permission(&name(1), Incarnation::new(0), now), SendPermission::Open);
+    assert_eq!(table.permission(&name(2), Incarnation::new(5), now), SendPermission::Leaving);
+}
+
+#[test]
+fn the_table_is_bounded() {
+    let mut table = StandingTable::new();
+    for number in 0..6_000u64 {
+        let now = Timestamp::from_millis(1_000 + number);
+        table.mark_leaving(&name(number), Incarnation::new(1), now);
+    }
+    let end = Timestamp::from_millis(9_000);
+    let found = |number| table.permission(&name(number), Incarnation::new(1), end);
+    assert_eq!(found(0), SendPermission::Open, "the oldest are forgotten");
+    assert_eq!(found(5_999), SendPermission::Leaving);
+}
+
+#[yare::parameterized(
+    fraction = { "0.25", 250, false },
+    zero = { "0", 0, false },
+    spaces = { " 3 ", 3_000, false },
+    negative = { "-4", 1_000, true },
+    not_a_number = { "NaN", 1_000, true },
+    words = { "soon", 1_000, true },
+    infinite = { "inf", 600_000, true },
+    days = { "172800", 600_000, true },
+    empty = { "", 1_000, true },
+)]
+fn a_pause_is_bounded(text: &str, millis: u64, has_error: bool) {
+    let (pause, errors) = RetryAfter::longest(&[Arc::from(text)]).unwrap();
+    assert_eq!(pause.get(), Duration::from_millis(millis));
+    assert_eq!(!errors.is_empty(), has_error, "{errors:?}");
+}
+
+#[test]
+fn the_longest_of_repeated_values_counts() {
+    let texts: Vec<Arc<str>> = ["0.5", "2", "x"].map(Arc::from).into();
+    let (pause, errors) = RetryAfter::longest(&texts).unwrap();
+    assert_eq!((pause.get(), errors.len()), (Duration::from_secs(2), 1));
+    assert_eq!(errors[0].to_string(), "expected seconds from 0 to 600, found \"x\"; using 1 s");
+    assert_eq!(RetryAfter::longest(&[]), None);
+}
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -128,6 +128,10 @@
     let (parts, body) = response.into_parts();
     let answer = (wire.read_answer)(&parts.headers);
     permit.record_head(answer.load);
+    // An answer with this status is of another upstream, which has taken over the address.
+    if parts.status != StatusCode::MISDIRECTED_REQUEST {
+        permit.upstream.record_standing(parts.status, &answer, clock.now());
+    }
     check_answer(
         &parts.status,
         &parts.headers,
@@ -159,6 +163,10 @@
         }
     }
     let mut connection = UpstreamConnection::open(permit.upstream.entry.address).await?;
+    if !permit.upstream.is_open(clock.now()) {
+        let reason = "the upstream asked for no more requests while the connection was opened";
+        return Err(AttemptFault::new(FaultKind::Connect, reason));
+    }
     let response = connection.send(new_request(wire, request, head)?).await?;
     Ok((connection, response))
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -46,4 +46,5 @@
 pub mod upstream_entry;
 pub mod upstream_handle;
 pub mod upstream_pool;
+pub mod upstream_standings;
 pub mod wire_format;
--- a/crates/gateway/src/load_report.rs
+++ b/crates/gateway/src/load_report.rs
@@ -29,7 +29,13 @@
     /// Hashes an upstream's name.
     #[must_use]
     pub fn new(name: &UpstreamName) -> Self {
-        Self(hash_parts(&[name.as_str()]) as u32)
+        Self::of_parts(&[name.as_str()])
+    }
+
+    /// Hashes texts that together identify an upstream.
+    #[must_use]
+    pub fn of_parts(parts: &[&str]) -> Self {
+        Self(hash_parts(parts) as u32)
     }
 }
 
--- a/crates/gateway/src/request_run.rs
+++ b/crates/gateway/src/request_run.rs
@@ -465,11 +465,22 @@
         self.tried.remove(&answer.permit.upstream.entry.name);
     }
 
+    /// Time until the first of the service's upstreams takes requests again, when all of them asked
+    /// this host for a pause.
+    fn time_until_reopening(&self) -> Option<Duration> {
+        let snapshot = self.state.snapshot.load();
+        let entries = snapshot.upstreams.get(&self.request.service)?;
+        let now = self.state.clock.now();
+        let rule = self.version_rule(&snapshot);
+        self.state.pool.reopens_at(entries, &rule, now).map(|at| at.since(now))
+    }
+
     /// The response to a caller whose request got no answer.
     #[must_use]
     pub fn refusal(&self, error: &RunError) -> Refusal {
         let (min, max) = RETRY_AFTER;
-        let wait = min + (max - min).mul_f64(self.state.random.next_unit());
+        let spread = (max - min).mul_f64(self.state.random.next_unit());
+        let wait = self.time_until_reopening().unwrap_or(min).max(min) + spread;
         let not_run =
             |reason| Refusal::new(StatusCode::SERVICE_UNAVAILABLE, reason).with_retry_after(wait);
         match error {
--- a/crates/gateway/src/upstream_handle.rs
+++ b/crates/gateway/src/upstream_handle.rs
@@ -3,9 +3,12 @@
 use crate::load_report::{LoadReport, UpstreamHash};
 use crate::upstream_connection::UpstreamConnection;
 use crate::upstream_entry::UpstreamEntry;
-use crate::wire_format::AnswerLoad;
+use crate::upstream_standings::SharedStandings;
+use crate::wire_format::{AnswerHead, AnswerLoad};
+use http::StatusCode;
 use oleander_core::units::{Millis, Timestamp};
 use oleander_core::upstream_choice::{ReportedLoad, UpstreamView, report_weight};
+use oleander_core::upstream_standing::SendPermission;
 use oleander_ports::clock::ClockPort;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -55,12 +58,24 @@
     /// Identifies the upstream in gossip between hosts.
     pub(crate) hash: UpstreamHash,
     state: Mutex<HandleState>,
+    standings: Arc<SharedStandings>,
 }
 
 impl UpstreamHandle {
-    pub(crate) fn new(entry: Arc<UpstreamEntry>) -> Self {
+    pub(crate) fn new(entry: Arc<UpstreamEntry>, standings: Arc<SharedStandings>) -> Self {
         let hash = UpstreamHash::new(&entry.name);
-        Self { entry, hash, state: Mutex::default() }
+        Self { entry, hash, state: Mutex::default(), standings }
+    }
+
+    /// Records what an answer says about whether the upstream wants further requests.
+    pub(crate) fn record_standing(&self, status: StatusCode, head: &AnswerHead, now: Timestamp) {
+        self.standings.record_answer(&self.entry, status, head, now);
+    }
+
+    /// Whether the upstream has not asked this host for no more requests.
+    pub(crate) fn is_open(&self, now: Timestamp) -> bool {
+        let permission = self.standings.permission(&self.entry, now);
+        matches!(permission, SendPermission::Open | SendPermission::Reported)
     }
 
     fn lock(&self) -> MutexGuard<'_, HandleState> {
--- a/crates/gateway/src/upstream_pool.rs
+++ b/crates/gateway/src/upstream_pool.rs
@@ -3,14 +3,17 @@
 use crate::fault::AttemptFault;
 use crate::load_report::{LoadReport, MAX_LOAD_REPORTS, UpstreamHash};
 use crate::placement::{ChoiceInput, attempt_work, cache_holder, has_free_slots};
+use crate::rollout_plan::VersionRule;
 use crate::settings::{GatewayBounds, SharedSettings};
 use crate::upstream_entry::UpstreamEntry;
 use crate::upstream_handle::{UpstreamHandle, UpstreamPermit};
+use crate::upstream_standings::SharedStandings;
 use oleander_core::ejection::OutlierEjection;
 use oleander_core::ids::{ServiceName, UpstreamName};
 use oleander_core::retry_budget::RetryBudget;
 use oleander_core::units::{Millis, Money, Timestamp, TokenCount};
 use oleander_core::upstream_choice::{UpstreamRule, UpstreamView, choose_upstream};
+use oleander_core::upstream_standing::SendPermission;
 use oleander_ports::clock::ClockPort;
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -56,6 +59,7 @@
     settings: SharedSettings,
     clock: Arc<dyn ClockPort>,
     handles: Mutex<HashMap<UpstreamName, Arc<UpstreamHandle>>>,
+    standings: Arc<SharedStandings>,
     services: Mutex<BTreeMap<ServiceName, ServiceState>>,
     /// Number of hosts, once counted.
     hosts: Mutex<Option<usize>>,
@@ -69,6 +73,7 @@
             settings,
             clock,
             handles: Mutex::default(),
+            standings: Arc::default(),
             services: Mutex::default(),
             hosts: Mutex::default(),
         }
@@ -80,6 +85,7 @@
         let listed: HashSet<&UpstreamName> =
             upstreams.values().flatten().map(|entry| &entry.name).collect();
         lock(&self.handles).retain(|name, _| listed.contains(name));
+        self.standings.retain_listed(&listed);
         for (service, entries) in upstreams {
             let mut services = lock(&self.services);
             let state = services.entry(service.clone()).or_insert_with(|| self.new_service_state());
@@ -251,6 +257,7 @@
             .filter(untried)
             .filter(|entry| input.rule.permits(&entry.version))
             .collect();
+        let usable = self.standings.open_only(usable, input.now);
         let preferred: Vec<&Arc<UpstreamEntry>> =
             usable.iter().copied().filter(|entry| input.rule.prefers(&entry.version)).collect();
         let chosen = self.choose_among(&preferred, input);
@@ -277,6 +284,10 @@
             entries.iter().map(|entry| self.handle(entry)).collect();
         let mut views: Vec<UpstreamView> =
             handles.iter().map(|handle| self.view(handle, input.now)).collect();
+        // Another host's word is enough to prefer other upstreams, but not to lose this one.
+        for index in self.standings.reported(entries, input.now) {
+            views[index].ejected = true;
+        }
         if !views.iter().any(UpstreamView::is_available) {
             // All of them failed recently: any one is better than none.
             views.iter_mut().for_each(|view| {
@@ -304,15 +315,52 @@
     /// Whether an untried upstream is expected to finish prefilling the prompt within `limit`.
     #[must_use]
     pub fn has_faster(&self, input: &ChoiceInput<'_>, limit: Duration) -> bool {
-        let open = input.entries.iter().filter(|entry| {
+        let permitted = input.entries.iter().filter(|entry| {
             !input.tried.contains(&entry.name) && input.rule.permits(&entry.version)
         });
-        open.map(|entry| self.view(&self.handle(entry), input.now)).any(|view| {
+        let open = self.standings.open_only(permitted.collect(), input.now);
+        open.into_iter().map(|entry| self.view(&self.handle(entry), input.now)).any(|view| {
             let wait = view.backlog.as_duration() + view.delay.as_duration() + input.prefill;
             view.is_available() && has_free_slots(&view) && wait <= limit
         })
     }
 
+    /// When the first of the upstreams that may be tried takes requests again; `None` if one does
+    /// now, or none is known to.
+    #[must_use]
+    pub fn reopens_at(
+        &self,
+        entries: &[Arc<UpstreamEntry>],
+        rule: &VersionRule,
+        now: Timestamp,
+    ) -> Option<Timestamp> {
+        let permitted = entries.iter().filter(|entry| rule.permits(&entry.version));
+        let mut soonest: Option<Timestamp> = None;
+        for entry in permitted {
+            match self.standings.permission(entry, now) {
+                SendPermission::Open | SendPermission::Reported => return None,
+                SendPermission::Paused(until) => {
+                    soonest = Some(soonest.map_or(until, |known| known.min(until)));
+                }
+                SendPermission::Leaving => {}
+            }
+        }
+        soonest
+    }
+
+    /// Hashes of upstreams that recently told this host that they are leaving, for other hosts.
+    #[must_use]
+    pub fn leaving_hashes(&self, now: Timestamp) -> Vec<UpstreamHash> {
+        self.standings.leaving_hashes(now)
+    }
+
+    /// Merges upstreams that another host heard are leaving; unknown ones are ignored.
+    pub fn merge_leaving(&self, hashes: &[UpstreamHash], now: Timestamp) {
+        let handles = lock(&self.handles);
+        let entries = handles.values().map(|handle| &*handle.entry);
+        self.standings.merge_leaving(hashes, entries, now);
+    }
+
     fn view(&self, handle: &UpstreamHandle, now: Timestamp) -> UpstreamView {
         let services = lock(&self.services);
         let state = services.get(&handle.entry.service);
@@ -347,7 +395,8 @@
         if let Some(handle) = same {
             return Arc::clone(handle);
         }
-        let handle = Arc::new(UpstreamHandle::new(Arc::clone(entry)));
+        let standings = Arc::clone(&self.standings);
+        let handle = Arc::new(UpstreamHandle::new(Arc::clone(entry), standings));
         handles.insert(entry.name.clone(), Arc::clone(&handle));
         handle
     }
--- a/crates/gateway/src/wire_format.rs
+++ b/crates/gateway/src/wire_format.rs
@@ -95,6 +95,10 @@
     pub load: Option<AnswerLoad>,
     /// The model's confidence in its answer, from 0 to 1.
     pub confidence: Option<f64>,
+    /// Whether the upstream states that it is leaving.
+    pub leaving: bool,
+    /// For how long the upstream wants no requests, as stated; several when repeated.
+    pub retry_after: Vec<Arc<str>>,
 }
 
 /// Codec for a deployment's headers.
