--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -45,6 +45,7 @@
 pub mod session;
 pub mod slow_start;
 pub mod stable_hash;
+pub mod store_era;
 pub mod stream_order;
 pub mod subset;
 pub mod token_bucket;
--- a/crates/gateway/src/control_cache.rs
+++ b/crates/gateway/src/control_cache.rs
@@ -1,15 +1,19 @@
 //! Local cache of the control plane's state: configuration, upstreams and rollouts.
 //!
 //! [`ControlCache`] applies changes from the store and produces [`ControlSnapshot`], an immutable
-//! view for requests. State never moves backwards: each key keeps its highest row version, and the
+//! view for requests. State never moves backwards: each key keeps its latest revision, and the
 //! configuration its highest version. While the store was unavailable it may have expired entries
-//! of live upstreams; such entries are kept for a grace period after it returns.
+//! of live upstreams; such entries are kept for a grace period after it returns. When the store
+//! comes back from an older copy, rows of that copy do not undo what is known already.
 
 use crate::control_port::{Topic, TopicChange, TopicRow, TopicValue};
+use crate::rollout_beliefs::RolloutBeliefs;
 use crate::rollout_plan::{RolloutDecision, RolloutOrder, VersionRule, version_rule};
 use crate::routes::RouteTable;
-use crate::upstream_entry::{UpstreamEntry, UpstreamState};
+use crate::upstream_entry::UpstreamEntry;
+use crate::upstream_records::UpstreamRecords;
 use oleander_core::ids::ServiceName;
+use oleander_core::store_era::{StoreEra, StoreRevision};
 use oleander_core::units::Timestamp;
 use std::collections::{BTreeMap, HashSet};
 use std::sync::Arc;
@@ -19,6 +23,9 @@
 /// platform.
 pub const EXPIRY_GRACE: Duration = Duration::from_millis(2_000);
 
+/// Time within which a store answers that does not wait for a change; sixty times its usual time.
+const PROMPT_ANSWER: Duration = Duration::from_millis(240);
+
 /// Immutable view that requests use; every change produces a new one.
 #[derive(Clone, Debug, Default)]
 pub struct ControlSnapshot {
@@ -30,10 +37,12 @@
     pub rollouts: BTreeMap<ServiceName, RolloutState>,
     /// Whether every topic has been read since the process started.
     pub complete: bool,
-    /// Highest row version applied, by topic.
-    pub versions: BTreeMap<Topic, u64>,
-    /// Version up to which each topic is complete; at least the value in `versions`.
-    pub cursors: BTreeMap<Topic, u64>,
+    /// Latest row revision applied, by topic.
+    pub revisions: BTreeMap<Topic, StoreRevision>,
+    /// Revision up to which each topic is complete; at least the value in `revisions`.
+    pub cursors: BTreeMap<Topic, StoreRevision>,
+    /// When a topic was first read after the store came back from an older copy.
+    pub restored_at: Option<Timestamp>,
     /// Offset of the store's monotonic clock from this process's clock, in milliseconds.
     pub store_offset_ms: i64,
 }
@@ -45,12 +54,30 @@
     pub order: RolloutOrder,
     /// The decision on it, if any.
     pub decision: Option<RolloutDecision>,
-    /// Row version of the decision; 0 when there is none.
-    pub decision_version: u64,
-    /// When this process first saw the order, on the store's monotonic clock.
+    /// Whether the store has the decision; it may have come back from an older copy without it.
+    pub is_saved: bool,
+    /// Whether the store has a decision on a later order, which this host has not read yet.
+    pub is_superseded: bool,
+    /// Revision of the decision's row in the store; version 0 when there is none.
+    pub decision_row: StoreRevision,
+    /// Earliest time at which the order may have been given, on the store's monotonic clock.
     pub ordered_at: Timestamp,
 }
 
+impl RolloutState {
+    /// Identifies the rollout; stays the same when the order is written again in a later era.
+    #[must_use]
+    pub fn id(&self) -> StoreRevision {
+        self.decision.as_ref().map_or(self.order.revision, |decision| decision.order)
+    }
+
+    /// Whether this host knows a decision that the store has lost.
+    #[must_use]
+    pub const fn is_unsaved(&self) -> bool {
+        self.decision.is_some() && !self.is_saved
+    }
+}
+
 impl ControlSnapshot {
     /// Versions that a request of a session may use. `last_version` is the version that the session
     /// used most recently, if known.
@@ -74,6 +101,21 @@
         self.rollouts.values().any(|rollout| !is_over(rollout))
     }
 
+    /// Latest era of the store of which a topic was read.
+    #[must_use]
+    pub fn era(&self) -> StoreEra {
+        self.cursors.values().map(|cursor| cursor.era).max().unwrap_or_default()
+    }
+
+    /// Whether decisions on rollouts may change, or have not been read in the latest era.
+    #[must_use]
+    pub fn needs_decisions(&self) -> bool {
+        let cursor = self.cursors.get(&Topic::Decisions);
+        self.has_open_rollout()
+            || self.rollouts.values().any(RolloutState::is_unsaved)
+            || cursor.is_none_or(|cursor| cursor.era < self.era())
+    }
+
     /// Converts a local time to the store's monotonic clock.
     #[must_use]
     pub fn store_time(&self, now: Timestamp) -> Timestamp {
@@ -81,18 +123,14 @@
     }
 }
 
-#[derive(Clone, Debug)]
-struct UpstreamRecord {
-    entry: Arc<UpstreamEntry>,
-    version: u64,
-    /// End of the grace period of an entry that expired while the store was unavailable.
-    expires_at: Option<Timestamp>,
-}
-
 /// State of a topic.
 #[derive(Clone, Copy, Debug, Default)]
 struct TopicStatus {
-    cursor: u64,
+    cursor: StoreRevision,
+    /// The store's monotonic clock at the last answer.
+    store_now: Timestamp,
+    /// When the last answer came.
+    heard_at: Timestamp,
     loaded: bool,
     unavailable: bool,
     available_since: Option<Timestamp>,
@@ -109,6 +147,10 @@
     UpstreamRemoved(Arc<str>, &'static str),
     /// A rollout was ordered or decided on.
     Rollout(Arc<str>),
+    /// An entry lists an upstream that has left and is held back.
+    UpstreamHeld(Arc<str>),
+    /// A topic was read after the store came back from an older copy, which began this era.
+    Restored(Topic, StoreEra),
     /// A row could not be used, with the reason.
     Skipped(Arc<str>, Arc<str>),
     /// An answer was older than the known state and was ignored.
@@ -119,12 +161,27 @@
 #[derive(Debug, Default)]
 pub struct ControlCache {
     routes: Option<Arc<RouteTable>>,
-    rows: BTreeMap<(Topic, Arc<str>), u64>,
-    upstreams: BTreeMap<Arc<str>, UpstreamRecord>,
-    orders: BTreeMap<Arc<str>, (RolloutOrder, Timestamp)>,
-    decisions: BTreeMap<Arc<str>, (u64, RolloutDecision)>,
+    rows: BTreeMap<(Topic, Arc<str>), StoreRevision>,
+    upstreams: UpstreamRecords,
+    rollouts: RolloutBeliefs,
     topics: BTreeMap<Topic, TopicStatus>,
     store_offset_ms: i64,
+    /// How long rows of an older copy are held back that contradict what is known.
+    hold_time: Duration,
+    restored_at: Option<Timestamp>,
+}
+
+/// Circumstances of a change that its rows are applied under.
+#[derive(Clone, Copy, Debug)]
+struct ChangeContext {
+    topic: Topic,
+    era: StoreEra,
+    /// Earliest time at which the rows may have been written, on the store's monotonic clock.
+    written_at: Timestamp,
+    /// Until when rows are held back that contradict what is known, if the change is the first full
+    /// read after the store came back from an older copy.
+    held_until: Option<Timestamp>,
+    now: Timestamp,
 }
 
 impl ControlCache {
@@ -134,6 +191,15 @@
         Self::default()
     }
 
+    /// Sets how long after its return from an older copy rows of the store are held back that
+    /// contradict what is known: the time in which operators and upstreams write their rows again
+    /// and the platform expires the entries of those that are gone.
+    #[must_use]
+    pub const fn with_hold_time(mut self, hold_time: Duration) -> Self {
+        self.hold_time = hold_time;
+        self
+    }
+
     /// Records that a topic cannot be followed.
     pub fn mark_unavailable(&mut self, topic: Topic) {
         self.topics.entry(topic).or_default().unavailable = true;
@@ -147,68 +213,78 @@
         now: Timestamp,
     ) -> Vec<ControlEvent> {
         let status = self.topics.entry(topic).or_default();
-        if change.cursor < status.cursor {
+        let is_new_era = status.loaded && change.cursor.era > status.cursor.era;
+        // A feed that goes on across eras may lack rows, so a topic enters an era by a full read.
+        if change.cursor < status.cursor || (is_new_era && !change.is_full) {
             return vec![ControlEvent::Stale(topic)];
         }
+        let context = ChangeContext {
+            topic,
+            era: change.cursor.era,
+            written_at: written_at(status, change),
+            held_until: is_new_era.then(|| now + self.hold_time),
+            now,
+        };
         status.cursor = change.cursor;
+        status.store_now = change.store_now;
+        status.heard_at = now;
         status.loaded |= change.is_full;
-        if status.unavailable {
+        if status.unavailable || is_new_era {
             status.unavailable = false;
             status.available_since = Some(now);
         }
         self.store_offset_ms = change.store_now.as_millis() as i64 - now.as_millis() as i64;
         let mut events = Vec::new();
+        if is_new_era {
+            self.restored_at = Some(now);
+            events.push(ControlEvent::Restored(topic, change.cursor.era));
+        }
         for row in &change.rows {
-            self.apply_row(topic, row, now, &mut events);
+            self.apply_row(&context, row, &mut events);
         }
         if change.is_full {
-            self.remove_missing(topic, change, now, &mut events);
+            self.remove_missing(&context, change, &mut events);
         }
         events
     }
 
     fn apply_row(
         &mut self,
-        topic: Topic,
+        context: &ChangeContext,
         row: &TopicRow,
-        now: Timestamp,
         events: &mut Vec<ControlEvent>,
     ) {
-        let known = self.rows.entry((topic, Arc::clone(&row.key))).or_default();
-        if row.version <= *known {
+        let revision = StoreRevision::new(context.era, row.version);
+        let known = self.rows.entry((context.topic, Arc::clone(&row.key))).or_default();
+        if revision <= *known {
             return;
         }
-        *known = row.version;
+        *known = revision;
+        let key = &row.key;
         match &row.value {
             TopicValue::Routes(table) => self.apply_routes(table, events),
             TopicValue::Rollout(order) => {
-                let seen = self.store_time(now);
-                self.orders.insert(Arc::clone(&row.key), (order.clone(), seen));
-                events.push(ControlEvent::Rollout(
-                    format!("{} to {} ordered", order.service, order.to).into(),
-                ));
+                let (at, held) = (context.written_at, context.held_until);
+                self.rollouts.apply_order(key, order, at, held, events);
             }
-            TopicValue::Upstream(entry) => self.apply_upstream(row, entry, events),
+            TopicValue::Upstream(entry) => match context.held_until {
+                Some(held) => self.upstreams.apply_restored(key, entry, revision, held, events),
+                None => self.upstreams.apply(key, entry, revision, events),
+            },
             TopicValue::Decision(decision) => {
-                let text = format!("{} to {} {}", decision.service, decision.to, decision.phase);
-                events.push(ControlEvent::Rollout(text.into()));
-                self.decisions.insert(Arc::clone(&row.key), (row.version, decision.clone()));
+                self.rollouts.apply_decision(key, decision, revision, events);
             }
             TopicValue::Unreadable(reason) => {
-                events.push(ControlEvent::Skipped(Arc::clone(&row.key), Arc::clone(reason)));
-                self.remove_row(topic, &row.key, None, events);
+                events.push(ControlEvent::Skipped(Arc::clone(key), Arc::clone(reason)));
+                self.remove_row(context.topic, key, None, events);
             }
             TopicValue::Removed => {
-                let grace = self.grace_end(topic, now);
-                self.remove_row(topic, &row.key, grace, events);
+                let grace = self.grace_end(context.topic, context.now);
+                self.remove_row(context.topic, key, grace, events);
             }
         }
     }
 
-    fn store_time(&self, now: Timestamp) -> Timestamp {
-        Timestamp::from_millis(now.as_millis().saturating_add_signed(self.store_offset_ms))
-    }
-
     fn apply_routes(&mut self, table: &Arc<RouteTable>, events: &mut Vec<ControlEvent>) {
         let newer = self.routes.as_ref().is_none_or(|known| table.version() > known.version());
         if newer {
@@ -217,27 +293,6 @@
         }
     }
 
-    fn apply_upstream(
-        &mut self,
-        row: &TopicRow,
-        entry: &Arc<UpstreamEntry>,
-        events: &mut Vec<ControlEvent>,
-    ) {
-        let previous_state = self.upstreams.get(&row.key).map(|record| record.entry.state);
-        match (previous_state, entry.state) {
-            (Some(UpstreamState::Ready), UpstreamState::Draining) => {
-                events.push(ControlEvent::UpstreamRemoved(Arc::clone(&row.key), "draining"));
-            }
-            (None | Some(UpstreamState::Draining), UpstreamState::Ready) => {
-                events.push(ControlEvent::UpstreamAdded(Arc::clone(&row.key)));
-            }
-            _ => {}
-        }
-        let record =
-            UpstreamRecord { entry: Arc::clone(entry), version: row.version, expires_at: None };
-        self.upstreams.insert(Arc::clone(&row.key), record);
-    }
-
     /// End of the grace period for an entry that is removed now, if it may have expired while the
     /// store was unavailable.
     fn grace_end(&self, topic: Topic, now: Timestamp) -> Option<Timestamp> {
@@ -254,127 +309,94 @@
         events: &mut Vec<ControlEvent>,
     ) {
         match topic {
-            Topic::Upstreams => {
-                let Some(record) = self.upstreams.get_mut(key) else { return };
-                if grace.is_some() && record.entry.state == UpstreamState::Ready {
-                    record.expires_at = grace;
-                    return;
-                }
-                self.upstreams.remove(key);
-                events.push(ControlEvent::UpstreamRemoved(Arc::clone(key), "removed"));
-            }
-            Topic::Orders => {
-                self.orders.remove(key);
-            }
-            Topic::Decisions => {
-                self.decisions.remove(key);
-            }
+            Topic::Upstreams => self.upstreams.remove(key, grace, events),
+            Topic::Orders => self.rollouts.remove_order(key),
+            Topic::Decisions => self.rollouts.remove_decision(key),
         }
     }
 
     /// Removes rows that are missing in a full read: they were removed while the topic was not
-    /// followed.
+    /// followed. An older copy may lack rows that were not removed: operators write orders again,
+    /// and hosts their decisions.
     fn remove_missing(
         &mut self,
-        topic: Topic,
+        context: &ChangeContext,
         change: &TopicChange,
-        now: Timestamp,
         events: &mut Vec<ControlEvent>,
     ) {
+        let topic = context.topic;
         let present: HashSet<&str> = change.rows.iter().map(|row| &*row.key).collect();
-        let missing = |key: &Arc<str>| !present.contains(&**key);
+        let missing = |key: &&Arc<str>| !present.contains(&***key);
         let keys: Vec<Arc<str>> = match topic {
-            Topic::Upstreams => self.upstreams.keys().filter(|key| missing(key)).cloned().collect(),
-            Topic::Orders => self.orders.keys().filter(|key| missing(key)).cloned().collect(),
-            Topic::Decisions => self.decisions.keys().filter(|key| missing(key)).cloned().collect(),
+            Topic::Upstreams => self.upstreams.keys().filter(missing).cloned().collect(),
+            Topic::Orders => self.rollouts.order_keys().filter(missing).cloned().collect(),
+            Topic::Decisions => self.rollouts.decision_keys().filter(missing).cloned().collect(),
         };
-        let grace = self.grace_end(topic, now);
+        let grace = self.grace_end(topic, context.now);
         for key in keys {
             // A row with a version after the cursor was written after the read, so it still exists.
-            let known = self.rows.get(&(topic, Arc::clone(&key))).copied().unwrap_or(0);
-            if known <= change.cursor {
-                self.remove_row(topic, &key, grace, events);
+            let known = self.rows.get(&(topic, Arc::clone(&key))).copied().unwrap_or_default();
+            if known > change.cursor {
+                continue;
+            }
+            match (topic, context.held_until) {
+                (Topic::Orders, Some(_)) => {}
+                (Topic::Decisions, Some(_)) => self.rollouts.mark_lost(&key, context.era, events),
+                _ => self.remove_row(topic, &key, grace, events),
             }
         }
     }
 
-    /// Drops entries whose grace period is over; returns the events to log.
+    /// Ends grace periods and puts rows into force that were held back long enough and were still
+    /// there at the last answer; returns the events to log.
     pub fn expire(&mut self, now: Timestamp) -> Vec<ControlEvent> {
-        let is_expired = |record: &UpstreamRecord| record.expires_at.is_some_and(|end| now >= end);
-        let expired: Vec<Arc<str>> = self
-            .upstreams
-            .iter()
-            .filter(|(_, record)| is_expired(record))
-            .map(|(key, _)| Arc::clone(key))
-            .collect();
-        for key in &expired {
-            self.upstreams.remove(key);
-        }
-        expired.into_iter().map(|key| ControlEvent::UpstreamRemoved(key, "lapsed")).collect()
-    }
-
-    /// When [`ControlCache::expire`] next has an entry to drop.
-    #[must_use]
-    pub fn next_expiry(&self) -> Option<Timestamp> {
-        self.upstreams.values().filter_map(|record| record.expires_at).min()
+        let heard_at = |topic| self.topics.get(&topic).map(|status: &TopicStatus| status.heard_at);
+        let (upstreams, orders) = (heard_at(Topic::Upstreams), heard_at(Topic::Orders));
+        let mut events = self.upstreams.expire(now, upstreams.unwrap_or_default());
+        let offset = self.store_offset_ms;
+        let store_now = Timestamp::from_millis(now.as_millis().saturating_add_signed(offset));
+        events.extend(self.rollouts.release_held(orders.unwrap_or_default(), store_now));
+        events
     }
 
     /// Builds the snapshot for requests.
     #[must_use]
     pub fn snapshot(&self) -> ControlSnapshot {
         let mut upstreams: BTreeMap<ServiceName, Vec<Arc<UpstreamEntry>>> = BTreeMap::new();
-        for record in newest_by_address(&self.upstreams) {
-            let entry = &record.entry;
-            if entry.state == UpstreamState::Ready {
-                upstreams.entry(entry.service.clone()).or_default().push(Arc::clone(entry));
-            }
+        for entry in self.upstreams.ready() {
+            upstreams.entry(entry.service.clone()).or_default().push(Arc::clone(entry));
         }
         let is_loaded = |topic: &Topic| self.topics.get(topic).is_some_and(|status| status.loaded);
         ControlSnapshot {
             routes: self.routes.clone(),
             upstreams,
-            rollouts: self.rollouts(),
+            rollouts: self.rollouts.rollouts(),
             complete: Topic::ALL.iter().all(is_loaded) && self.routes.is_some(),
-            versions: self.versions(),
+            revisions: self.revisions(),
             cursors: self.topics.iter().map(|(topic, status)| (*topic, status.cursor)).collect(),
+            restored_at: self.restored_at,
             store_offset_ms: self.store_offset_ms,
         }
     }
 
-    fn versions(&self) -> BTreeMap<Topic, u64> {
-        let mut versions = BTreeMap::new();
-        for ((topic, _), version) in &self.rows {
-            let highest = versions.entry(*topic).or_default();
-            *highest = (*version).max(*highest);
+    fn revisions(&self) -> BTreeMap<Topic, StoreRevision> {
+        let mut revisions = BTreeMap::new();
+        for ((topic, _), revision) in &self.rows {
+            let highest: &mut StoreRevision = revisions.entry(*topic).or_default();
+            *highest = (*revision).max(*highest);
         }
-        versions
-    }
-
-    fn rollouts(&self) -> BTreeMap<ServiceName, RolloutState> {
-        let rollout = |order: &RolloutOrder, ordered_at: Timestamp| {
-            let found = self.decisions.values().find(|(_, found)| found.service == order.service);
-            RolloutState {
-                order: order.clone(),
-                decision: found
-                    .map(|(_, decision)| decision.clone())
-                    .filter(|decision| decision.order == order.row_version),
-                decision_version: found.map_or(0, |(version, _)| *version),
-                ordered_at,
-            }
-        };
-        let orders = self.orders.values();
-        orders.map(|(order, seen)| (order.service.clone(), rollout(order, *seen))).collect()
+        revisions
     }
 }
 
-/// Records without those whose address was later reassigned to another upstream.
-fn newest_by_address(records: &BTreeMap<Arc<str>, UpstreamRecord>) -> Vec<&UpstreamRecord> {
-    let mut newest = BTreeMap::new();
-    for record in records.values() {
-        let slot = newest.entry(record.entry.address).or_insert(record);
-        if record.version > slot.version {
-            *slot = record;
-        }
+/// Earliest time at which the rows of a change may have been written, on the store's monotonic
+/// clock. Rows that the store had when it was asked were written at any time since its last answer,
+/// when this host was pausing; others were written just now.
+fn written_at(status: &TopicStatus, change: &TopicChange) -> Timestamp {
+    let had_rows = change.waited < PROMPT_ANSWER;
+    if status.loaded && !change.is_full && had_rows {
+        status.store_now.min(change.store_now)
+    } else {
+        change.store_now
     }
-    newest.into_values().collect()
 }
--- a/crates/gateway/src/control_port.rs
+++ b/crates/gateway/src/control_port.rs
@@ -1,13 +1,15 @@
 //! Interface to the platform's store: topics that are followed and rows that are written.
 //!
-//! A topic is an ordered feed of keyed values. Each value has a row version that only grows, so
-//! that late or stale answers can be recognized.
+//! A topic is an ordered feed of keyed values. Each value has a row version that only grows within
+//! an era of the store, so that late or stale answers can be recognized. A store that comes back
+//! from an older copy begins a new era.
 
 use crate::rollout_plan::{RolloutDecision, RolloutOrder};
 use crate::rollout_sums::HostSums;
 use crate::routes::RouteTable;
 use crate::upstream_entry::UpstreamEntry;
 use oleander_core::ids::{HostId, RegionName, ServiceName};
+use oleander_core::store_era::StoreRevision;
 use oleander_core::units::Timestamp;
 use oleander_ports::{PlatformError, PortFuture};
 use serde::{Deserialize, Serialize};
@@ -64,7 +66,7 @@
 pub struct TopicRow {
     /// Key within the topic.
     pub key: Arc<str>,
-    /// Version of the row.
+    /// Version of the row, in the era of the change that it is part of.
     pub version: u64,
     /// The value.
     pub value: TopicValue,
@@ -75,8 +77,10 @@
 pub struct TopicChange {
     /// Whether `rows` is the complete topic, so that missing rows do not exist.
     pub is_full: bool,
-    /// Version up to which the changes are complete.
-    pub cursor: u64,
+    /// Revision up to which the changes are complete.
+    pub cursor: StoreRevision,
+    /// How long the store took to answer, including the wait for a change.
+    pub waited: Duration,
     /// The store's monotonic clock.
     pub store_now: Timestamp,
     /// Rows in order of change.
@@ -108,7 +112,7 @@
 pub enum WriteOutcome {
     /// The write was applied.
     Applied,
-    /// The row had another version; nothing was applied.
+    /// The row had another revision, or the store has begun a new era; nothing was applied.
     Conflict,
 }
 
@@ -117,19 +121,22 @@
     /// Reads a complete topic.
     fn read(&self, topic: Topic) -> PortFuture<'_, Result<TopicChange, PlatformError>>;
 
-    /// Waits at most `wait` for changes after `cursor`.
+    /// Waits at most `wait` for changes after `cursor`. If the store has begun a new era, the
+    /// cursor of the change is of that era, and its rows may not be all that changed.
     fn follow(
         &self,
         topic: Topic,
-        cursor: u64,
+        cursor: StoreRevision,
         wait: Duration,
     ) -> PortFuture<'_, Result<TopicUpdate, PlatformError>>;
 
-    /// Writes a rollout decision if the current one has row version `expected` (0: none exists).
+    /// Writes a rollout decision if the current one has revision `expected` (version 0: none
+    /// exists). Never applies in a later era than that of `expected`, although the version may have
+    /// been given out again there.
     fn write_decision(
         &self,
         decision: RolloutDecision,
-        expected: u64,
+        expected: StoreRevision,
     ) -> PortFuture<'_, Result<WriteOutcome, PlatformError>>;
 
     /// Writes this host's sums of a rollout.
--- a/crates/gateway/src/gateway_process.rs
+++ b/crates/gateway/src/gateway_process.rs
@@ -83,7 +83,9 @@
         let changed = Arc::clone(&state);
         let hook =
             Box::new(move |snapshot: &ControlSnapshot| changed.pool.update(&snapshot.upstreams));
-        let publisher = SnapshotPublisher::spawn(publisher.with_change_hook(hook));
+        let hold_time = state.settings.load().bounds.hold_time();
+        let publisher = publisher.with_change_hook(hook).with_hold_time(hold_time);
+        let publisher = SnapshotPublisher::spawn(publisher);
         let gossip = bind_gossip(&state.settings.load()).await?;
         Ok(Self { state, callers, ready, metrics, control, publisher, gossip })
     }
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -3,14 +3,16 @@
 //! A long-poll call to the store can hang on a connection that has silently died. Every host
 //! therefore sends small datagrams to a few others with the newest row version it knows of each
 //! topic. A host that hears of a newer version and does not get it from the store soon opens new
-//! connections. The only other data used from a datagram are upstream loads, which rank upstreams
-//! that may be used anyway, so a forged datagram costs a few calls and some latency at most.
+//! connections. The only other data used from a datagram are upstream loads and which upstreams are
+//! leaving. They rank upstreams that may be used anyway, so a forged datagram costs a few calls and
+//! some latency at most.
 
 use crate::control_port::Topic;
-use crate::load_report::LoadReport;
+use crate::load_report::{LoadReport, UpstreamHash};
 use crate::peer_table::{PeerTable, RegionHash};
 use crate::state::GatewayState;
 use crate::topic_watch::propagation_timeout;
+use oleander_core::store_era::{StoreEra, StoreRevision};
 use oleander_core::units::Timestamp;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
@@ -42,6 +44,27 @@
     pub region: RegionHash,
     /// Loads of upstreams, newest first.
     pub loads: Vec<LoadReport>,
+    /// Eras of the versions.
+    pub eras: [StoreEra; Topic::ALL.len()],
+    /// Upstreams that told the sender that they are leaving.
+    pub leaving: Vec<UpstreamHash>,
+}
+
+/// The part of a datagram that earlier releases of this program send and read.
+type EarlierMessage = ([u64; Topic::ALL.len()], RegionHash, Vec<LoadReport>);
+
+impl GossipMessage {
+    /// Decodes a datagram. One of an earlier release ends after the loads.
+    ///
+    /// # Errors
+    ///
+    /// When the bytes are no datagram of any release.
+    pub fn decode(bytes: &[u8]) -> Result<Self, postcard::Error> {
+        let ((versions, region, loads), rest) = postcard::take_from_bytes::<EarlierMessage>(bytes)?;
+        let (eras, leaving) =
+            if rest.is_empty() { Default::default() } else { postcard::from_bytes(rest)? };
+        Ok(Self { versions, region, loads, eras, leaving })
+    }
 }
 
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
@@ -86,21 +109,33 @@
 /// Detects that this host lags behind versions that other hosts know.
 #[derive(Debug, Default)]
 pub struct LagDetector {
-    ahead: BTreeMap<Topic, (u64, Timestamp)>,
+    ahead: BTreeMap<Topic, (StoreRevision, Timestamp)>,
 }
 
 impl LagDetector {
-    /// Records the version that another host knows.
-    pub fn record_peer_version(&mut self, topic: Topic, version: u64, own: u64, now: Timestamp) {
-        if version > own {
-            self.ahead.entry(topic).or_insert((version, now));
+    /// Records the revision that another host knows.
+    pub fn record_peer_revision(
+        &mut self,
+        topic: Topic,
+        revision: StoreRevision,
+        own: StoreRevision,
+        now: Timestamp,
+    ) {
+        if revision > own {
+            self.ahead.entry(topic).or_insert((revision, now));
         }
     }
 
-    /// Whether a version known to another host did not arrive in time; drops versions that have
+    /// Whether a revision known to another host did not arrive in time; drops those that have
     /// arrived.
-    pub fn is_lagging(&mut self, own: &BTreeMap<Topic, u64>, hosts: usize, now: Timestamp) -> bool {
-        self.ahead.retain(|topic, (version, _)| own.get(topic).copied().unwrap_or(0) < *version);
+    pub fn is_lagging(
+        &mut self,
+        own: &BTreeMap<Topic, StoreRevision>,
+        hosts: usize,
+        now: Timestamp,
+    ) -> bool {
+        let own_revision = |topic: &Topic| own.get(topic).copied().unwrap_or_default();
+        self.ahead.retain(|topic, (revision, _)| own_revision(topic) < *revision);
         let is_late = |topic: &Topic, since: Timestamp| {
             now.since(since) >= propagation_timeout(*topic, hosts)
         };
@@ -157,7 +192,7 @@
 
 /// Applies a datagram and returns the sender's region.
 fn receive(state: &GatewayState, bytes: &[u8], lag: &mut LagDetector) -> Option<RegionHash> {
-    let message: GossipMessage = match postcard::from_bytes(bytes) {
+    let message: GossipMessage = match GossipMessage::decode(bytes) {
         Ok(message) => message,
         Err(error) => {
             log::debug!(target: "beacon", error:%; "malformed gossip datagram ignored");
@@ -166,12 +201,14 @@
     };
     let snapshot = state.snapshot.load();
     let now = state.clock.now();
-    for (topic, version) in Topic::ALL.into_iter().zip(message.versions) {
+    let revisions = message.eras.into_iter().zip(message.versions);
+    for (topic, (era, version)) in Topic::ALL.into_iter().zip(revisions) {
         // The cursor also covers rows that were removed before this process started.
-        let own = snapshot.cursors.get(&topic).copied().unwrap_or(0);
-        lag.record_peer_version(topic, version, own, now);
+        let own = snapshot.cursors.get(&topic).copied().unwrap_or_default();
+        lag.record_peer_revision(topic, StoreRevision::new(era, version), own, now);
     }
     state.pool.merge_load_reports(&message.loads, now);
+    state.pool.merge_leaving(&message.leaving, now);
     Some(message.region)
 }
 
@@ -182,10 +219,17 @@
     include_any_region: bool,
 ) {
     let snapshot = state.snapshot.load_full();
-    let version = |topic| snapshot.versions.get(&topic).copied().unwrap_or(0);
-    let region = RegionHash::new(&state.settings.load().region);
-    let loads = state.pool.load_reports(state.clock.now());
-    let message = GossipMessage { versions: Topic::ALL.map(version), region, loads };
+    let revisions =
+        Topic::ALL.map(|topic| snapshot.revisions.get(&topic).copied().unwrap_or_default());
+    let now = state.clock.now();
+    let message = GossipMessage {
+        versions: revisions.map(|revision| revision.version),
+        region: RegionHash::new(&state.settings.load().region),
+        loads: state.pool.load_reports(now),
+        eras: revisions.map(|revision| revision.era),
+        leaving: state.pool.leaving_hashes(now),
+    };
+    let region = message.region;
     let Ok(bytes) = postcard::to_allocvec(&message) else { return };
     let same_region =
         (0..REGION_FAN_OUT).map(|_| peers.in_region(region, state.random.next_unit()));
--- a/crates/gateway/src/rollout_counters.rs
+++ b/crates/gateway/src/rollout_counters.rs
@@ -3,6 +3,7 @@
 use crate::control_cache::ControlSnapshot;
 use crate::rollout_sums::{HostSums, RouteSums};
 use oleander_core::ids::{HostId, ServiceName};
+use oleander_core::store_era::StoreRevision;
 use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex, PoisonError};
 
@@ -64,7 +65,7 @@
         if rollout.decision.as_ref().is_some_and(|decision| decision.phase.is_over()) {
             return;
         }
-        let order = rollout.order.row_version;
+        let order = rollout.id();
         let mut all = self.sums.lock().unwrap_or_else(PoisonError::into_inner);
         let sums = all.entry(labels.service.clone()).or_insert_with(|| self.empty(labels, order));
         if sums.order != order {
@@ -74,7 +75,7 @@
         apply(route, *labels.version == *rollout.order.to);
     }
 
-    fn empty(&self, labels: CounterLabels<'_>, order: u64) -> HostSums {
+    fn empty(&self, labels: CounterLabels<'_>, order: StoreRevision) -> HostSums {
         HostSums {
             host: self.host.clone(),
             incarnation: self.incarnation,
--- a/crates/gateway/src/rollout_driver.rs
+++ b/crates/gateway/src/rollout_driver.rs
@@ -13,6 +13,7 @@
 use crate::snapshot_publisher::SharedSnapshot;
 use crate::state::GatewayState;
 use oleander_core::ids::ServiceName;
+use oleander_core::store_era::StoreEra;
 use oleander_core::units::Timestamp;
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -52,6 +53,10 @@
     report_at: Timestamp,
     full_report_at: Timestamp,
     evaluate_at: Timestamp,
+    /// Era of the store in which the sums were last written.
+    era: StoreEra,
+    /// When a decision is written again that the store has lost.
+    restore_at: Option<Timestamp>,
 }
 
 /// Drives the rollouts of all services.
@@ -79,12 +84,18 @@
     /// Performs the work that is due.
     pub async fn tick(&mut self) {
         let snapshot: SharedSnapshot = Arc::clone(&self.state.snapshot);
-        for (service, rollout) in &snapshot.load().rollouts {
+        let snapshot = snapshot.load_full();
+        let current = snapshot.rollouts.iter().filter(|(_, rollout)| !rollout.is_superseded);
+        for (service, rollout) in current {
+            self.enter_era(service, snapshot.era());
+            self.restore(service, rollout).await;
             let phase = rollout.decision.as_ref().map(|decision| decision.phase);
             match phase {
                 None => self.start(service, rollout).await,
                 Some(phase) if phase.is_over() => {
-                    self.schedules.remove(service);
+                    if !rollout.is_unsaved() {
+                        self.schedules.remove(service);
+                    }
                 }
                 Some(phase) => {
                     self.spread_evaluations(service, phase);
@@ -95,6 +106,44 @@
         }
     }
 
+    /// Has the sums written again when the store came back from an older copy. Hosts spread their
+    /// writes as they do usually.
+    fn enter_era(&mut self, service: &ServiceName, era: StoreEra) {
+        let interval = REPORT_INTERVAL + REPORT_INTERVAL_PER_HOST * self.host_count();
+        let at = self.state.clock.now() + interval.mul_f64(self.state.random.next_unit());
+        let schedule = self.schedule(service);
+        if schedule.era < era {
+            schedule.era = era;
+            if schedule.reported.take().is_some() {
+                (schedule.report_at, schedule.full_report_at) = (at, at);
+            }
+        }
+    }
+
+    /// Writes a decision again that the store has lost. Each host that knows it waits a random time
+    /// first, so that usually only one of them writes.
+    async fn restore(&mut self, service: &ServiceName, rollout: &RolloutState) {
+        let now = self.state.clock.now();
+        let Some(decision) = rollout.decision.as_ref().filter(|_| rollout.is_unsaved()) else {
+            self.schedule(service).restore_at = None;
+            return;
+        };
+        let wait = START_SPREAD.mul_f64(self.state.random.next_unit());
+        let at = *self.schedule(service).restore_at.get_or_insert(now + wait);
+        if now < at {
+            return;
+        }
+        self.schedule(service).restore_at = Some(now + START_SPREAD + wait);
+        self.write(rollout, decision.clone(), "the store came back without it").await;
+    }
+
+    /// Whether rows of the store may still be missing since it came back from an older copy.
+    fn is_settling(&self) -> bool {
+        let hold_time = self.state.settings.load().bounds.hold_time();
+        let restored_at = self.state.snapshot.load().restored_at;
+        restored_at.is_some_and(|at| self.state.clock.now().since(at) < hold_time)
+    }
+
     /// Spreads the evaluations of all hosts evenly when a phase begins. Hosts learn of a phase at
     /// the same time and would otherwise all evaluate at once, followed by a long gap.
     fn spread_evaluations(&mut self, service: &ServiceName, phase: RolloutPhase) {
@@ -115,7 +164,7 @@
         let has_new = entries
             .is_some_and(|entries| entries.iter().any(|entry| entry.version == rollout.order.to));
         let now = self.state.clock.now();
-        if !has_new || now < self.schedule(service).evaluate_at {
+        if !has_new || self.is_settling() || now < self.schedule(service).evaluate_at {
             return;
         }
         // Hosts wait a random time before the first write, so that usually only one of them writes.
@@ -123,20 +172,33 @@
         let wait = START_SPREAD.mul_f64(self.state.random.next_unit());
         self.schedule(service).evaluate_at = now + wait;
         if !first {
+            self.count_hosts().await;
             let text = "the new version has an upstream";
             let canary = canary_share(self.state.pool.fleet_rate(service, now));
             self.decide(rollout, RolloutPhase::Canary, (rollout.ordered_at, canary), text).await;
         }
     }
 
+    /// Counts the hosts if they are not counted yet: the canary's share of sessions follows from the
+    /// request rate over all of them.
+    async fn count_hosts(&self) {
+        if self.state.pool.counted_hosts().is_some() {
+            return;
+        }
+        match self.control.hosts().await {
+            Ok(hosts) => self.state.pool.set_hosts(hosts.len()),
+            Err(error) => log::warn!(
+                target: "dependency", error:%;
+                "cannot read the list of hosts from the store"
+            ),
+        }
+    }
+
     async fn report(&mut self, service: &ServiceName, rollout: &RolloutState) {
         let now = self.state.clock.now();
         let interval = REPORT_INTERVAL + REPORT_INTERVAL_PER_HOST * self.host_count();
-        let sums = self
-            .state
-            .rollout_counters
-            .sums(service)
-            .filter(|sums| sums.order == rollout.order.row_version);
+        let sums =
+            self.state.rollout_counters.sums(service).filter(|sums| sums.order == rollout.id());
         let added = FULL_REPORT_INTERVAL_PER_HOST.saturating_mul(self.host_count());
         let added = added.min(MAX_ADDED_REPORT_INTERVAL);
         let schedule = self.schedule(service);
@@ -180,7 +242,7 @@
                 return;
             }
         };
-        let order = rollout.order.row_version;
+        let order = rollout.id();
         let store_now = self.state.snapshot.load().store_time(self.state.clock.now());
         let elapsed = store_now.since(decision.began);
         let judge = &mut self.schedule(service).judge;
@@ -194,6 +256,8 @@
         let bound = ExposureBound { share: bounds.exposure_share, slack: bounds.exposure_slack };
         let next = next_phase(decision.phase, rollout.order.duration, &evidence, &bound);
         self.schedule_final_evaluation(service, decision.phase, rollout.order.duration, elapsed);
+        // Counts that are missing would let all work move too early.
+        let next = next.filter(|(phase, _)| *phase != RolloutPhase::Moving || !self.is_settling());
         if let Some((phase, reason)) = next {
             let text = format!("{reason}; {evidence:?}");
             self.decide(rollout, phase, (decision.began, decision.canary), &text).await;
@@ -229,13 +293,18 @@
         let decision = RolloutDecision {
             service: rollout.order.service.clone(),
             to: Arc::clone(&rollout.order.to),
-            order: rollout.order.row_version,
+            order: rollout.id(),
             phase,
             began,
             canary,
         };
+        self.write(rollout, decision, reason).await;
+    }
+
+    async fn write(&self, rollout: &RolloutState, decision: RolloutDecision, reason: &str) {
         let (service, to) = (&rollout.order.service, &rollout.order.to);
-        match self.control.write_decision(decision, rollout.decision_version).await {
+        let (phase, canary) = (decision.phase, decision.canary);
+        match self.control.write_decision(decision, rollout.decision_row).await {
             Ok(WriteOutcome::Applied) => {
                 log::info!(
                     target: "rollout", service:%, to:%, phase:%, canary, reason;
--- a/crates/gateway/src/rollout_plan.rs
+++ b/crates/gateway/src/rollout_plan.rs
@@ -7,6 +7,7 @@
 
 use oleander_core::ids::ServiceName;
 use oleander_core::rollout::session_point;
+use oleander_core::store_era::StoreRevision;
 use oleander_core::units::Timestamp;
 use serde::{Deserialize, Serialize};
 use std::fmt;
@@ -48,8 +49,16 @@
     pub to: Arc<str>,
     /// Time within which the rollout must be over.
     pub duration: Duration,
-    /// Row version of the order, which identifies it.
-    pub row_version: u64,
+    /// Revision of the order's row, which identifies it.
+    pub revision: StoreRevision,
+}
+
+impl RolloutOrder {
+    /// Whether `other` asks for the same, as a row does that is written again.
+    #[must_use]
+    pub fn has_content_of(&self, other: &Self) -> bool {
+        (&self.service, &self.to, self.duration) == (&other.service, &other.to, other.duration)
+    }
 }
 
 /// Phase of a rollout.
@@ -71,6 +80,15 @@
     pub const fn is_over(self) -> bool {
         matches!(self, Self::Done | Self::Reverted)
     }
+
+    /// Position in the course of a rollout, which never goes back.
+    const fn rank(self) -> u8 {
+        match self {
+            Self::Canary => 0,
+            Self::Moving => 1,
+            Self::Done | Self::Reverted => 2,
+        }
+    }
 }
 
 impl fmt::Display for RolloutPhase {
@@ -91,8 +109,9 @@
     pub service: ServiceName,
     /// The version to move to.
     pub to: Arc<str>,
-    /// Row version of the order.
-    pub order: u64,
+    /// Revision of the order's row when the rollout began. An order that is written again after
+    /// the store came back from an older copy has a later one.
+    pub order: StoreRevision,
     /// Current phase.
     pub phase: RolloutPhase,
     /// Start of the rollout, on the store's monotonic clock.
@@ -101,6 +120,24 @@
     pub canary: u16,
 }
 
+impl RolloutDecision {
+    /// Whether this is a decision on `order`: on this row, or on one of an earlier era of the store
+    /// that asked for the same version.
+    #[must_use]
+    pub fn is_on(&self, order: &RolloutOrder) -> bool {
+        let is_same_row = self.order == order.revision;
+        is_same_row || (self.to == order.to && self.order.era != order.revision.era)
+    }
+
+    /// Whether `found` is an earlier state of the same rollout, or of an earlier one.
+    #[must_use]
+    pub fn supersedes(&self, found: &Self) -> bool {
+        let is_same_rollout = self.order == found.order;
+        let is_later_phase = self.phase.rank() > found.phase.rank();
+        (is_same_rollout && is_later_phase) || self.order > found.order
+    }
+}
+
 /// Initial share of sessions for the new version, in thousandths, at a given request rate.
 ///
 /// ```
@@ -149,6 +186,7 @@
 ///
 /// ```
 /// use oleander_core::ids::ServiceName;
+/// use oleander_core::store_era::{StoreEra, StoreRevision};
 /// use oleander_core::units::Timestamp;
 /// use oleander_gateway::rollout_plan::*;
 /// use std::time::Duration;
@@ -158,13 +196,13 @@
 ///     service: service.clone(),
 ///     to: "v2".into(),
 ///     duration: Duration::from_secs(24),
-///     row_version: 7,
+///     revision: StoreRevision::new(StoreEra::default(), 7),
 /// };
 /// assert_eq!(version_rule(&order, None, "van-1", None), VersionRule::Not("v2".into()));
 /// let decision = RolloutDecision {
 ///     service,
 ///     to: "v2".into(),
-///     order: 7,
+///     order: order.revision,
 ///     phase: RolloutPhase::Done,
 ///     began: Timestamp::from_millis(0),
 ///     canary: 80,
@@ -182,7 +220,7 @@
     last_version: Option<&str>,
 ) -> VersionRule {
     let to = Arc::clone(&order.to);
-    let Some(decision) = decision.filter(|decision| decision.order == order.row_version) else {
+    let Some(decision) = decision.filter(|decision| decision.is_on(order)) else {
         return VersionRule::Not(to);
     };
     match decision.phase {
--- a/crates/gateway/src/rollout_sums.rs
+++ b/crates/gateway/src/rollout_sums.rs
@@ -1,6 +1,6 @@
 //! Answer counts of a rollout over all hosts, and the test whether the new version is worse.
 //!
-//! An order is an operator's rollout order, identified by the version of its row in the store. An
+//! An order is an operator's rollout order, identified by the revision of its row in the store. An
 //! incarnation is one run of a host's process.
 //!
 //! Each host counts its own answers; counts of several hosts can be added in any sequence. A
@@ -13,6 +13,7 @@
 use oleander_core::alarm_threshold::answer_threshold;
 use oleander_core::detect::{MeanChangeTest, RatingBaseline};
 use oleander_core::ids::{HostId, ServiceName};
+use oleander_core::store_era::{StoreEra, StoreRevision};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -68,6 +69,11 @@
         self.answers += other.answers;
         self.bad += other.bad;
     }
+
+    /// The higher one of each count.
+    fn max(self, other: Self) -> Self {
+        Self { answers: self.answers.max(other.answers), bad: self.bad.max(other.bad) }
+    }
 }
 
 /// Counts of one route.
@@ -91,6 +97,16 @@
         self.exposed += other.exposed;
         self.requests += other.requests;
     }
+
+    /// The higher one of each count.
+    fn max(&self, other: &Self) -> Self {
+        Self {
+            new: self.new.max(other.new),
+            old: self.old.max(other.old),
+            exposed: self.exposed.max(other.exposed),
+            requests: self.requests.max(other.requests),
+        }
+    }
 }
 
 /// Counts of one host for a rollout.
@@ -102,13 +118,52 @@
     pub incarnation: u64,
     /// The service.
     pub service: ServiceName,
-    /// Row version of the rollout order.
-    pub order: u64,
+    /// The rollout, identified by the revision of its order.
+    #[serde(with = "order_version")]
+    pub order: StoreRevision,
     /// Counts by route name.
     pub routes: BTreeMap<Arc<str>, RouteSums>,
 }
 
+/// Encodes only the version of an order; its era follows the sums, where earlier releases of this
+/// program ignore it.
+mod order_version {
+    use super::{StoreEra, StoreRevision};
+    use serde::{Deserialize, Deserializer, Serialize, Serializer};
+
+    pub fn serialize<S: Serializer>(order: &StoreRevision, to: S) -> Result<S::Ok, S::Error> {
+        order.version.serialize(to)
+    }
+
+    pub fn deserialize<'de, D: Deserializer<'de>>(from: D) -> Result<StoreRevision, D::Error> {
+        u64::deserialize(from).map(|version| StoreRevision::new(StoreEra::default(), version))
+    }
+}
+
 impl HostSums {
+    /// Encodes the sums for the store.
+    ///
+    /// # Errors
+    ///
+    /// When the sums cannot be encoded.
+    pub fn encode(&self) -> Result<Vec<u8>, postcard::Error> {
+        postcard::to_allocvec(&(self, self.order.era))
+    }
+
+    /// Decodes the sums of a row. A row that ends without an era is of an earlier release, which
+    /// knows no eras.
+    ///
+    /// # Errors
+    ///
+    /// When the bytes are no sums.
+    pub fn decode(bytes: &[u8]) -> Result<Self, postcard::Error> {
+        let (mut sums, rest) = postcard::take_from_bytes::<Self>(bytes)?;
+        if !rest.is_empty() {
+            sums.order.era = postcard::from_bytes(rest)?;
+        }
+        Ok(sums)
+    }
+
     /// Whether the number of requests sent to the new version plus the number of its answers
     /// differs from that in `before`; also true when the orders differ.
     #[must_use]
@@ -125,7 +180,7 @@
 
 /// Adds up the counts of hosts for one order; counts for other orders are skipped.
 #[must_use]
-pub fn add_up(hosts: &[HostSums], order: u64) -> FleetSums {
+pub fn add_up(hosts: &[HostSums], order: StoreRevision) -> FleetSums {
     let mut sums = FleetSums::new();
     for host in hosts.iter().filter(|host| host.order == order) {
         for (route, counts) in &host.routes {
@@ -139,13 +194,15 @@
 ///
 /// ```
 /// use oleander_core::ids::{HostId, ServiceName};
+/// use oleander_core::store_era::{StoreEra, StoreRevision};
 /// use oleander_gateway::rollout_sums::*;
 ///
+/// let order = StoreRevision::new(StoreEra::default(), 7);
 /// let sums = |new_bad| HostSums {
 ///     host: HostId::new("host-1").unwrap(),
 ///     incarnation: 1,
 ///     service: ServiceName::new("writer").unwrap(),
-///     order: 7,
+///     order,
 ///     routes: [("plans".into(), RouteSums {
 ///         new: AnswerCount { answers: 20, bad: new_bad },
 ///         old: AnswerCount { answers: 200, bad: 4 },
@@ -153,13 +210,14 @@
 ///         requests: 220,
 ///     })].into(),
 /// };
-/// assert!(!RolloutJudge::new(7).evaluate(&[sums(1)]));
-/// assert!(RolloutJudge::new(7).evaluate(&[sums(10)]));
+/// assert!(!RolloutJudge::new(order).evaluate(&[sums(1)]));
+/// assert!(RolloutJudge::new(order).evaluate(&[sums(10)]));
 /// ```
 #[derive(Clone, Debug)]
 pub struct RolloutJudge {
-    order: u64,
-    /// Counts by route at the last evaluation, by host and incarnation.
+    order: StoreRevision,
+    /// Highest counts seen by route, by host and incarnation. Rows may show lower ones after the
+    /// store came back from an older copy, until their hosts write them again.
     seen: BTreeMap<(HostId, u64), BTreeMap<Arc<str>, RouteSums>>,
     /// Tests by route; the test over all routes has the key `ALL_ROUTES`.
     tests: BTreeMap<Arc<str>, MeanChangeTest>,
@@ -168,15 +226,15 @@
 }
 
 impl RolloutJudge {
-    /// Creates a judge for the order with this row version.
+    /// Creates a judge for the rollout that this order began.
     #[must_use]
-    pub const fn new(order: u64) -> Self {
+    pub const fn new(order: StoreRevision) -> Self {
         Self { order, seen: BTreeMap::new(), tests: BTreeMap::new(), alarmed: false }
     }
 
-    /// Row version of the order.
+    /// Revision of the order.
     #[must_use]
-    pub const fn order(&self) -> u64 {
+    pub const fn order(&self) -> StoreRevision {
         self.order
     }
 
@@ -188,10 +246,11 @@
         let old = old_counts(hosts, order);
         for host in hosts.iter().filter(|host| host.order == order) {
             let key = (host.host.clone(), host.incarnation);
-            let before = self.seen.insert(key, host.routes.clone()).unwrap_or_default();
             for (route, counts) in &host.routes {
-                let seen = before.get(route).copied().unwrap_or_default();
-                self.add(route, counts.new, seen.new, &old);
+                let routes = self.seen.entry(key.clone()).or_default();
+                let seen = routes.entry(Arc::clone(route)).or_default();
+                let before = std::mem::replace(seen, seen.max(counts));
+                self.add(route, counts.new, before.new, &old);
             }
         }
         self.alarmed
@@ -227,7 +286,18 @@
     /// also has at least one bad answer on such a route.
     #[must_use]
     pub fn evidence(&self, hosts: &[HostSums], elapsed: Duration) -> StepEvidence {
-        let sums = add_up(hosts, self.order);
+        let mut seen = self.seen.clone();
+        for host in hosts.iter().filter(|host| host.order == self.order) {
+            let routes = seen.entry((host.host.clone(), host.incarnation)).or_default();
+            for (route, counts) in &host.routes {
+                let known = routes.entry(Arc::clone(route)).or_default();
+                *known = known.max(counts);
+            }
+        }
+        let mut sums = FleetSums::new();
+        for (route, counts) in seen.values().flatten() {
+            sums.entry(Arc::clone(route)).or_default().add(counts);
+        }
         StepEvidence {
             elapsed,
             requests: sums.values().map(|route| route.requests).sum(),
@@ -257,7 +327,7 @@
 /// Answers of the old version (the sum of all other versions), by route and over all routes.
 type OldCounts = BTreeMap<Arc<str>, AnswerCount>;
 
-fn old_counts(hosts: &[HostSums], order: u64) -> OldCounts {
+fn old_counts(hosts: &[HostSums], order: StoreRevision) -> OldCounts {
     let mut counts = OldCounts::new();
     for (route, sums) in add_up(hosts, order) {
         counts.entry(Arc::from(ALL_ROUTES)).or_default().add(sums.old);
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -1,5 +1,6 @@
 //! Settings of a gateway process.
 
+use crate::control_cache::EXPIRY_GRACE;
 use arc_swap::ArcSwap;
 use oleander_core::ids::{DomainName, HostId, RegionName};
 use serde::Deserialize;
@@ -60,6 +61,9 @@
     pub exposure_slack: f64,
     /// Time without a request after which a session ends, in milliseconds.
     pub session_gap_ms: u64,
+    /// Time after which the platform removes the entry of an upstream that is silent, in
+    /// milliseconds.
+    pub upstream_expiry_ms: u64,
 }
 
 impl Default for GatewayBounds {
@@ -72,6 +76,7 @@
             exposure_share: 0.12,
             exposure_slack: 30.0,
             session_gap_ms: 5_000,
+            upstream_expiry_ms: 4_000,
         }
     }
 }
@@ -84,6 +89,12 @@
         Duration::from_millis(self.session_gap_ms + 1_000)
     }
 
+    /// How long after the store's return from an older copy its rows may be outdated.
+    #[must_use]
+    pub fn hold_time(&self) -> Duration {
+        Duration::from_millis(self.upstream_expiry_ms) + EXPIRY_GRACE
+    }
+
     /// Time from the stop signal until the process is killed.
     #[must_use]
     pub const fn grace_period(&self) -> Duration {
--- a/crates/gateway/src/snapshot_publisher.rs
+++ b/crates/gateway/src/snapshot_publisher.rs
@@ -8,6 +8,7 @@
 use oleander_ports::clock::ClockPort;
 use std::collections::BTreeMap;
 use std::sync::Arc;
+use std::time::Duration;
 
 /// The snapshot that requests read.
 pub type SharedSnapshot = Arc<ArcSwap<ControlSnapshot>>;
@@ -40,6 +41,13 @@
         Self { cache: ControlCache::new(), shared, clock, unavailable: BTreeMap::new(), on_change }
     }
 
+    /// Sets how long rows of an older copy of the store are held back that contradict what is known.
+    #[must_use]
+    pub fn with_hold_time(mut self, hold_time: Duration) -> Self {
+        self.cache = self.cache.with_hold_time(hold_time);
+        self
+    }
+
     /// Sets the hook that is called with each new snapshot.
     #[must_use]
     pub fn with_change_hook(mut self, on_change: ChangeHook) -> Self {
@@ -67,7 +75,7 @@
     ) {
         if self.unavailable.insert(topic, false) == Some(true) {
             log::info!(
-                target: "dependency", topic:% = topic, cursor = change.cursor;
+                target: "dependency", topic:% = topic, cursor:% = change.cursor;
                 "store available again"
             );
         }
@@ -121,6 +129,18 @@
                 "upstream accepts no new work"
             );
         }
+        ControlEvent::UpstreamHeld(name) => {
+            log::info!(
+                target: "belief", upstream:% = name, source;
+                "upstream left before and is held back"
+            );
+        }
+        ControlEvent::Restored(topic, era) => {
+            log::warn!(
+                target: "belief", topic:% = topic, era:%, source;
+                "topic read again after the store came back from an older copy"
+            );
+        }
         ControlEvent::Rollout(text) => {
             log::info!(target: "belief", rollout:% = text, source; "rollout changed");
         }
--- a/crates/gateway/src/topic_watch.rs
+++ b/crates/gateway/src/topic_watch.rs
@@ -6,6 +6,7 @@
 use crate::state::GatewayState;
 use kameo::actor::ActorRef;
 use oleander_core::backoff::RetryBackoff;
+use oleander_core::store_era::StoreRevision;
 use oleander_ports::PlatformError;
 use std::sync::Arc;
 use std::time::Duration;
@@ -19,6 +20,10 @@
 const WAIT_PER_HOST: Duration = Duration::from_millis(500);
 /// Time between checks whether a rollout is open.
 const OPEN_POLL_INTERVAL: Duration = Duration::from_millis(200);
+/// Time over which hosts spread full reads that all of them have to do, and its maximum, which is
+/// well within the bounds on changes.
+const FULL_READ_SPREAD_PER_HOST: Duration = Duration::from_millis(2);
+const MAX_FULL_READ_SPREAD: Duration = Duration::from_millis(800);
 /// Delay after a change before the next call, so that changes that come together, as when many
 /// upstreams start, take one call rather than one each. Changes have to be known within 3 s. Orders
 /// and decisions are rare, and rollouts are timed from them.
@@ -54,7 +59,7 @@
     let mut schedule = LongPollSchedule::default();
     loop {
         if topic == Topic::Decisions && cursor.is_some() {
-            wait_for_open_rollout(&state).await;
+            wait_for_decisions(&state).await;
         }
         let wait = schedule.next(state.pool.counted_hosts(), state.random.next_unit());
         let requested = reconnect.requested();
@@ -67,9 +72,20 @@
             }
         };
         let delivered = match update {
+            Ok(TopicUpdate::Change(change))
+                if cursor.is_some_and(|cursor| cursor.era < change.cursor.era) =>
+            {
+                log::warn!(
+                    target: "dependency", topic:% = topic, cursor:% = change.cursor;
+                    "the store came back from an older copy, reading the full topic"
+                );
+                cursor = None;
+                wait_for_full_read(&state).await;
+                true
+            }
             Ok(TopicUpdate::Change(change)) => {
                 failures = 0;
-                cursor = Some(cursor.unwrap_or(0).max(change.cursor));
+                cursor = Some(cursor.unwrap_or_default().max(change.cursor));
                 let has_rows = !change.rows.is_empty();
                 let delivered = publisher.tell(TopicChanged(topic, change)).await.is_ok();
                 if delivered && has_rows {
@@ -83,6 +99,7 @@
                     "store history truncated, reading the full topic"
                 );
                 cursor = None;
+                wait_for_full_read(&state).await;
                 true
             }
             Err(error) => {
@@ -127,17 +144,25 @@
     (batch_delay(topic, hosts) + PROPAGATION_MARGIN).max(MIN_PROPAGATION_TIMEOUT)
 }
 
-/// Waits until a rollout is open, since there are no decisions before one is ordered.
-async fn wait_for_open_rollout(state: &GatewayState) {
-    while !state.snapshot.load().has_open_rollout() {
+/// Waits until a rollout is open or the store has begun a new era: there are no decisions before a
+/// rollout is ordered, and later ones may be lost.
+async fn wait_for_decisions(state: &GatewayState) {
+    while !state.snapshot.load().needs_decisions() {
         tokio::time::sleep(OPEN_POLL_INTERVAL).await;
     }
 }
 
+/// Waits for a random time before a full read, since all hosts have to read the topic again.
+async fn wait_for_full_read(state: &GatewayState) {
+    let hosts = u32::try_from(state.pool.hosts()).unwrap_or(u32::MAX);
+    let spread = FULL_READ_SPREAD_PER_HOST.saturating_mul(hosts).min(MAX_FULL_READ_SPREAD);
+    tokio::time::sleep(spread.mul_f64(state.random.next_unit())).await;
+}
+
 async fn next_update(
     topic: Topic,
     control: &dyn ControlPort,
-    cursor: Option<u64>,
+    cursor: Option<StoreRevision>,
     wait: Duration,
 ) -> Result<TopicUpdate, PlatformError> {
     match cursor {
--- a/crates/gateway/tests/control_cache.rs
+++ b/crates/gateway/tests/control_cache.rs
@@ -1,6 +1,7 @@
 //! The control cache under late, stale and missing changes.
 
 use oleander_core::stable_hash::{mix, unit_point};
+use oleander_core::store_era::{StoreEra, StoreRevision};
 use oleander_core::units::Timestamp;
 use oleander_gateway::control_cache::{ControlCache, ControlEvent, EXPIRY_GRACE};
 use oleander_gateway::control_port::{Topic, TopicChange, TopicRow, TopicValue};
@@ -29,8 +30,13 @@
     TopicRow { key: Arc::from(key), version, value }
 }
 
+fn revision(version: u64) -> StoreRevision {
+    StoreRevision::new(StoreEra::new(0), version)
+}
+
 fn change(is_full: bool, cursor: u64, rows: Vec<TopicRow>) -> TopicChange {
-    TopicChange { is_full, cursor, store_now: Timestamp::from_millis(500), rows }
+    let (cursor, store_now) = (revision(cursor), Timestamp::from_millis(500));
+    TopicChange { is_full, cursor, waited: Duration::ZERO, store_now, rows }
 }
 
 fn routes(version: u64) -> TopicValue {
@@ -156,7 +162,7 @@
         service: "desk".parse().unwrap(),
         to: to.into(),
         duration: Duration::from_secs(24),
-        row_version: version,
+        revision: revision(version),
     };
     row("rollout/desk", version, TopicValue::Rollout(order))
 }
@@ -165,7 +171,7 @@
     let decision = RolloutDecision {
         service: "desk".parse().unwrap(),
         to: "v2".into(),
-        order: of,
+        order: revision(of),
         phase,
         began: START,
         canary: 80,
@@ -190,7 +196,7 @@
     let snapshot = cache.snapshot();
     assert_eq!(snapshot.version_rule(&service, "session", None), VersionRule::Not("v3".into()));
     assert!(snapshot.has_open_rollout());
-    assert_eq!(snapshot.rollouts[&service].decision_version, 12, "the version to overwrite");
+    assert_eq!(snapshot.rollouts[&service].decision_row, revision(12), "the row to overwrite");
 }
 
 #[test]
@@ -227,8 +233,34 @@
     let mut fresh = ControlCache::new();
     let rows = vec![row("i-2", 2, upstream("i-2", 2, UpstreamState::Ready))];
     fresh.apply(Topic::Upstreams, &change(true, 41, rows), START);
-    let known = old.snapshot().versions[&Topic::Upstreams];
-    assert_eq!(known, 40);
-    assert!(fresh.snapshot().versions[&Topic::Upstreams] < known);
+    let known = old.snapshot().revisions[&Topic::Upstreams];
+    assert_eq!(known, revision(40));
+    assert!(fresh.snapshot().revisions[&Topic::Upstreams] < known);
     assert!(fresh.snapshot().cursors[&Topic::Upstreams] >= known);
 }
+
+/// The decision on the next order arrives before that order. Until then the version that the last
+/// rollout brought stays in use, and this host writes no decision.
+#[test]
+fn a_decision_on_an_unknown_order_leaves_the_last_one_in_force() {
+    let mut cache = ready_cache();
+    let service = "desk".parse().unwrap();
+    cache.apply(Topic::Orders, &change(true, 10, vec![order(10, "v2")]), START);
+    let done = decision(12, 10, RolloutPhase::Done);
+    cache.apply(Topic::Decisions, &change(true, 12, vec![done]), START);
+    let mut next = decision(21, 20, RolloutPhase::Canary);
+    if let TopicValue::Decision(decision) = &mut next.value {
+        decision.to = "v3".into();
+    }
+    cache.apply(Topic::Decisions, &change(false, 21, vec![next]), START);
+    let rule = cache.snapshot().version_rule(&service, "session", Some("v2"));
+    assert_eq!(rule, VersionRule::Prefer("v2".into()));
+    assert!(cache.snapshot().rollouts[&service].is_superseded);
+    cache.apply(Topic::Orders, &change(false, 22, vec![order(20, "v3")]), START);
+    let snapshot = cache.snapshot();
+    assert_eq!(
+        snapshot.version_rule(&service, "session", Some("v2")),
+        VersionRule::Not("v3".into())
+    );
+    assert!(!snapshot.rollouts[&service].is_superseded);
+}
--- a/crates/gateway/tests/rollouts.rs
+++ b/crates/gateway/tests/rollouts.rs
@@ -1,6 +1,7 @@
 //! Rollout evidence from the counts of all hosts, and phase changes.
 
 use oleander_core::stable_hash::{mix, unit_point};
+use oleander_core::store_era::{StoreEra, StoreRevision};
 use oleander_gateway::rollout_plan::{
     ExposureBound, FINISH_MARGIN, RolloutPhase, StepEvidence, canary_share, next_phase,
 };
@@ -9,6 +10,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+const ORDER: StoreRevision = StoreRevision::new(StoreEra::new(0), 7);
+const OTHER_ORDER: StoreRevision = StoreRevision::new(StoreEra::new(0), 8);
 const ROUTES: [&str; 3] = ["plans", "notes", "tags"];
 const BOUND: ExposureBound = ExposureBound { share: 0.12, slack: 30.0 };
 
@@ -17,7 +20,7 @@
         host: format!("host-{name}").parse().unwrap(),
         incarnation,
         service: "writer".parse().unwrap(),
-        order: 7,
+        order: ORDER,
         routes: BTreeMap::new(),
     }
 }
@@ -55,7 +58,7 @@
 /// third.
 fn answers_to_alarm(hosts: usize, seed: u64, bad: impl Fn(&str, usize) -> f64) -> Option<usize> {
     let mut fleet = Fleet::new(hosts, seed);
-    let mut judge = RolloutJudge::new(7);
+    let mut judge = RolloutJudge::new(ORDER);
     for answer in 0..400 {
         for _ in 0..11 {
             fleet.answer(false, |_| 0.02);
@@ -107,7 +110,7 @@
 fn sums_do_not_depend_on_evaluation_times() {
     for seed in 0..50u64 {
         let mut fleet = Fleet::new(9, seed + 1);
-        let (mut often, mut once) = (RolloutJudge::new(7), RolloutJudge::new(7));
+        let (mut often, mut once) = (RolloutJudge::new(ORDER), RolloutJudge::new(ORDER));
         for answer in 0..200 {
             fleet.answer(answer % 4 == 0, |_| 0.03);
             if mix(seed + answer).is_multiple_of(3) {
@@ -138,7 +141,7 @@
     before.routes.insert("plans".into(), counts(30, 1));
     let mut after = host(1, 2);
     after.routes.insert("plans".into(), counts(8, 8));
-    let mut judge = RolloutJudge::new(7);
+    let mut judge = RolloutJudge::new(ORDER);
     assert!(!judge.evaluate(&[before]));
     assert!(
         judge.evaluate(&[after]),
@@ -150,8 +153,8 @@
 fn sums_of_another_order_do_not_count() {
     let mut fleet = Fleet::new(2, 1);
     (0..50).for_each(|_| fleet.answer(true, |_| 1.0));
-    assert!(add_up(&fleet.hosts, 8).is_empty());
-    assert!(!RolloutJudge::new(8).evaluate(&fleet.hosts));
+    assert!(add_up(&fleet.hosts, OTHER_ORDER).is_empty());
+    assert!(!RolloutJudge::new(OTHER_ORDER).evaluate(&fleet.hosts));
 }
 
 /// Simulates a rollout of a good version in steps of 100 ms; returns the time of completion and
@@ -233,7 +236,7 @@
         requests: 100 + answers,
     };
     sums.routes.insert("notes".into(), notes);
-    let evidence = RolloutJudge::new(7).evidence(&[sums], elapsed);
+    let evidence = RolloutJudge::new(ORDER).evidence(&[sums], elapsed);
     let duration = Duration::from_secs(16);
     next_phase(RolloutPhase::Canary, duration, &evidence, &BOUND).map(|(phase, _)| phase)
 }
@@ -289,7 +292,7 @@
         for answer in 0..900 {
             fleet.answer(answer % 16 == 0, |_| 0.01);
         }
-        let evidence = RolloutJudge::new(7).evidence(&fleet.hosts, Duration::from_secs(16));
+        let evidence = RolloutJudge::new(ORDER).evidence(&fleet.hosts, Duration::from_secs(16));
         doubtful += u32::from(evidence.doubtful);
     }
     // A rollout that is not completed costs a fortieth of a day's value: one in ten costs 0.0025.
--- a/crates/gateway/tests/streams.rs
+++ b/crates/gateway/tests/streams.rs
@@ -1,6 +1,7 @@
 //! Splitting of event streams, and propagation of changes between hosts.
 
 use oleander_core::stable_hash::{mix, unit_point};
+use oleander_core::store_era::{StoreEra, StoreRevision};
 use oleander_core::units::Timestamp;
 use oleander_gateway::control_port::Topic;
 use oleander_gateway::event_splitter::{EventSplitter, MAX_EVENT_BYTES};
@@ -56,17 +57,18 @@
 #[test]
 fn a_missing_change_known_to_another_host_is_reported_once() {
     let at = Timestamp::from_millis;
+    let at_version = |version| StoreRevision::new(StoreEra::new(0), version);
     let (hosts, timeout) = (7, propagation_timeout(Topic::Orders, 7));
     let mut lag = LagDetector::default();
-    let mut own = BTreeMap::from([(Topic::Orders, 10)]);
-    lag.record_peer_version(Topic::Orders, 10, 10, at(1_000));
+    let mut own = BTreeMap::from([(Topic::Orders, at_version(10))]);
+    lag.record_peer_revision(Topic::Orders, at_version(10), at_version(10), at(1_000));
     assert!(!lag.is_lagging(&own, hosts, at(9_000)), "nothing new");
-    lag.record_peer_version(Topic::Orders, 12, 10, at(10_000));
+    lag.record_peer_revision(Topic::Orders, at_version(12), at_version(10), at(10_000));
     assert!(!lag.is_lagging(&own, hosts, at(10_500)), "it may still arrive");
-    own.insert(Topic::Orders, 12);
+    own.insert(Topic::Orders, at_version(12));
     assert!(!lag.is_lagging(&own, hosts, at(12_000)), "it arrived");
-    lag.record_peer_version(Topic::Orders, 14, 12, at(20_000));
-    lag.record_peer_version(Topic::Orders, 15, 12, at(21_000));
+    lag.record_peer_revision(Topic::Orders, at_version(14), at_version(12), at(20_000));
+    lag.record_peer_revision(Topic::Orders, at_version(15), at_version(12), at(21_000));
     assert!(!lag.is_lagging(&own, hosts, at(19_999) + timeout));
     assert!(lag.is_lagging(&own, hosts, at(20_000) + timeout), "timed from the first of them");
     assert!(!lag.is_lagging(&own, hosts, at(20_001) + timeout));
