Soak: stores that come back from a copy, upstreams that leave or ask for pauses

Cause: the soak injected none of the new faults. Change: a second schedule beside the first, so that earlier seeds keep their faults: the store returns from a copy 0.2 to 2.5 s old, with its era in all answers, and lost rows are written again 0.9 s later; upstreams say in their answers that they are leaving, then start anew; upstreams refuse with a pause of 1.5 s. Two checks: a process that passed on an answer of a leaving upstream sends nothing more to it; an upstream that asked a host for a pause gets at most two requests from it after half a second, unless the link or the host was disturbed.

--- a/tests/soak/caller.rs
+++ b/tests/soak/caller.rs
@@ -73,6 +73,8 @@
         complete: bool,
         has_runner_seal: bool,
         has_retry_after: bool,
+        /// Whether the upstream said that it is leaving.
+        is_leaving: bool,
     },
     /// The request failed on an open connection before the head of an answer arrived.
     NoAnswer,
@@ -88,6 +90,8 @@
     pub id: String,
     pub kind: CallKind,
     pub host: usize,
+    /// Number of the host's process when the request was sent.
+    pub process: usize,
     /// Taken before a connection is opened.
     pub sent: Instant,
     pub ended: Instant,
@@ -146,12 +150,12 @@
 
     async fn call(&mut self, kind: CallKind, host: usize) {
         let id = self.log.next_id();
-        let sent = Instant::now();
+        let (sent, process) = (Instant::now(), self.hosts[host].processes());
         let exchange =
             tokio::time::timeout(kind.deadline() + CALLER_SLACK, self.exchange(kind, host, &id));
         let outcome = exchange.await.unwrap_or(CallOutcome::Expired);
         let ended = Instant::now();
-        let record = CallRecord { id, kind, host, sent, ended, outcome };
+        let record = CallRecord { id, kind, host, process, sent, ended, outcome };
         self.log.records.lock().unwrap().push(record);
     }
 
@@ -208,6 +212,7 @@
             complete,
             has_runner_seal: parts.headers.contains_key("runner-seal"),
             has_retry_after: parts.headers.contains_key("retry-after"),
+            is_leaving: parts.headers.contains_key("server-leaving"),
         }
     }
 }
--- a/tests/soak/checks.rs
+++ b/tests/soak/checks.rs
@@ -1,8 +1,9 @@
 //! Checks the gateway's guarantees against the logs of callers and upstreams.
 
 use crate::caller::{ACCOUNT, CallKind, CallOutcome, CallRecord};
+use crate::cluster::SoakCluster;
 use crate::gateway::GatewayHost;
-use crate::upstream::{EVENTS_PER_STREAM, RunLog, answer_of, event_of};
+use crate::upstream::{EVENTS_PER_STREAM, RecordedArrival, RunLog, answer_of, event_of};
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
@@ -12,6 +13,12 @@
 const INTERRUPTION_MARGIN: Duration = Duration::from_millis(100);
 /// Statuses that guarantee that a request has not run and will not run.
 const NOT_RUN_STATUSES: [u16; 4] = [408, 421, 429, 503];
+/// Time after which a request for a pause must have taken effect, and how many requests may be
+/// on the way later still.
+const PAUSE_SLACK: Duration = Duration::from_millis(500);
+const MAX_LATE_ARRIVALS: usize = 2;
+/// Time for which a change of a link may hold requests up.
+const LINK_MEMORY: Duration = Duration::from_millis(3_000);
 /// Minimum fraction of requests that succeed after all faults have ended.
 const MIN_SUCCESS_RATIO: f64 = 0.95;
 
@@ -42,7 +49,9 @@
         violations.push(format!("final answer after {took:?}"));
     }
     match &record.outcome {
-        CallOutcome::Answer { status, body, complete, has_runner_seal, has_retry_after } => {
+        CallOutcome::Answer {
+            status, body, complete, has_runner_seal, has_retry_after, ..
+        } => {
             violations.extend(check_body(record, *status, body, *complete, *has_runner_seal));
             if NOT_RUN_STATUSES.contains(status) && record.kind.runs_once() && run_count > 0 {
                 violations.push(format!("{status} guarantees that it has not run, but it ran"));
@@ -113,6 +122,71 @@
     violations.map(|(id, _)| format!("{id}: ran on {name} after it had left")).collect()
 }
 
+/// A host that passed on an answer that said that its upstream is leaving sends nothing more to it.
+pub fn check_leaving(records: &[CallRecord], runs: &RunLog) -> Vec<String> {
+    // When each process passed on such an answer, by host, process, upstream and departure.
+    let mut told: HashMap<(usize, usize, String, u64), Instant> = HashMap::new();
+    let runs_of = |record: &CallRecord| {
+        let found = runs.runs(&record.id).into_iter();
+        found.filter_map(|run| Some((run.upstream, run.departure?))).collect::<Vec<_>>()
+    };
+    for record in records {
+        let is_told = matches!(record.outcome, CallOutcome::Answer { is_leaving: true, .. });
+        // With several runs it is not certain whose answer was passed on.
+        if let ([(upstream, departure)], true) = (&runs_of(record)[..], is_told) {
+            let key = (record.host, record.process, upstream.clone(), *departure);
+            let at = told.entry(key).or_insert(record.ended);
+            *at = (*at).min(record.ended);
+        }
+    }
+    let mut violations = Vec::new();
+    for record in records {
+        for (upstream, departure) in runs_of(record) {
+            let key = (record.host, record.process, upstream.clone(), departure);
+            if told.get(&key).is_some_and(|at| record.sent > *at) {
+                violations
+                    .push(format!("{}: ran on {upstream} after it said it is leaving", record.id));
+            }
+        }
+    }
+    violations
+}
+
+/// An upstream that asked a host for a pause gets at most two requests from it after half a second.
+pub fn check_pauses(records: &[CallRecord], cluster: &SoakCluster) -> Vec<String> {
+    let hosts: HashMap<&str, usize> =
+        records.iter().map(|record| (record.id.as_str(), record.host)).collect();
+    let arrivals = cluster.runs.arrivals();
+    let mut violations = Vec::new();
+    for refused in &arrivals {
+        let (Some(pause), Some(host)) = (refused.pause, hosts.get(refused.id.as_str())) else {
+            continue;
+        };
+        let end = refused.at + pause;
+        let proxied =
+            cluster.upstreams.iter().find(|found| found.upstream.name == refused.upstream);
+        let link_changed =
+            proxied.is_none_or(|found| found.proxy.was_changed(refused.at - LINK_MEMORY, end));
+        if link_changed || cluster.hosts[*host].was_disturbed(refused.at, end) {
+            continue;
+        }
+        let is_late = |arrival: &&RecordedArrival| {
+            arrival.upstream == refused.upstream
+                && hosts.get(arrival.id.as_str()) == Some(host)
+                && arrival.at > refused.at + PAUSE_SLACK
+                && arrival.at < end
+        };
+        let late = arrivals.iter().filter(is_late).count();
+        if late > MAX_LATE_ARRIVALS {
+            violations.push(format!(
+                "{late} requests of host {host} reached {} while it paused",
+                refused.upstream
+            ));
+        }
+    }
+    violations
+}
+
 /// After all faults have ended, requests succeed again.
 pub fn check_recovery(records: &[CallRecord], from: Instant) -> Option<String> {
     let late: Vec<&CallRecord> = records.iter().filter(|record| record.sent >= from).collect();
--- a/tests/soak/cluster.rs
+++ b/tests/soak/cluster.rs
@@ -20,6 +20,10 @@
 pub const HOSTS: u8 = 4;
 /// Number of upstreams of each service.
 pub const UPSTREAMS: u64 = 4;
+/// Time for which the store is away before it comes back from a copy.
+const STORE_AWAY_TIME: Duration = Duration::from_millis(200);
+/// Time after which lost rows are written again.
+const REWRITE_DELAY: Duration = Duration::from_millis(900);
 /// Maximum time until all hosts serve after the start.
 const START_TIMEOUT: Duration = Duration::from_secs(20);
 
@@ -49,12 +53,15 @@
     pub runs: Arc<RunLog>,
     version: AtomicU64,
     next_number: AtomicU64,
+    /// Held while the store comes back from a copy, so that such faults don't overlap.
+    restore_lock: tokio::sync::Mutex<()>,
 }
 
 impl SoakCluster {
     /// Starts everything and waits until each host serves.
     pub async fn start(folder: &Path, seed: u64) -> Self {
         let (store, address) = FakeStore::start().await;
+        store.state_eras();
         let runs = Arc::new(RunLog::default());
         let mut upstreams = Vec::new();
         for number in 0..UPSTREAMS {
@@ -71,7 +78,8 @@
             hosts.push(GatewayHost::start(number, address, folder).await);
         }
         let (version, next_number) = (AtomicU64::new(1), AtomicU64::new(UPSTREAMS));
-        let cluster = Self { store, hosts: Arc::new(hosts), upstreams, runs, version, next_number };
+        let (hosts, restore_lock) = (Arc::new(hosts), tokio::sync::Mutex::default());
+        let cluster = Self { store, hosts, upstreams, runs, version, next_number, restore_lock };
         cluster.wait_until_serving().await;
         cluster
     }
@@ -117,6 +125,29 @@
         sent.ok().map(|response| response.status().as_u16())
     }
 
+    /// Lets the store come back from a copy that is `age` old; what operators and upstreams wrote
+    /// since is written again a while later.
+    pub async fn restore_store(&self, age: Duration) {
+        let _guard = self.restore_lock.lock().await;
+        let copy = self.store.copy();
+        tokio::time::sleep(age).await;
+        self.store.set_mode(StoreMode::Unavailable);
+        tokio::time::sleep(STORE_AWAY_TIME).await;
+        let lost = self.store.restore(&copy);
+        self.store.set_mode(StoreMode::Normal);
+        tokio::time::sleep(REWRITE_DELAY).await;
+        self.store.write_again(lost);
+    }
+
+    /// Lets an upstream say for a while in its answers that it is leaving; then a new start of it
+    /// takes its place.
+    pub async fn announce_leaving(&self, proxied: &ProxiedUpstream, span: Duration) {
+        proxied.upstream.begin_leaving();
+        tokio::time::sleep(span).await;
+        proxied.upstream.end_leaving();
+        self.return_upstream(&proxied.upstream.name);
+    }
+
     /// Marks a random upstream as leaving and returns its name.
     pub async fn remove_upstream(&self, random: &SeededRandom) -> String {
         let leaving = random.pick(&self.upstreams);
--- a/tests/soak/gateway.rs
+++ b/tests/soak/gateway.rs
@@ -196,6 +196,15 @@
         interrupted_before || interrupted_within
     }
 
+    /// Whether the process was replaced or suspended in a span of time.
+    pub fn was_disturbed(&self, from: Instant, to: Instant) -> bool {
+        let events = self.events.lock().unwrap();
+        events.iter().any(|(at, _)| (from..=to).contains(at)) || {
+            let last = events.iter().rev().find(|(at, _)| *at < from);
+            last.is_some_and(|(_, event)| *event == HostEvent::Paused)
+        }
+    }
+
     /// Unexpected exits of the process.
     pub fn errors(&self) -> Vec<String> {
         self.errors.lock().unwrap().clone()
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -1,7 +1,7 @@
 //! Soak test of the real gateway binary under overlapping faults: processes are stopped, paused,
 //! killed and restarted; connections are slowed, blocked, stalled or reset; the store is
-//! unavailable, compacts its history or does not answer; upstreams lose answers, send wrong ones
-//! or leave; and the configuration changes. Guarantees are checked against the logs of callers and
+//! unavailable, compacts its history, does not answer or comes back from an older copy; upstreams
+//! lose answers, send wrong ones, ask for pauses or leave; and the configuration changes. Guarantees are checked against the logs of callers and
 //! upstreams.
 //!
 //! `cargo test --test soak` runs all seeds that have failed before and one more. To run others:
@@ -40,11 +40,11 @@
     let folder = tempfile::tempdir().unwrap().keep();
     eprintln!("seed {seed}: logs of the processes in {}", folder.display());
     let cluster = Arc::new(SoakCluster::start(&folder, seed).await);
-    let (log, random) = (Arc::new(CallLog::default()), SeededRandom::new(seed));
+    let log = Arc::new(CallLog::default());
     let (running, stop) = tokio::sync::watch::channel(false);
     let callers = spawn_callers(&cluster, &log, seed, &stop);
     let prober = tokio::spawn(prober::probe_all(Arc::clone(&cluster), stop.clone()));
-    let faults = run_faults(&cluster, &random, Instant::now() + FAULT_PERIOD).await;
+    let faults = run_faults(&cluster, seed, Instant::now() + FAULT_PERIOD).await;
     let (removed, propagated_by) = remove_upstream_after_faults(&cluster).await;
     let recovery_start = Instant::now();
     let mut violations = check_configuration(&cluster).await;
@@ -57,6 +57,8 @@
     let records = log.records();
     violations.extend(checks::violations(&records, &cluster.runs, &cluster.hosts));
     violations.extend(checks::check_left(&cluster.runs, &removed, propagated_by));
+    violations.extend(checks::check_leaving(&records, &cluster.runs));
+    violations.extend(checks::check_pauses(&records, &cluster));
     violations.extend(checks::check_recovery(&records, recovery_start));
     eprintln!("seed {seed}: {} requests, {} violations", records.len(), violations.len());
     if violations.is_empty() {
--- a/tests/soak/proxy.rs
+++ b/tests/soak/proxy.rs
@@ -1,7 +1,8 @@
 //! Loopback proxy for one address that can delay, block, stall or reset its connections.
 
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::sync::Mutex;
+use std::time::{Duration, Instant};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpListener, TcpStream};
@@ -39,6 +40,8 @@
     /// Address on which it listens.
     pub address: SocketAddr,
     state: watch::Sender<ProxyState>,
+    /// When the forwarding was changed, or connections were broken.
+    changes: Mutex<Vec<Instant>>,
 }
 
 impl FaultProxy {
@@ -60,22 +63,32 @@
                 tokio::spawn(relay(caller, target, number, shared.subscribe()));
             }
         });
-        Self { address, state }
+        Self { address, state, changes: Mutex::default() }
     }
 
     /// Sets how bytes are forwarded.
     pub fn set_mode(&self, mode: LinkMode) {
-        self.state.send_modify(|state| state.mode = mode);
+        self.change(|state| state.mode = mode);
+    }
+
+    fn change(&self, change: impl FnOnce(&mut ProxyState)) {
+        self.changes.lock().unwrap().push(Instant::now());
+        self.state.send_modify(change);
+    }
+
+    /// Whether forwarding was changed, or connections were broken, in a span of time.
+    pub fn was_changed(&self, from: Instant, to: Instant) -> bool {
+        self.changes.lock().unwrap().iter().any(|at| (from..=to).contains(at))
     }
 
     /// Stalls all open connections for good; new connections work.
     pub fn stall_open_connections(&self) {
-        self.state.send_modify(|state| state.stalled_below = state.accepted);
+        self.change(|state| state.stalled_below = state.accepted);
     }
 
     /// Resets all open connections.
     pub fn reset_open_connections(&self) {
-        self.state.send_modify(|state| state.reset_below = state.accepted);
+        self.change(|state| state.reset_below = state.accepted);
     }
 }
 
--- a/tests/soak/schedule.rs
+++ b/tests/soak/schedule.rs
@@ -33,6 +33,9 @@
     Misbehaviour,
     ConfigurationChange,
     UpstreamRemoval,
+    StoreRestore,
+    UpstreamLeaving,
+    UpstreamPause,
 }
 
 const KINDS: [FaultKind; 16] = {
@@ -57,17 +60,34 @@
     ]
 };
 
+/// Kinds of a second schedule beside the first, so that a seed keeps the faults that it had before
+/// these kinds existed.
+const SECOND_KINDS: [FaultKind; 3] =
+    [FaultKind::StoreRestore, FaultKind::UpstreamLeaving, FaultKind::UpstreamPause];
+
 /// Starts random faults until `end`, waits until all are over, and returns their descriptions.
-pub async fn run_faults(
+pub async fn run_faults(cluster: &Arc<SoakCluster>, seed: u64, end: Instant) -> Vec<String> {
+    let (random, second) = (SeededRandom::new(seed), SeededRandom::new(!seed));
+    let (mut descriptions, more) = tokio::join!(
+        run_schedule(cluster, &random, &KINDS, end),
+        run_schedule(cluster, &second, &SECOND_KINDS, end)
+    );
+    clear_faults(cluster);
+    descriptions.extend(more);
+    descriptions
+}
+
+async fn run_schedule(
     cluster: &Arc<SoakCluster>,
     random: &SeededRandom,
+    kinds: &[FaultKind],
     end: Instant,
 ) -> Vec<String> {
     let started = Instant::now();
     let mut descriptions = Vec::new();
     let mut faults = tokio::task::JoinSet::new();
     while Instant::now() < end {
-        let kind = *random.pick(&KINDS);
+        let kind = *random.pick(kinds);
         // A fault is repeated up to twice in short succession.
         for _ in 0..=random.below(2) {
             let span = MIN_FAULT_MS + random.below(MAX_FAULT_MS - MIN_FAULT_MS);
@@ -82,7 +102,6 @@
     while let Some(ended) = faults.join_next().await {
         ended.unwrap();
     }
-    clear_faults(cluster);
     descriptions
 }
 
@@ -134,10 +153,19 @@
                 truncated_stream: share * 3,
                 failed: share,
                 delayed: share,
+                paused: 0,
             });
             tokio::time::sleep(span).await;
             proxied.upstream.set_faults(UpstreamFaults::default());
         }
+        FaultKind::StoreRestore => cluster.restore_store(span).await,
+        FaultKind::UpstreamLeaving => cluster.announce_leaving(proxied, span).await,
+        FaultKind::UpstreamPause => {
+            let paused = 100 + random.below(300);
+            proxied.upstream.set_faults(UpstreamFaults { paused, ..UpstreamFaults::default() });
+            tokio::time::sleep(span).await;
+            proxied.upstream.set_faults(UpstreamFaults::default());
+        }
         FaultKind::ConfigurationChange => {
             cluster.change_configuration();
         }
--- a/tests/soak/upstream.rs
+++ b/tests/soak/upstream.rs
@@ -23,6 +23,8 @@
 const OTHER_REQUEST_ID: &str = "0123456789";
 /// Interval between events of a stream.
 const EVENT_INTERVAL: Duration = Duration::from_millis(25);
+/// Pause that an upstream asks for.
+const PAUSE: Duration = Duration::from_millis(1_500);
 /// Processing time of a request before its answer starts.
 const PROCESSING_TIME: Duration = Duration::from_millis(15);
 
@@ -35,25 +37,49 @@
     pub account: Option<String>,
     /// Whether the caller's key was forwarded.
     pub has_key: bool,
+    /// Number of the upstream's departure if it says that it is leaving.
+    pub departure: Option<u64>,
+}
+
+/// A request that an upstream turned away with a pause, or any that arrived.
+#[derive(Clone, Debug)]
+pub struct RecordedArrival {
+    pub upstream: String,
+    pub id: String,
+    pub at: Instant,
+    /// The pause that it answered with.
+    pub pause: Option<Duration>,
 }
 
 /// Log of the runs on all upstreams, by request id.
 #[derive(Default)]
-pub struct RunLog(Mutex<HashMap<String, Vec<RecordedRun>>>);
+pub struct RunLog {
+    runs: Mutex<HashMap<String, Vec<RecordedRun>>>,
+    arrivals: Mutex<Vec<RecordedArrival>>,
+}
 
 impl RunLog {
     fn record(&self, id: &str, run: RecordedRun) {
-        self.0.lock().unwrap().entry(id.to_owned()).or_default().push(run);
+        self.runs.lock().unwrap().entry(id.to_owned()).or_default().push(run);
     }
 
     /// Runs of a request.
     pub fn runs(&self, id: &str) -> Vec<RecordedRun> {
-        self.0.lock().unwrap().get(id).cloned().unwrap_or_default()
+        self.runs.lock().unwrap().get(id).cloned().unwrap_or_default()
     }
 
     /// All runs.
     pub fn all(&self) -> HashMap<String, Vec<RecordedRun>> {
-        self.0.lock().unwrap().clone()
+        self.runs.lock().unwrap().clone()
+    }
+
+    fn record_arrival(&self, arrival: RecordedArrival) {
+        self.arrivals.lock().unwrap().push(arrival);
+    }
+
+    /// All arrivals, in order of time.
+    pub fn arrivals(&self) -> Vec<RecordedArrival> {
+        self.arrivals.lock().unwrap().clone()
     }
 }
 
@@ -67,6 +93,8 @@
     pub truncated_stream: u64,
     pub failed: u64,
     pub delayed: u64,
+    /// Refused with the wish for a pause.
+    pub paused: u64,
 }
 
 /// A stand-in upstream.
@@ -76,6 +104,8 @@
     pub address: SocketAddr,
     log: Arc<RunLog>,
     faults: Mutex<UpstreamFaults>,
+    /// Departures begun so far, and whether one is under way.
+    departure: Mutex<(u64, bool)>,
     random: SeededRandom,
 }
 
@@ -94,6 +124,7 @@
             address: listener.local_addr().unwrap(),
             log,
             faults: Mutex::default(),
+            departure: Mutex::default(),
             random: SeededRandom::new(seed),
         });
         let served = Arc::clone(&upstream);
@@ -115,6 +146,22 @@
         *self.faults.lock().unwrap() = faults;
     }
 
+    /// Makes all answers say that the upstream is leaving.
+    pub fn begin_leaving(&self) {
+        let mut departure = self.departure.lock().unwrap();
+        *departure = (departure.0 + 1, true);
+    }
+
+    /// Makes answers of the next start say nothing of the kind.
+    pub fn end_leaving(&self) {
+        self.departure.lock().unwrap().1 = false;
+    }
+
+    fn current_departure(&self) -> Option<u64> {
+        let (number, is_leaving) = *self.departure.lock().unwrap();
+        is_leaving.then_some(number)
+    }
+
     /// Its registration row, with `address` as the address to call.
     pub fn row(&self, address: SocketAddr, state: &str) -> Value {
         json!({"service": self.service, "addr": address.to_string(), "zone": "here-a",
@@ -135,6 +182,7 @@
             at: Instant::now(),
             account: text("tenant"),
             has_key: request.headers().contains_key("api-key"),
+            departure: self.current_departure(),
         };
         let is_stream = request.uri().path().starts_with("/plan/")
             || request.uri().path().starts_with("/note/");
@@ -144,6 +192,16 @@
         if expected.is_some_and(|name| name != self.name) {
             return Ok(plain(StatusCode::MISDIRECTED_REQUEST, HeaderMap::new(), ""));
         }
+        let pause = occurs(faults.paused).then_some(PAUSE);
+        let (upstream, arrival_id) = (self.name.clone(), id.clone());
+        let at = Instant::now();
+        self.log.record_arrival(RecordedArrival { upstream, id: arrival_id, at, pause });
+        if let Some(pause) = pause {
+            let mut headers = HeaderMap::new();
+            headers.insert("not-run", "1".parse().unwrap());
+            headers.insert("retry-after", pause.as_secs_f64().to_string().parse().unwrap());
+            return Ok(plain(StatusCode::SERVICE_UNAVAILABLE, headers, ""));
+        }
         if occurs(faults.refused) {
             let mut headers = HeaderMap::new();
             headers.insert("not-run", "1".parse().unwrap());
@@ -159,7 +217,10 @@
         }
         // The head and the body of a wrong answer name another request.
         let id = if occurs(faults.wrong_answer) { OTHER_REQUEST_ID.to_owned() } else { id };
-        let headers = self.headers(&id, &faults);
+        let mut headers = self.headers(&id, &faults);
+        if self.current_departure().is_some() {
+            headers.insert("server-leaving", "1".parse().unwrap());
+        }
         if occurs(faults.failed) {
             return Ok(plain(StatusCode::INTERNAL_SERVER_ERROR, headers, "failed"));
         }
