Believe a restored entry that is leaving and does not state its start

A host was away while the store came back from a copy and an upstream's row without a start time was written as leaving. Its first full read of the new era compared the missing start, 0, with the known one and took the row for an earlier incarnation: five requests ran on it after it had left. Change: only a stated start can be earlier.

--- a/crates/gateway/src/upstream_records.rs
+++ b/crates/gateway/src/upstream_records.rs
@@ -79,8 +79,9 @@
         held_until: Timestamp,
         events: &mut Vec<ControlEvent>,
     ) {
-        let known = self.records.get(key);
-        if known.is_some_and(|known| known.entry.started_ms > entry.started_ms) {
+        let known = self.records.get(key).map_or(0, |known| known.entry.started_ms);
+        // An entry that does not state its start may be of the known incarnation.
+        if entry.started_ms != 0 && known > entry.started_ms {
             return;
         }
         let left = self.left.get(key).copied();
--- a/crates/gateway/tests/store_eras.rs
+++ b/crates/gateway/tests/store_eras.rs
@@ -316,3 +316,15 @@
         }
     }
 }
+
+/// An entry may lack the start of its upstream. It cannot be told from the known incarnation then,
+/// so that it is leaving has to be believed.
+#[test]
+fn a_restored_entry_without_a_start_is_believed_when_it_is_leaving() {
+    let mut cache = cache();
+    let rows = vec![row("i-1", 9, upstream_value("i-1", 1, 200, true))];
+    cache.apply(Topic::Upstreams, &change(true, 1, 9, rows), START);
+    let rows = vec![row("i-1", 4, upstream_value("i-1", 1, 0, false))];
+    cache.apply(Topic::Upstreams, &change(true, 2, 4, rows), START);
+    assert!(names(&cache).is_empty());
+}
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -127,7 +127,10 @@
 /// 304: right after all hosts had started, the store accepted every long poll and answered none.
 /// Each host waited for up to 25 s, because it did not know yet how few hosts there were, and no
 /// host learnt of changes.
-const REGRESSION_SEEDS: [u64; 1] = [304];
+///
+/// 501: a host read an upstream's entry, which was leaving and did not state its start, only after
+/// the store had come back from a copy. It took the entry for one of an earlier incarnation.
+const REGRESSION_SEEDS: [u64; 2] = [304, 501];
 
 /// Runs the seeds that have failed before, and one more.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
