Let hosts follow the store through readers of their failure domain

Starting hosts ask a reader when the list of hosts has one. Timing of calls and of lag now follows the number of readers.

--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -11,7 +11,7 @@
 use crate::load_report::{LoadReport, UpstreamHash};
 use crate::peer_table::{PeerTable, RegionHash};
 use crate::state::GatewayState;
-use crate::topic_watch::propagation_timeout;
+use crate::topic_watch::{propagation_timeout, readers};
 use oleander_core::store_era::{StoreEra, StoreRevision};
 use oleander_core::units::Timestamp;
 use serde::{Deserialize, Serialize};
@@ -177,7 +177,7 @@
                 rounds += 1;
                 send(&state, &socket, &peers, rounds.is_multiple_of(ANY_REGION_STRIDE)).await;
                 let now = state.clock.now();
-                let hosts = state.pool.hosts();
+                let hosts = readers(&state);
                 if lag.is_lagging(&state.snapshot.load().cursors, hosts, now) {
                     log::warn!(
                         target: "dependency", cursors:? = state.snapshot.load().cursors;
--- a/crates/gateway/src/host_count.rs
+++ b/crates/gateway/src/host_count.rs
@@ -30,6 +30,7 @@
         host: settings.host.clone(),
         region: settings.region.clone(),
         peers: settings.peers,
+        domain: Some(settings.domain.clone()),
     };
     loop {
         let era = state.snapshot.load().era();
@@ -59,6 +60,14 @@
     record: &HostRecord,
     era: StoreEra,
 ) {
+    // Others that started together are still registering, so this is no count yet.
+    match control.hosts().await {
+        Ok(hosts) => state.relay.set_hosts(&hosts),
+        Err(error) => log::warn!(
+            target: "dependency", error:%;
+            "cannot read the list of hosts from the store"
+        ),
+    }
     let mut wait = FIRST_COUNT_DELAY;
     loop {
         tokio::select! {
@@ -68,6 +77,7 @@
         wait = match control.hosts().await {
             Ok(hosts) => {
                 state.pool.set_hosts(hosts.len());
+                state.relay.set_hosts(&hosts);
                 let others = hosts.iter().filter(|other| other.host != record.host);
                 for other in others {
                     let Some(address) = other.peers else { continue };
