Leave a source that lost the store at once, for all topics

A reader noticed after its wait of 6 s, for one topic; its followers asked the store up to 1.5 s after that, again for one topic, while calls for the others waited on; and gossip from other regions came seldom. One host had version 10 after 3.6 to 4.3 s; 4 s are allowed. Change: what one topic's call shows holds for all topics of a source; followers ask the store within 0.75 s, and a source that fails ends the waiting calls for all topics; readers wait 3 s with twelve of them, formerly 6 s, and send to any region each round.

--- a/crates/core/src/news_source.rs
+++ b/crates/core/src/news_source.rs
@@ -22,6 +22,8 @@
 const MAX_AGE: Duration = Duration::from_secs(12);
 /// Time between two calls to the store by a host whose source cannot reach the store.
 const CHECK_INTERVAL: Duration = Duration::from_secs(3);
+/// Time over which hosts spread the first of these calls: news may be waiting already.
+const FIRST_CHECK_SPREAD: Duration = Duration::from_millis(750);
 
 /// Where a host gets its news.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -124,7 +126,7 @@
     /// itself, as the source alone may be cut off; `spread` in 0..1 keeps hosts apart.
     #[must_use]
     pub fn record_unavailable(&mut self, now: Timestamp, spread: f64) -> bool {
-        let first = now + CHECK_INTERVAL.mul_f64(spread / 2.0);
+        let first = now + FIRST_CHECK_SPREAD.mul_f64(spread);
         let at = *self.check_at.get_or_insert(first);
         if now < at {
             return false;
--- a/crates/core/tests/news_source.rs
+++ b/crates/core/tests/news_source.rs
@@ -306,3 +306,14 @@
         }
     }
 }
+
+/// Both readers of a domain may lose the store while news is waiting there.
+#[test]
+fn a_host_asks_the_store_soon_after_its_source_lost_it() {
+    let mut sources = NewsSources::new(HostId::new("host-1").unwrap());
+    let start = Timestamp::from_millis(1_000);
+    let asks = (0..20u64).position(|step| {
+        sources.record_unavailable(start + Duration::from_millis(step * 50), 0.99)
+    });
+    assert!(asks.is_some_and(|step| step <= 15), "{asks:?}");
+}
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -12,6 +12,7 @@
 use crate::peer_table::{PeerTable, RegionHash};
 use crate::state::GatewayState;
 use crate::topic_watch::{propagation_timeout, readers};
+use oleander_core::news_source::NewsSource;
 use oleander_core::store_era::{StoreEra, StoreRevision};
 use oleander_core::units::Timestamp;
 use serde::{Deserialize, Serialize};
@@ -175,7 +176,10 @@
             () = tokio::time::sleep_until(send_at) => {
                 send_at += GOSSIP_INTERVAL;
                 rounds += 1;
-                send(&state, &socket, &peers, rounds.is_multiple_of(ANY_REGION_STRIDE)).await;
+                // Hosts of a region whose readers are cut off hear of news from other regions only.
+                let is_reader = state.relay.source() == NewsSource::Store;
+                let any = is_reader || rounds.is_multiple_of(ANY_REGION_STRIDE);
+                send(&state, &socket, &peers, any).await;
                 let now = state.clock.now();
                 let hosts = readers(&state);
                 if lag.is_lagging(&state.snapshot.load().cursors, hosts, now) {
--- a/crates/gateway/src/news_log.rs
+++ b/crates/gateway/src/news_log.rs
@@ -118,6 +118,8 @@
         // others, since its host is not cut off.
         let confirmed_at = self.topics.values().map(|log| log.confirmed_at).max();
         let confirmed_at = confirmed_at.unwrap_or_default();
+        // What one topic's call shows holds for the others, whose calls may hang still.
+        let failed_at = self.topics.values().filter_map(|log| log.unavailable_since).max();
         let is_full = !has_changes && !is_ahead;
         let is_wanted = |row: &&RawRow| {
             if is_full { row.value.is_some() } else { !is_ahead && row.version > since.version }
@@ -128,7 +130,7 @@
             is_full,
             cursor: log.cursor.max(since),
             age: now.since(confirmed_at),
-            is_unavailable: log.unavailable_since.is_some_and(|since| confirmed_at <= since),
+            is_unavailable: failed_at.is_some_and(|failed_at| confirmed_at <= failed_at),
             rows,
         })
     }
--- a/crates/gateway/src/news_relay.rs
+++ b/crates/gateway/src/news_relay.rs
@@ -48,6 +48,8 @@
     log: Mutex<NewsLog>,
     changed: watch::Sender<u64>,
     sources: Mutex<NewsSources>,
+    /// Counts changes of the sources that make a host choose again.
+    sources_changed: watch::Sender<u64>,
     domain: DomainName,
     addresses: Mutex<BTreeMap<HostId, SocketAddr>>,
     /// Number of failure domains, once hosts are known.
@@ -68,6 +70,7 @@
             log: Mutex::default(),
             changed: watch::Sender::new(0),
             sources: Mutex::new(NewsSources::new(own)),
+            sources_changed: watch::Sender::new(0),
             domain,
             addresses: Mutex::default(),
             domains: watch::Sender::new(None),
@@ -126,6 +129,21 @@
     /// Records that the store answered this host while `host` could not reach it.
     pub fn mark_cut_off(&self, host: &HostId) {
         lock(&self.sources).mark_cut_off(host, self.clock.now());
+        self.sources_changed.send_modify(|count| *count += 1);
+    }
+
+    /// Resolves when `host` is no longer the source; a call to it may hang for a while still.
+    pub async fn source_changed(&self, host: &HostId) {
+        let mut changed = self.sources_changed.subscribe();
+        loop {
+            changed.mark_unchanged();
+            if self.source() != NewsSource::Host(host.clone()) {
+                return;
+            }
+            if changed.changed().await.is_err() {
+                std::future::pending::<()>().await;
+            }
+        }
     }
 
     /// Whether this host should ask the store itself, as its source cannot reach it.
@@ -165,6 +183,7 @@
                     "no news from this host, asking another"
                 );
                 lock(&self.sources).mark_failed(host, self.clock.now());
+                self.sources_changed.send_modify(|count| *count += 1);
                 return NewsReply::Failed;
             }
         };
--- a/crates/gateway/src/topic_watch.rs
+++ b/crates/gateway/src/topic_watch.rs
@@ -17,10 +17,10 @@
 /// Bounds of the wait of one long-poll call, and what each host adds to it, since every call costs.
 /// A silently dead connection is noticed when its call does not end in time, and the host that
 /// notices it informs the others by gossip. So with more hosts each may wait longer: over all
-/// hosts, one call ends every half second. The store allows a wait of 30 s.
+/// hosts that follow the store, one call ends every quarter of a second. The store allows 30 s.
 const MIN_WAIT: Duration = Duration::from_millis(3_000);
 const MAX_WAIT: Duration = Duration::from_secs(25);
-const WAIT_PER_HOST: Duration = Duration::from_millis(500);
+const WAIT_PER_HOST: Duration = Duration::from_millis(250);
 /// Time between checks whether a rollout is open.
 const OPEN_POLL_INTERVAL: Duration = Duration::from_millis(200);
 /// Time for which a starting host waits to learn of other hosts, whom it can ask instead of the
@@ -163,7 +163,10 @@
                     NewsUpdate::Store(next_update(topic, &**control, cursor, wait).await)
                 }
                 NewsSource::Host(host) => {
-                    let reply = state.relay.ask(host, topic, cursor, &**control).await;
+                    let reply = tokio::select! {
+                        reply = state.relay.ask(host, topic, cursor, &**control) => reply,
+                        () = state.relay.source_changed(host) => NewsReply::Failed,
+                    };
                     NewsUpdate::Host(host.clone(), reply)
                 }
             }
--- a/crates/gateway/tests/news.rs
+++ b/crates/gateway/tests/news.rs
@@ -175,6 +175,9 @@
     assert!(log.mark_unavailable(Topic::Orders, away));
     assert!(!log.mark_unavailable(Topic::Orders, away));
     assert!(log.page(Topic::Orders, since, away).unwrap().is_unavailable);
+    log.record(Topic::Decisions, &change(3, &[]), Duration::ZERO, START);
+    let other = log.page(Topic::Decisions, since, away).unwrap();
+    assert!(other.is_unavailable, "its own call may hang still");
     let back = away + Duration::from_secs(5);
     log.record(Topic::Upstreams, &change(4, &["i-1"]), Duration::ZERO, back);
     assert!(!log.page(Topic::Orders, since, back).unwrap().is_unavailable);
