Read the list of hosts at once when a host starts

A host registered before it read whom it can ask, and topics waited up to 0.8 s for that; requests wait 0.7 s. Change: registration and list at the same time; topics wait 0.3 s for the list, and for longer only if it is empty, as when all start for the first time.

--- a/crates/core/tests/news_source.rs
+++ b/crates/core/tests/news_source.rs
@@ -317,3 +317,20 @@
     });
     assert!(asks.is_some_and(|step| step <= 15), "{asks:?}");
 }
+
+/// Both sources lose the store while it answers this host, which then follows it itself.
+#[test]
+fn sources_that_are_cut_off_are_left() {
+    let hosts: Vec<HostId> = (0..9).map(|n| HostId::new(&format!("host-{n}")).unwrap()).collect();
+    let now = Timestamp::from_millis(1_000);
+    for own in &hosts {
+        let mut sources = NewsSources::new(own.clone());
+        sources.set_hosts(hosts.iter());
+        let mut left = 0;
+        while let NewsSource::Host(source) = sources.source(now) {
+            sources.mark_cut_off(&source, now);
+            left += 1;
+            assert!(left <= hosts.len(), "{source} is followed still");
+        }
+    }
+}
--- a/crates/gateway/src/host_count.rs
+++ b/crates/gateway/src/host_count.rs
@@ -34,7 +34,13 @@
     };
     loop {
         let era = state.snapshot.load().era();
-        register(&*control, &record).await;
+        // Both at once, since a starting host can serve the sooner it knows whom to ask.
+        let (knows_others, ()) =
+            tokio::join!(read_hosts(&state, &*control, &record), register(&*control, &record));
+        if !knows_others {
+            // Others that start for the first time too have registered meanwhile.
+            read_hosts(&state, &*control, &record).await;
+        }
         let others = count_while_registered(&state, &*control, &peers, &record, era);
         others.await;
         // Hosts must not all write at once.
@@ -44,6 +50,24 @@
     }
 }
 
+/// Reads whom this host can follow; `true` when there are others. Others that start together are
+/// still registering, so this is no count yet.
+async fn read_hosts(state: &GatewayState, control: &dyn ControlPort, own: &HostRecord) -> bool {
+    match control.hosts().await {
+        Ok(hosts) => {
+            state.relay.set_hosts(&hosts);
+            hosts.iter().any(|other| other.host != own.host)
+        }
+        Err(error) => {
+            log::warn!(
+                target: "dependency", error:%;
+                "cannot read the list of hosts from the store"
+            );
+            false
+        }
+    }
+}
+
 async fn register(control: &dyn ControlPort, record: &HostRecord) {
     while let Err(error) = control.register_host(record.clone()).await {
         log::warn!(target: "dependency", error:%; "cannot register this host in the store");
@@ -60,14 +84,6 @@
     record: &HostRecord,
     era: StoreEra,
 ) {
-    // Others that started together are still registering, so this is no count yet.
-    match control.hosts().await {
-        Ok(hosts) => state.relay.set_hosts(&hosts),
-        Err(error) => log::warn!(
-            target: "dependency", error:%;
-            "cannot read the list of hosts from the store"
-        ),
-    }
     let mut wait = FIRST_COUNT_DELAY;
     loop {
         tokio::select! {
--- a/crates/gateway/src/news_relay.rs
+++ b/crates/gateway/src/news_relay.rs
@@ -29,6 +29,11 @@
 const FIRST_NEWS_WAIT: Duration = Duration::from_millis(600);
 /// Time for a call beyond that wait, and for a large answer.
 const NEWS_CALL_TIME: Duration = Duration::from_millis(600);
+/// Time for which a starting host waits for the list of hosts, whom it can ask instead of the store.
+/// Requests wait for 0.7 s in all, and a slow store takes 0.24 s for each of two calls.
+const MAX_LIST_WAIT: Duration = Duration::from_millis(300);
+/// Time for which it waits for others to register when the list is empty.
+const MAX_OTHERS_WAIT: Duration = Duration::from_millis(800);
 /// Maximum size of a query, in bytes.
 const MAX_QUERY_BYTES: usize = 256;
 
@@ -107,12 +112,17 @@
         Some(hosts?.min(readers))
     }
 
-    /// Waits until other hosts are known, at most `timeout`.
-    pub async fn wait_for_hosts(&self, timeout: Duration) {
+    /// Waits until the list of hosts was read, and for longer if it is empty, as when all hosts start
+    /// for the first time.
+    pub async fn wait_for_hosts(&self) {
         let mut domains = self.domains.subscribe();
         let known = domains.wait_for(Option::is_some);
+        if tokio::time::timeout(MAX_LIST_WAIT, known).await.is_err() {
+            return;
+        }
+        let others = domains.wait_for(|domains| domains.is_some_and(|count| count > 0));
         // Fails only after the timeout, since the sender outlives this call.
-        let _ = tokio::time::timeout(timeout, known).await.is_ok();
+        let _ = tokio::time::timeout(MAX_OTHERS_WAIT, others).await.is_ok();
     }
 
     /// Where to ask now.
--- a/crates/gateway/src/topic_watch.rs
+++ b/crates/gateway/src/topic_watch.rs
@@ -23,9 +23,6 @@
 const WAIT_PER_HOST: Duration = Duration::from_millis(250);
 /// Time between checks whether a rollout is open.
 const OPEN_POLL_INTERVAL: Duration = Duration::from_millis(200);
-/// Time for which a starting host waits to learn of other hosts, whom it can ask instead of the
-/// store.
-const MAX_HOSTS_WAIT: Duration = Duration::from_millis(800);
 /// Delay after news of another host; its calls cost nothing, but each change takes processor time.
 const RELAYED_BATCH_DELAY: Duration = Duration::from_millis(50);
 /// Pause after another host failed as a source; a random part of it keeps hosts apart.
@@ -95,7 +92,7 @@
 /// Follows `topic`, from the store or through another host, and sends changes to the publisher; ends
 /// when the publisher does.
 pub async fn follow_topic(topic: Topic, parts: FollowerParts) {
-    parts.state.relay.wait_for_hosts(MAX_HOSTS_WAIT).await;
+    parts.state.relay.wait_for_hosts().await;
     let mut follower = TopicFollower {
         topic,
         parts,
