Take back that hosts follow the store through readers

A third of the hosts lose the store while hosts reach each other; where both readers of a failure domain are among them, the others ask a reader that does not know yet, and had the configuration more than 4 s late.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -30,7 +30,6 @@
 pub mod leaving;
 pub mod ledger;
 pub mod membership;
-pub mod news_source;
 pub mod pending_loads;
 pub mod placement;
 pub mod pool_rotation;
--- a/crates/gateway/src/control_cache.rs
+++ b/crates/gateway/src/control_cache.rs
@@ -205,14 +205,6 @@
         self.topics.entry(topic).or_default().unavailable = true;
     }
 
-    /// Earliest time at which the rows of a change may have been written, on the store's monotonic
-    /// clock.
-    #[must_use]
-    pub fn written_at(&self, topic: Topic, change: &TopicChange) -> Timestamp {
-        let status = self.topics.get(&topic).copied().unwrap_or_default();
-        written_at(&status, change)
-    }
-
     /// Applies a change of a topic; returns the events to log.
     pub fn apply(
         &mut self,
@@ -262,18 +254,17 @@
         row: &TopicRow,
         events: &mut Vec<ControlEvent>,
     ) {
-        let revision = StoreRevision::new(context.era, row.raw.version);
-        let key = &row.raw.key;
-        let known = self.rows.entry((context.topic, Arc::clone(key))).or_default();
+        let revision = StoreRevision::new(context.era, row.version);
+        let known = self.rows.entry((context.topic, Arc::clone(&row.key))).or_default();
         if revision <= *known {
             return;
         }
         *known = revision;
+        let key = &row.key;
         match &row.value {
             TopicValue::Routes(table) => self.apply_routes(table, events),
             TopicValue::Rollout(order) => {
-                let at = row.raw.written_at.unwrap_or(context.written_at);
-                let held = context.held_until;
+                let (at, held) = (context.written_at, context.held_until);
                 self.rollouts.apply_order(key, order, at, held, events);
             }
             TopicValue::Upstream(entry) => match context.held_until {
@@ -334,7 +325,7 @@
         events: &mut Vec<ControlEvent>,
     ) {
         let topic = context.topic;
-        let present: HashSet<&str> = change.rows.iter().map(|row| &*row.raw.key).collect();
+        let present: HashSet<&str> = change.rows.iter().map(|row| &*row.key).collect();
         let missing = |key: &&Arc<str>| !present.contains(&***key);
         let keys: Vec<Arc<str>> = match topic {
             Topic::Upstreams => self.upstreams.keys().filter(missing).cloned().collect(),
--- a/crates/gateway/src/control_port.rs
+++ b/crates/gateway/src/control_port.rs
@@ -8,8 +8,7 @@
 use crate::rollout_sums::HostSums;
 use crate::routes::RouteTable;
 use crate::upstream_entry::UpstreamEntry;
-use bytes::Bytes;
-use oleander_core::ids::{DomainName, HostId, RegionName, ServiceName};
+use oleander_core::ids::{HostId, RegionName, ServiceName};
 use oleander_core::store_era::StoreRevision;
 use oleander_core::units::Timestamp;
 use oleander_ports::{PlatformError, PortFuture};
@@ -62,25 +61,13 @@
     Removed,
 }
 
-/// One keyed value of a topic as the store has it.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct RawRow {
+/// One keyed value of a topic.
+#[derive(Clone, Debug)]
+pub struct TopicRow {
     /// Key within the topic.
     pub key: Arc<str>,
     /// Version of the row, in the era of the change that it is part of.
     pub version: u64,
-    /// Encoded value; `None` when the row was removed.
-    pub value: Option<Bytes>,
-    /// Earliest time at which the row may have been written, on the store's monotonic clock, if
-    /// another host knows it.
-    pub written_at: Option<Timestamp>,
-}
-
-/// One keyed value of a topic.
-#[derive(Clone, Debug)]
-pub struct TopicRow {
-    /// The row as the store has it.
-    pub raw: RawRow,
     /// The value.
     pub value: TopicValue,
 }
@@ -116,10 +103,8 @@
     pub host: HostId,
     /// Its region.
     pub region: RegionName,
-    /// Where it receives datagrams and calls of other hosts.
+    /// Where it receives datagrams from other hosts.
     pub peers: Option<SocketAddr>,
-    /// Its failure domain; hosts of earlier releases state none.
-    pub domain: Option<DomainName>,
 }
 
 /// Result of a conditional write.
@@ -136,9 +121,6 @@
     /// Reads a complete topic.
     fn read(&self, topic: Topic) -> PortFuture<'_, Result<TopicChange, PlatformError>>;
 
-    /// Decodes a row of a topic; `None` for rows that are not used.
-    fn decode(&self, topic: Topic, row: &RawRow, revision: StoreRevision) -> Option<TopicValue>;
-
     /// Waits at most `wait` for changes after `cursor`. If the store has begun a new era, the
     /// cursor of the change is of that era, and its rows may not be all that changed.
     fn follow(
--- a/crates/gateway/src/gateway_process.rs
+++ b/crates/gateway/src/gateway_process.rs
@@ -7,7 +7,6 @@
 use crate::host_count::count_hosts;
 use crate::latency_tracker::{LatencyTracker, PrefillTracker};
 use crate::metrics::GatewayMetrics;
-use crate::news_relay::{NewsRelay, news_handler};
 use crate::peer_table::PeerTable;
 use crate::rollout_counters::RolloutCounters;
 use crate::rollout_driver::RolloutDriver;
@@ -17,7 +16,7 @@
 use crate::snapshot_publisher::{ExpiryDue, SharedSnapshot, SnapshotPublisher};
 use crate::state::GatewayState;
 use crate::stop_state::{BALANCER_LAG, SHUTDOWN_MARGIN, StopState};
-use crate::topic_watch::{FollowerParts, follow_topic};
+use crate::topic_watch::follow_topic;
 use crate::upstream_pool::UpstreamPool;
 use crate::wire_format::WireFormat;
 use anyhow::Context;
@@ -56,7 +55,6 @@
     control: Arc<dyn ControlPort>,
     publisher: ActorRef<SnapshotPublisher>,
     gossip: Option<UdpSocket>,
-    news: Option<HttpServer>,
 }
 
 impl GatewayProcess {
@@ -86,14 +84,10 @@
         let hook =
             Box::new(move |snapshot: &ControlSnapshot| changed.pool.update(&snapshot.upstreams));
         let hold_time = state.settings.load().bounds.hold_time();
-        let publisher = publisher
-            .with_change_hook(hook)
-            .with_hold_time(hold_time)
-            .with_relay(Arc::clone(&state.relay));
+        let publisher = publisher.with_change_hook(hook).with_hold_time(hold_time);
         let publisher = SnapshotPublisher::spawn(publisher);
         let gossip = bind_gossip(&state.settings.load()).await?;
-        let news = bind_news(&state).await?;
-        Ok(Self { state, callers, ready, metrics, control, publisher, gossip, news })
+        Ok(Self { state, callers, ready, metrics, control, publisher, gossip })
     }
 
     /// State shared by all requests.
@@ -122,17 +116,18 @@
 
     /// Serves until `stop` resolves, then shuts down gracefully.
     pub async fn serve(self, stop: impl Future<Output = ()>) -> GatewayStop {
-        let Self { state, callers, ready, metrics, control, publisher, gossip, news } = self;
+        let Self { state, callers, ready, metrics, control, publisher, gossip } = self;
         let (reconnect, peers) = (Arc::new(ReconnectSignal::default()), Arc::new(PeerTable::new()));
         let mut tasks = tokio::task::JoinSet::new();
-        let parts = FollowerParts {
-            state: Arc::clone(&state),
-            control: Arc::clone(&control),
-            publisher: publisher.clone(),
-            reconnect: Arc::clone(&reconnect),
-        };
         for topic in Topic::ALL {
-            tasks.spawn(follow_topic(topic, parts.clone()));
+            let (state, control) = (Arc::clone(&state), Arc::clone(&control));
+            tasks.spawn(follow_topic(
+                topic,
+                state,
+                control,
+                publisher.clone(),
+                Arc::clone(&reconnect),
+            ));
         }
         tasks.spawn(run_expiry(Arc::clone(&state), publisher.clone()));
         tasks.spawn(count_hosts(Arc::clone(&state), Arc::clone(&control), Arc::clone(&peers)));
@@ -141,9 +136,6 @@
         }
         tasks.spawn(RolloutDriver::new(Arc::clone(&state), control).run());
         tasks.spawn(ready.serve(std::future::pending()));
-        if let Some(news) = news {
-            tasks.spawn(news.serve(std::future::pending()));
-        }
         if let Some(metrics) = metrics {
             tasks.spawn(metrics.serve(std::future::pending()));
         }
@@ -184,15 +176,13 @@
     seed: u64,
     registry: &mut Registry,
 ) -> Arc<GatewayState> {
-    let (host, domain) = (settings.host.clone(), settings.domain.clone());
+    let host = settings.host.clone();
     let settings: SharedSettings = Arc::new(ArcSwap::from_pointee(settings));
     // The clock starts at one second, so that no time lies before the start.
     let clock: Arc<dyn ClockPort> = Arc::new(RuntimeClock::new(Timestamp::from_millis(1_000)));
     let snapshot: SharedSnapshot = Arc::new(ArcSwap::default());
-    let relay = Arc::new(NewsRelay::new(host.clone(), domain, Arc::clone(&clock)));
     Arc::new(GatewayState {
         snapshot,
-        relay,
         pool: UpstreamPool::new(Arc::clone(&settings), Arc::clone(&clock)),
         wire,
         clock,
@@ -252,13 +242,6 @@
     admin.bind(address).await.map(Some)
 }
 
-/// Listens for calls of hosts that follow this one, at the same address as for their datagrams.
-async fn bind_news(state: &Arc<GatewayState>) -> anyhow::Result<Option<HttpServer>> {
-    let Some(address) = state.settings.load().peers else { return Ok(None) };
-    let handler = news_handler(&state.relay, &state.snapshot);
-    HttpServer::bind(address, handler).await.map(Some)
-}
-
 async fn bind_gossip(settings: &GatewaySettings) -> anyhow::Result<Option<UdpSocket>> {
     let Some(address) = settings.peers else { return Ok(None) };
     let socket = UdpSocket::bind(address).await;
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -11,8 +11,7 @@
 use crate::load_report::{LoadReport, UpstreamHash};
 use crate::peer_table::{PeerTable, RegionHash};
 use crate::state::GatewayState;
-use crate::topic_watch::{propagation_timeout, readers};
-use oleander_core::news_source::NewsSource;
+use crate::topic_watch::propagation_timeout;
 use oleander_core::store_era::{StoreEra, StoreRevision};
 use oleander_core::units::Timestamp;
 use serde::{Deserialize, Serialize};
@@ -176,12 +175,9 @@
             () = tokio::time::sleep_until(send_at) => {
                 send_at += GOSSIP_INTERVAL;
                 rounds += 1;
-                // Hosts of a region whose readers are cut off hear of news from other regions only.
-                let is_reader = state.relay.source() == NewsSource::Store;
-                let any = is_reader || rounds.is_multiple_of(ANY_REGION_STRIDE);
-                send(&state, &socket, &peers, any).await;
+                send(&state, &socket, &peers, rounds.is_multiple_of(ANY_REGION_STRIDE)).await;
                 let now = state.clock.now();
-                let hosts = readers(&state);
+                let hosts = state.pool.hosts();
                 if lag.is_lagging(&state.snapshot.load().cursors, hosts, now) {
                     log::warn!(
                         target: "dependency", cursors:? = state.snapshot.load().cursors;
--- a/crates/gateway/src/host_count.rs
+++ b/crates/gateway/src/host_count.rs
@@ -30,17 +30,10 @@
         host: settings.host.clone(),
         region: settings.region.clone(),
         peers: settings.peers,
-        domain: Some(settings.domain.clone()),
     };
     loop {
         let era = state.snapshot.load().era();
-        // Both at once, since a starting host can serve the sooner it knows whom to ask.
-        let (knows_others, ()) =
-            tokio::join!(read_hosts(&state, &*control, &record), register(&*control, &record));
-        if !knows_others {
-            // Others that start for the first time too have registered meanwhile.
-            read_hosts(&state, &*control, &record).await;
-        }
+        register(&*control, &record).await;
         let others = count_while_registered(&state, &*control, &peers, &record, era);
         others.await;
         // Hosts must not all write at once.
@@ -50,24 +43,6 @@
     }
 }
 
-/// Reads whom this host can follow; `true` when there are others. Others that start together are
-/// still registering, so this is no count yet.
-async fn read_hosts(state: &GatewayState, control: &dyn ControlPort, own: &HostRecord) -> bool {
-    match control.hosts().await {
-        Ok(hosts) => {
-            state.relay.set_hosts(&hosts);
-            hosts.iter().any(|other| other.host != own.host)
-        }
-        Err(error) => {
-            log::warn!(
-                target: "dependency", error:%;
-                "cannot read the list of hosts from the store"
-            );
-            false
-        }
-    }
-}
-
 async fn register(control: &dyn ControlPort, record: &HostRecord) {
     while let Err(error) = control.register_host(record.clone()).await {
         log::warn!(target: "dependency", error:%; "cannot register this host in the store");
@@ -93,7 +68,6 @@
         wait = match control.hosts().await {
             Ok(hosts) => {
                 state.pool.set_hosts(hosts.len());
-                state.relay.set_hosts(&hosts);
                 let others = hosts.iter().filter(|other| other.host != record.host);
                 for other in others {
                     let Some(address) = other.peers else { continue };
--- a/crates/gateway/src/snapshot_publisher.rs
+++ b/crates/gateway/src/snapshot_publisher.rs
@@ -2,7 +2,6 @@
 
 use crate::control_cache::{ControlCache, ControlEvent, ControlSnapshot};
 use crate::control_port::{Topic, TopicChange};
-use crate::news_relay::NewsRelay;
 use arc_swap::ArcSwap;
 use kameo::Actor;
 use kameo::message::{Context, Message};
@@ -14,8 +13,8 @@
 /// The snapshot that requests read.
 pub type SharedSnapshot = Arc<ArcSwap<ControlSnapshot>>;
 
-/// A topic changed; the change was this old when it was read.
-pub struct TopicChanged(pub Topic, pub TopicChange, pub Duration);
+/// A topic changed.
+pub struct TopicChanged(pub Topic, pub TopicChange);
 /// A topic cannot be followed, with the reason.
 pub struct TopicUnavailable(pub Topic, pub String);
 /// Triggers the removal of expired entries.
@@ -29,7 +28,6 @@
     clock: Arc<dyn ClockPort>,
     unavailable: BTreeMap<Topic, bool>,
     on_change: ChangeHook,
-    relay: Option<Arc<NewsRelay>>,
 }
 
 /// Called with each new snapshot before requests see it.
@@ -40,14 +38,7 @@
     #[must_use]
     pub fn new(shared: SharedSnapshot, clock: Arc<dyn ClockPort>) -> Self {
         let on_change: ChangeHook = Box::new(|_| {});
-        Self {
-            cache: ControlCache::new(),
-            shared,
-            clock,
-            unavailable: BTreeMap::new(),
-            on_change,
-            relay: None,
-        }
+        Self { cache: ControlCache::new(), shared, clock, unavailable: BTreeMap::new(), on_change }
     }
 
     /// Sets how long rows of an older copy of the store are held back that contradict what is known.
@@ -57,13 +48,6 @@
         self
     }
 
-    /// Sets the relay that passes changes on to other hosts.
-    #[must_use]
-    pub fn with_relay(mut self, relay: Arc<NewsRelay>) -> Self {
-        self.relay = Some(relay);
-        self
-    }
-
     /// Sets the hook that is called with each new snapshot.
     #[must_use]
     pub fn with_change_hook(mut self, on_change: ChangeHook) -> Self {
@@ -86,7 +70,7 @@
 
     async fn handle(
         &mut self,
-        TopicChanged(topic, mut change, age): TopicChanged,
+        TopicChanged(topic, change): TopicChanged,
         _: &mut Context<Self, ()>,
     ) {
         if self.unavailable.insert(topic, false) == Some(true) {
@@ -95,13 +79,6 @@
                 "store available again"
             );
         }
-        let written_at = self.cache.written_at(topic, &change);
-        for row in &mut change.rows {
-            row.raw.written_at.get_or_insert(written_at);
-        }
-        if let Some(relay) = &self.relay {
-            relay.record(topic, &change, age);
-        }
         let events = self.cache.apply(topic, &change, self.clock.now());
         if !events.is_empty() || change.is_full || !change.rows.is_empty() {
             self.publish(&events, &format!("{topic} at {}", change.cursor));
@@ -118,9 +95,6 @@
         _: &mut Context<Self, ()>,
     ) {
         self.cache.mark_unavailable(topic);
-        if let Some(relay) = &self.relay {
-            relay.record_unavailable(topic);
-        }
         if self.unavailable.insert(topic, true) != Some(true) {
             log::warn!(
                 target: "dependency", topic:% = topic, reason:% = reason;
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -2,7 +2,6 @@
 
 use crate::latency_tracker::{LatencyTracker, PrefillTracker};
 use crate::metrics::GatewayMetrics;
-use crate::news_relay::NewsRelay;
 use crate::rollout_counters::RolloutCounters;
 use crate::seeded_random::SeededRandom;
 use crate::session_versions::SessionVersions;
@@ -20,8 +19,6 @@
     pub settings: SharedSettings,
     /// Current configuration, upstreams and rollouts.
     pub snapshot: SharedSnapshot,
-    /// News of the store from and for other hosts.
-    pub relay: Arc<NewsRelay>,
     /// Upstreams as used by this host.
     pub pool: UpstreamPool,
     /// Codec for headers beyond plain HTTP.
--- a/crates/gateway/src/topic_watch.rs
+++ b/crates/gateway/src/topic_watch.rs
@@ -1,14 +1,11 @@
 //! Follows one topic of the platform's store for as long as the process runs.
 
-use crate::control_port::{ControlPort, Topic, TopicChange, TopicUpdate};
+use crate::control_port::{ControlPort, Topic, TopicUpdate};
 use crate::gossip::ReconnectSignal;
-use crate::news_relay::NewsReply;
 use crate::snapshot_publisher::{SnapshotPublisher, TopicChanged, TopicUnavailable};
 use crate::state::GatewayState;
 use kameo::actor::ActorRef;
 use oleander_core::backoff::RetryBackoff;
-use oleander_core::ids::HostId;
-use oleander_core::news_source::NewsSource;
 use oleander_core::store_era::StoreRevision;
 use oleander_ports::PlatformError;
 use std::sync::Arc;
@@ -17,18 +14,12 @@
 /// Bounds of the wait of one long-poll call, and what each host adds to it, since every call costs.
 /// A silently dead connection is noticed when its call does not end in time, and the host that
 /// notices it informs the others by gossip. So with more hosts each may wait longer: over all
-/// hosts that follow the store, one call ends every quarter of a second. The store allows 30 s.
+/// hosts, one call ends every half second. The store allows a wait of 30 s.
 const MIN_WAIT: Duration = Duration::from_millis(3_000);
 const MAX_WAIT: Duration = Duration::from_secs(25);
-const WAIT_PER_HOST: Duration = Duration::from_millis(250);
+const WAIT_PER_HOST: Duration = Duration::from_millis(500);
 /// Time between checks whether a rollout is open.
 const OPEN_POLL_INTERVAL: Duration = Duration::from_millis(200);
-/// Delay after news of another host; its calls cost nothing, but each change takes processor time.
-const RELAYED_BATCH_DELAY: Duration = Duration::from_millis(50);
-/// Pause after another host failed as a source; a random part of it keeps hosts apart.
-const FAILED_SOURCE_PAUSE: Duration = Duration::from_millis(150);
-/// Pause between two calls to a host that cannot reach the store.
-const UNAVAILABLE_PAUSE: Duration = Duration::from_millis(1_000);
 /// Time over which hosts spread full reads that all of them have to do, and its maximum, which is
 /// well within the bounds on changes.
 const FULL_READ_SPREAD_PER_HOST: Duration = Duration::from_millis(2);
@@ -55,246 +46,82 @@
 const RETRY_DELAY_PER_HOST: Duration = Duration::from_millis(8);
 const MAX_TOTAL_RETRY_DELAY: Duration = Duration::from_millis(1_600);
 
-/// Parts that a follower of a topic works with.
-#[derive(Clone)]
-pub struct FollowerParts {
-    /// State of the host.
-    pub state: Arc<GatewayState>,
-    /// The store.
-    pub control: Arc<dyn ControlPort>,
-    /// Gets the changes.
-    pub publisher: ActorRef<SnapshotPublisher>,
-    /// Tells when other hosts have news that has not arrived here.
-    pub reconnect: Arc<ReconnectSignal>,
-}
-
-/// Follows one topic.
-struct TopicFollower {
+/// Follows `topic` and sends changes to `publisher`; ends when the publisher does.
+pub async fn follow_topic(
     topic: Topic,
-    parts: FollowerParts,
-    cursor: Option<StoreRevision>,
-    failures: u32,
-    schedule: LongPollSchedule,
-    /// Where the last news came from.
-    source: Option<NewsSource>,
-    /// The source that cannot reach the store while this host asks the store itself.
-    unavailable: Option<HostId>,
-}
-
-/// Result of asking for news.
-enum NewsUpdate {
-    Store(Result<TopicUpdate, PlatformError>),
-    Host(HostId, NewsReply),
-    /// Other hosts have news that has not arrived here.
-    Late,
-}
-
-/// Follows `topic`, from the store or through another host, and sends changes to the publisher; ends
-/// when the publisher does.
-pub async fn follow_topic(topic: Topic, parts: FollowerParts) {
-    parts.state.relay.wait_for_hosts().await;
-    let mut follower = TopicFollower {
-        topic,
-        parts,
-        cursor: None,
-        failures: 0,
-        schedule: LongPollSchedule::default(),
-        source: None,
-        unavailable: None,
-    };
-    while follower.step().await {}
-}
-
-impl TopicFollower {
-    /// Asks for news once and handles the answer; `false` when the publisher has ended.
-    async fn step(&mut self) -> bool {
-        if self.topic == Topic::Decisions && self.cursor.is_some() {
-            wait_for_decisions(&self.parts.state).await;
-        }
-        let source = match &self.unavailable {
-            Some(_) => NewsSource::Store,
-            None => self.parts.state.relay.source(),
-        };
-        self.log_source(&source);
-        match self.ask(&source).await {
-            NewsUpdate::Late => {
-                log::info!(target: "dependency", topic:% = self.topic; "reconnecting to the store");
-                self.parts.state.relay.mark_late();
-                self.parts.control.reset_connections();
-                true
-            }
-            NewsUpdate::Store(update) => self.handle_store(update).await,
-            NewsUpdate::Host(host, reply) => self.handle_host(host, reply).await,
-        }
-    }
-
-    fn log_source(&mut self, source: &NewsSource) {
-        if self.source.as_ref() != Some(source) && self.unavailable.is_none() {
-            match source {
-                NewsSource::Store => {
-                    log::info!(target: "dependency", topic:% = self.topic; "following the store");
-                }
-                NewsSource::Host(host) => {
-                    log::info!(
-                        target: "dependency", topic:% = self.topic, host:%;
-                        "following the store through another host"
-                    );
-                }
-            }
-            self.source = Some(source.clone());
+    state: Arc<GatewayState>,
+    control: Arc<dyn ControlPort>,
+    publisher: ActorRef<SnapshotPublisher>,
+    reconnect: Arc<ReconnectSignal>,
+) {
+    let mut cursor = None;
+    let mut failures = 0u32;
+    let mut schedule = LongPollSchedule::default();
+    loop {
+        if topic == Topic::Decisions && cursor.is_some() {
+            wait_for_decisions(&state).await;
         }
-    }
-
-    async fn ask(&mut self, source: &NewsSource) -> NewsUpdate {
-        let (topic, cursor) = (self.topic, self.cursor);
-        let FollowerParts { state, control, reconnect, .. } = &self.parts;
+        let wait = schedule.next(state.pool.counted_hosts(), state.random.next_unit());
         let requested = reconnect.requested();
-        let answered = async {
-            match source {
-                NewsSource::Store => {
-                    let wait = if self.unavailable.is_some() {
-                        Duration::ZERO
-                    } else {
-                        self.schedule.next(counted_readers(state), state.random.next_unit())
-                    };
-                    NewsUpdate::Store(next_update(topic, &**control, cursor, wait).await)
-                }
-                NewsSource::Host(host) => {
-                    let reply = tokio::select! {
-                        reply = state.relay.ask(host, topic, cursor, &**control) => reply,
-                        () = state.relay.source_changed(host) => NewsReply::Failed,
-                    };
-                    NewsUpdate::Host(host.clone(), reply)
-                }
+        let update = tokio::select! {
+            update = next_update(topic, &*control, cursor, wait) => update,
+            () = requested => {
+                log::info!(target: "dependency", topic:% = topic; "reconnecting to the store");
+                control.reset_connections();
+                continue;
             }
         };
-        tokio::select! {
-            update = answered => update,
-            () = requested => NewsUpdate::Late,
-        }
-    }
-
-    async fn handle_host(&mut self, host: HostId, reply: NewsReply) -> bool {
-        let state = &self.parts.state;
-        match reply {
-            NewsReply::Change(change, _) if self.enters_era(&change) => {
-                self.cursor = None;
-                true
-            }
-            NewsReply::Change(change, age) => {
-                let has_rows = !change.rows.is_empty();
-                let delivered = self.deliver(change, age).await;
-                if has_rows {
-                    tokio::time::sleep(RELAYED_BATCH_DELAY).await;
-                }
-                delivered
-            }
-            NewsReply::Unavailable => {
-                let reason = format!("{host} cannot reach it");
-                if state.relay.should_check_store(state.random.next_unit()) {
-                    self.unavailable = Some(host);
-                } else {
-                    let pause = UNAVAILABLE_PAUSE.mul_f64(0.5 + state.random.next_unit());
-                    tokio::time::sleep(pause).await;
-                }
-                self.report_unavailable(reason).await
-            }
-            NewsReply::Failed => {
-                let pause = FAILED_SOURCE_PAUSE.mul_f64(state.random.next_unit());
-                tokio::time::sleep(pause).await;
-                true
-            }
-        }
-    }
-
-    async fn handle_store(&mut self, update: Result<TopicUpdate, PlatformError>) -> bool {
-        let unavailable = self.unavailable.take();
-        if let (Some(host), Ok(_)) = (&unavailable, &update) {
-            log::info!(
-                target: "dependency", topic:% = self.topic, host:%;
-                "the store answers here, this host is cut off from it"
-            );
-            self.parts.state.relay.mark_cut_off(host);
-        }
-        match update {
-            Ok(TopicUpdate::Change(change)) if self.enters_era(&change) => {
+        let delivered = match update {
+            Ok(TopicUpdate::Change(change))
+                if cursor.is_some_and(|cursor| cursor.era < change.cursor.era) =>
+            {
                 log::warn!(
-                    target: "dependency", topic:% = self.topic, cursor:% = change.cursor;
+                    target: "dependency", topic:% = topic, cursor:% = change.cursor;
                     "the store came back from an older copy, reading the full topic"
                 );
-                self.read_again().await;
+                cursor = None;
+                wait_for_full_read(&state).await;
                 true
             }
             Ok(TopicUpdate::Change(change)) => {
-                self.failures = 0;
+                failures = 0;
+                cursor = Some(cursor.unwrap_or_default().max(change.cursor));
                 let has_rows = !change.rows.is_empty();
-                let delivered = self.deliver(change, Duration::ZERO).await;
+                let delivered = publisher.tell(TopicChanged(topic, change)).await.is_ok();
                 if delivered && has_rows {
-                    let delay = batch_delay(self.topic, readers(&self.parts.state));
-                    tokio::time::sleep(delay).await;
+                    tokio::time::sleep(batch_delay(topic, state.pool.hosts())).await;
                 }
                 delivered
             }
             Ok(TopicUpdate::HistoryGone) => {
                 log::warn!(
-                    target: "dependency", topic:% = self.topic;
+                    target: "dependency", topic:% = topic;
                     "store history truncated, reading the full topic"
                 );
-                self.read_again().await;
+                cursor = None;
+                wait_for_full_read(&state).await;
                 true
             }
-            // The source tells when it can reach the store again.
-            Err(error) if unavailable.is_some() => self.report_unavailable(error.to_string()).await,
-            Err(error) => self.handle_error(&error).await,
-        }
-    }
-
-    async fn handle_error(&mut self, error: &PlatformError) -> bool {
-        let delivered = self.report_unavailable(error.to_string()).await;
-        let state = &self.parts.state;
-        if matches!(error, PlatformError::Unknown(_)) {
-            self.parts.control.reset_connections();
+            Err(error) => {
+                let delivered =
+                    publisher.tell(TopicUnavailable(topic, error.to_string())).await.is_ok();
+                if matches!(error, PlatformError::Unknown(_)) {
+                    reconnect.request(state.clock.now());
+                }
+                let hosts = u32::try_from(state.pool.hosts()).unwrap_or(u32::MAX);
+                let max_delay = (MAX_RETRY_DELAY + RETRY_DELAY_PER_HOST.saturating_mul(hosts))
+                    .min(MAX_TOTAL_RETRY_DELAY);
+                let wait = RetryBackoff::new(FIRST_RETRY_DELAY, max_delay)
+                    .wait(failures, state.random.next());
+                tokio::time::sleep(FIRST_RETRY_DELAY / 2 + wait).await;
+                failures = failures.saturating_add(1);
+                delivered
+            }
+        };
+        if !delivered {
+            return;
         }
-        let hosts = u32::try_from(state.pool.hosts()).unwrap_or(u32::MAX);
-        let max_delay = (MAX_RETRY_DELAY + RETRY_DELAY_PER_HOST.saturating_mul(hosts))
-            .min(MAX_TOTAL_RETRY_DELAY);
-        let wait = RetryBackoff::new(FIRST_RETRY_DELAY, max_delay)
-            .wait(self.failures, state.random.next());
-        tokio::time::sleep(FIRST_RETRY_DELAY / 2 + wait).await;
-        self.failures = self.failures.saturating_add(1);
-        delivered
-    }
-
-    /// Whether a change is of a later era and not a full read, so that it may lack rows.
-    fn enters_era(&self, change: &TopicChange) -> bool {
-        !change.is_full && self.cursor.is_some_and(|cursor| cursor.era < change.cursor.era)
-    }
-
-    /// Has the full topic read next. All hosts have to do so, and must not do it at once.
-    async fn read_again(&mut self) {
-        self.cursor = None;
-        wait_for_full_read(&self.parts.state).await;
-    }
-
-    async fn deliver(&mut self, change: TopicChange, age: Duration) -> bool {
-        self.cursor = Some(self.cursor.unwrap_or_default().max(change.cursor));
-        self.parts.publisher.tell(TopicChanged(self.topic, change, age)).await.is_ok()
     }
-
-    async fn report_unavailable(&self, reason: String) -> bool {
-        self.parts.publisher.tell(TopicUnavailable(self.topic, reason)).await.is_ok()
-    }
-}
-
-/// Number of hosts that share the calls to the store, once counted.
-fn counted_readers(state: &GatewayState) -> Option<usize> {
-    state.relay.readers(state.pool.counted_hosts())
-}
-
-/// Number of hosts that share the calls to the store, or an assumption until they are counted.
-#[must_use]
-pub fn readers(state: &GatewayState) -> usize {
-    counted_readers(state).unwrap_or_else(|| state.pool.hosts())
 }
 
 /// Delay after a change of a topic on a host among `hosts`.
--- a/crates/gateway/tests/control_cache.rs
+++ b/crates/gateway/tests/control_cache.rs
@@ -4,7 +4,7 @@
 use oleander_core::store_era::{StoreEra, StoreRevision};
 use oleander_core::units::Timestamp;
 use oleander_gateway::control_cache::{ControlCache, ControlEvent, EXPIRY_GRACE};
-use oleander_gateway::control_port::{RawRow, Topic, TopicChange, TopicRow, TopicValue};
+use oleander_gateway::control_port::{Topic, TopicChange, TopicRow, TopicValue};
 use oleander_gateway::rollout_plan::{RolloutDecision, RolloutOrder, RolloutPhase, VersionRule};
 use oleander_gateway::routes::RouteTable;
 use oleander_gateway::upstream_entry::{UpstreamEntry, UpstreamState};
@@ -27,8 +27,7 @@
 }
 
 fn row(key: &str, version: u64, value: TopicValue) -> TopicRow {
-    let key = Arc::from(key);
-    TopicRow { raw: RawRow { key, version, value: None, written_at: None }, value }
+    TopicRow { key: Arc::from(key), version, value }
 }
 
 fn revision(version: u64) -> StoreRevision {
--- a/crates/gateway/tests/store_eras.rs
+++ b/crates/gateway/tests/store_eras.rs
@@ -8,7 +8,7 @@
 use oleander_core::store_era::{StoreEra, StoreRevision};
 use oleander_core::units::Timestamp;
 use oleander_gateway::control_cache::{ControlCache, ControlEvent, ControlSnapshot};
-use oleander_gateway::control_port::{RawRow, Topic, TopicChange, TopicRow, TopicValue};
+use oleander_gateway::control_port::{Topic, TopicChange, TopicRow, TopicValue};
 use oleander_gateway::rollout_plan::{RolloutPhase, VersionRule};
 use oleander_gateway::rollout_sums::{AnswerCount, HostSums, RolloutJudge, RouteSums};
 use std::sync::Arc;
@@ -21,8 +21,7 @@
 const HOLD_TIME: Duration = Duration::from_secs(6);
 
 fn row(key: &str, version: u64, value: TopicValue) -> TopicRow {
-    let key = Arc::from(key);
-    TopicRow { raw: RawRow { key, version, value: None, written_at: None }, value }
+    TopicRow { key: Arc::from(key), version, value }
 }
 
 fn change(is_full: bool, era: u32, version: u64, rows: Vec<TopicRow>) -> TopicChange {
@@ -147,7 +146,7 @@
     cache.apply(Topic::Decisions, &change(true, 1, 30, rows), START);
     let copied = copied.map(|phase| row("rollout/desk", 20, decision_value("v2", order, phase)));
     let expected =
-        StoreRevision::new(StoreEra::new(2), copied.as_ref().map_or(0, |row| row.raw.version));
+        StoreRevision::new(StoreEra::new(2), copied.as_ref().map_or(0, |row| row.version));
     cache.apply(Topic::Decisions, &change(true, 2, 25, copied.into_iter().collect()), START);
     let rollout = &cache.snapshot().rollouts[&"desk".parse().unwrap()];
     assert_eq!(rollout.decision.as_ref().map(|decision| decision.phase), Some(known));
--- a/crates/gateway/tests/support/store_model.rs
+++ b/crates/gateway/tests/support/store_model.rs
@@ -3,7 +3,7 @@
 use oleander_core::store_era::{StoreEra, StoreRevision};
 use oleander_core::units::Timestamp;
 use oleander_gateway::control_cache::{ControlCache, ControlSnapshot};
-use oleander_gateway::control_port::{RawRow, Topic, TopicChange, TopicRow, TopicValue};
+use oleander_gateway::control_port::{Topic, TopicChange, TopicRow, TopicValue};
 use oleander_gateway::rollout_plan::{RolloutDecision, RolloutOrder, RolloutPhase};
 use oleander_gateway::routes::RouteTable;
 use oleander_gateway::upstream_entry::{UpstreamEntry, UpstreamState};
@@ -247,12 +247,10 @@
             let is_wanted = after.map_or(content.is_some(), |after| *version > after);
             if *found == topic && is_wanted {
                 let value = self.value(key, *version, content.as_ref());
-                let (key, version) = (Arc::clone(key), *version);
-                let raw = RawRow { key, version, value: None, written_at: None };
-                rows.push(TopicRow { raw, value });
+                rows.push(TopicRow { key: Arc::clone(key), version: *version, value });
             }
         }
-        rows.sort_by_key(|row| row.raw.version);
+        rows.sort_by_key(|row| row.version);
         let cursor = StoreRevision::new(StoreEra::new(self.era), self.version);
         let waited = Duration::from_secs(1);
         TopicChange { is_full: after.is_none(), cursor, waited, store_now: now, rows }
