--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -145,6 +145,12 @@
         }
         late
     }
+
+    /// How long ago this host heard of a revision that it still lacks.
+    #[must_use]
+    pub fn lag(&self, now: Timestamp) -> Duration {
+        self.ahead.values().map(|(_, since)| now.since(*since)).max().unwrap_or_default()
+    }
 }
 
 /// Sends and receives datagrams for as long as it is polled.
@@ -178,9 +184,10 @@
                 send(&state, &socket, &peers, rounds.is_multiple_of(ANY_REGION_STRIDE)).await;
                 let now = state.clock.now();
                 let hosts = state.pool.hosts();
+                let heard_ms = lag.lag(now).as_millis() as u64;
                 if lag.is_lagging(&state.snapshot.load().cursors, hosts, now) {
                     log::warn!(
-                        target: "dependency", cursors:? = state.snapshot.load().cursors;
+                        target: "dependency", cursors:? = state.snapshot.load().cursors, heard_ms;
                         "another host knows newer versions, reconnecting to the store"
                     );
                     reconnect.request(now);
