--- a/crates/gateway/tests/streams.rs
+++ b/crates/gateway/tests/streams.rs
@@ -110,3 +110,19 @@
     let longest = ends.windows(2).map(|pair| pair[1] - pair[0]).fold(ends[0], f64::max);
     assert!(longest <= 3.0, "for {longest} s no call of {hosts} hosts ends");
 }
+
+/// Guards against a silence of the store that no host notices: a change ends the calls of all hosts
+/// at once, and all of them are lost when the store falls silent after they began again.
+#[yare::parameterized(few = { 7 }, many = { 84 }, target = { 370 })]
+fn a_call_ends_soon_after_all_hosts_began_theirs(hosts: usize) {
+    for seed in 0..20 {
+        let mut first_end = f64::INFINITY;
+        for call in 0..hosts as u64 * 2 {
+            let mut schedule = LongPollSchedule::default();
+            let point = |salt: u64| unit_point(mix(mix(seed) ^ mix(call * 2 + salt)));
+            schedule.next(Some(hosts), point(0));
+            first_end = first_end.min(schedule.next(Some(hosts), point(1)).as_secs_f64());
+        }
+        assert!(first_end <= 2.0, "for {first_end} s no call of {hosts} hosts ends, seed {seed}");
+    }
+}
