Spread the waits of calls to the store whenever they begin

A change ends the waiting calls of all hosts at once, and the next ones all lasted 19 to 25 s. When the store fell silent within that time, no call timed out for up to 18.8 s, so that only calls of other topics could show the silence: chance. Waits now are exponentially distributed up to the same maximum: whenever they began, one call of each topic ends every half second over all hosts.

--- a/crates/gateway/src/topic_watch.rs
+++ b/crates/gateway/src/topic_watch.rs
@@ -14,7 +14,7 @@
 /// Bounds of the wait of one long-poll call, and what each host adds to it, since every call costs.
 /// A silently dead connection is noticed when its call does not end in time, and the host that
 /// notices it informs the others by gossip. So with more hosts each may wait longer: over all
-/// hosts, one call ends every half second. The store allows a wait of 30 s.
+/// hosts, one call of each topic ends every half second. The store allows a wait of 30 s.
 const MIN_WAIT: Duration = Duration::from_millis(3_000);
 const MAX_WAIT: Duration = Duration::from_secs(25);
 const WAIT_PER_HOST: Duration = Duration::from_millis(500);
@@ -52,7 +52,6 @@
 ) {
     let mut cursor = None;
     let mut failures = 0u32;
-    let mut schedule = LongPollSchedule::default();
     let mut is_confirmed = false;
     loop {
         if topic == Topic::Decisions && cursor.is_some() {
@@ -65,7 +64,7 @@
         // A store that has just not answered may not answer the next call either, which would be
         // noticed only after its wait.
         let wait = if cursor.is_some() && is_confirmed {
-            schedule.next(state.pool.counted_hosts(), state.random.next_unit())
+            LongPollSchedule.next(state.pool.counted_hosts(), state.random.next_unit())
         } else {
             Duration::ZERO
         };
@@ -184,25 +183,34 @@
 /// Durations of the long-poll calls of one topic.
 ///
 /// All waiting calls may be lost together, as when the store accepts them and answers none. This is
-/// noticed when the first of them times out, so the calls of many hosts must not end together.
-/// Until the hosts are counted, waits are short; the first long wait has a random duration.
+/// noticed when the first of them times out. Every change ends the calls of all hosts at once, so
+/// that the next ones begin together; the waits are exponentially distributed up to their maximum,
+/// since then some call ends soon whenever they began.
 #[derive(Clone, Copy, Debug, Default)]
-pub struct LongPollSchedule {
-    spread: bool,
-}
+pub struct LongPollSchedule;
 
 impl LongPollSchedule {
     /// The wait of the next call of a host among `hosts`, if counted; `point` in 0..1 spreads the
     /// hosts.
-    pub fn next(&mut self, hosts: Option<usize>, point: f64) -> Duration {
+    ///
+    /// ```
+    /// use oleander_gateway::topic_watch::LongPollSchedule;
+    /// use std::time::Duration;
+    ///
+    /// let wait = |point| LongPollSchedule.next(Some(84), point);
+    /// assert!(wait(0.01) < Duration::from_millis(500));
+    /// assert!(wait(0.5) > Duration::from_secs(18));
+    /// ```
+    #[must_use]
+    pub fn next(self, hosts: Option<usize>, point: f64) -> Duration {
         let Some(hosts) = hosts else {
             return MIN_WAIT.mul_f64((1.0 + point) / 2.0);
         };
         let hosts = u32::try_from(hosts).unwrap_or(u32::MAX);
-        let wait = WAIT_PER_HOST.saturating_mul(hosts).clamp(MIN_WAIT, MAX_WAIT);
-        if !std::mem::replace(&mut self.spread, true) {
-            return wait.mul_f64(point);
-        }
-        wait.mul_f64(0.75 + point / 4.0)
+        let mean = WAIT_PER_HOST.saturating_mul(hosts).max(MIN_WAIT);
+        let max = mean.min(MAX_WAIT);
+        let wait = mean.mul_f64(-(1.0 - point).ln());
+        // The longest waits are spread as well, or those that reach the maximum would end together.
+        wait.min(max.mul_f64(0.75 + point / 4.0))
     }
 }
--- a/crates/gateway/tests/streams.rs
+++ b/crates/gateway/tests/streams.rs
@@ -121,12 +121,11 @@
     let mut ends = Vec::new();
     for host in 0..hosts as u64 {
         for topic in 0..2 {
-            let (mut schedule, mut at, mut random) =
-                (LongPollSchedule::default(), 0.0, host * 2 + topic);
+            let (mut at, mut random) = (0.0, host * 2 + topic);
             while at < 60.0 {
                 random = mix(random + 1);
                 let counted = (at >= COUNTED_AT).then_some(hosts);
-                at += schedule.next(counted, unit_point(random)).as_secs_f64();
+                at += LongPollSchedule.next(counted, unit_point(random)).as_secs_f64();
                 ends.push(at);
             }
         }
@@ -143,10 +142,8 @@
     for seed in 0..20 {
         let mut first_end = f64::INFINITY;
         for call in 0..hosts as u64 * 2 {
-            let mut schedule = LongPollSchedule::default();
-            let point = |salt: u64| unit_point(mix(mix(seed) ^ mix(call * 2 + salt)));
-            schedule.next(Some(hosts), point(0));
-            first_end = first_end.min(schedule.next(Some(hosts), point(1)).as_secs_f64());
+            let point = unit_point(mix(mix(seed) ^ mix(call * 2 + 1)));
+            first_end = first_end.min(LongPollSchedule.next(Some(hosts), point).as_secs_f64());
         }
         assert!(first_end <= 2.0, "for {first_end} s no call of {hosts} hosts ends, seed {seed}");
     }
