Ask the store more often when no other host is heard from

A host whose call to the store was lost relied on other hosts to notice. One that the others could not reach, but that reached the store and its callers, served by an old configuration until its own call timed out, after up to 26 s. A host that hears nothing for 1.5 s, of ten datagrams a second on average, now reconnects and waits at most 1 s a call until it is heard from again.

--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -27,6 +27,9 @@
 /// Number of rounds after which a datagram also goes to a host of any region. Not every round,
 /// since traffic between regions is paid for.
 const ANY_REGION_STRIDE: u64 = 2;
+/// Time without a datagram after which a host counts as isolated from the others. Each host gets ten
+/// a second on average.
+const ISOLATION_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Maximum size of a received datagram, in bytes.
 const MAX_DATAGRAM_BYTES: usize = 1_400;
 
@@ -80,6 +83,7 @@
     calls: Arc<StoreCalls>,
 ) {
     let mut lag = LagDetector::default();
+    let mut heard_at = state.clock.now();
     let mut buffer = [0u8; MAX_DATAGRAM_BYTES];
     let mut send_at =
         tokio::time::Instant::now() + GOSSIP_INTERVAL.mul_f64(state.random.next_unit());
@@ -90,6 +94,7 @@
                 Ok((length, sender)) => {
                     if let Some(region) = receive(&state, &buffer[..length], &mut lag, &calls) {
                         peers.add(sender, region);
+                        heard_at = state.clock.now();
                     }
                 }
                 Err(error) => log::debug!(
@@ -109,6 +114,15 @@
                     );
                     calls.reconnect(now);
                 }
+                let is_isolated = !peers.is_empty() && now.since(heard_at) >= ISOLATION_TIMEOUT;
+                if is_isolated && !calls.is_isolated() {
+                    log::warn!(
+                        target: "dependency",
+                        "no other host is heard from, asking the store more often"
+                    );
+                    calls.reconnect(now);
+                }
+                calls.set_isolated(is_isolated);
                 let to_any = rounds.is_multiple_of(ANY_REGION_STRIDE);
                 send(&state, &socket, &peers, &lag, to_any).await;
             }
--- a/crates/gateway/src/peer_table.rs
+++ b/crates/gateway/src/peer_table.rs
@@ -58,6 +58,12 @@
         }
     }
 
+    /// Whether no other host is known.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.lock().is_empty()
+    }
+
     /// The host of a region at a relative position `point` in 0..1.
     #[must_use]
     pub fn in_region(&self, region: RegionHash, point: f64) -> Option<SocketAddr> {
--- a/crates/gateway/src/store_calls.rs
+++ b/crates/gateway/src/store_calls.rs
@@ -7,6 +7,7 @@
 use oleander_core::store_era::StoreRevision;
 use oleander_core::units::Timestamp;
 use std::collections::BTreeMap;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 use tokio::sync::watch;
@@ -39,12 +40,18 @@
     topics: Mutex<BTreeMap<Topic, TopicCall>>,
     reconnects: watch::Sender<u64>,
     last_reconnect: Mutex<Option<Timestamp>>,
+    is_isolated: AtomicBool,
 }
 
 impl Default for StoreCalls {
     fn default() -> Self {
         let reconnects = watch::Sender::new(0);
-        Self { topics: Mutex::default(), reconnects, last_reconnect: Mutex::default() }
+        Self {
+            topics: Mutex::default(),
+            reconnects,
+            last_reconnect: Mutex::default(),
+            is_isolated: AtomicBool::new(false),
+        }
     }
 }
 
@@ -81,6 +88,18 @@
         }
     }
 
+    /// Sets whether no other host can tell this one of changes.
+    pub fn set_isolated(&self, is_isolated: bool) {
+        self.is_isolated.store(is_isolated, Ordering::Relaxed);
+    }
+
+    /// Whether no other host can tell this one of changes, so that it has to notice by itself when
+    /// its calls are lost.
+    #[must_use]
+    pub fn is_isolated(&self) -> bool {
+        self.is_isolated.load(Ordering::Relaxed)
+    }
+
     /// The requests to reconnect from now on, for one follower.
     #[must_use]
     pub fn reconnect_requests(self: &Arc<Self>) -> ReconnectRequests {
--- a/crates/gateway/src/topic_watch.rs
+++ b/crates/gateway/src/topic_watch.rs
@@ -18,6 +18,9 @@
 const MIN_WAIT: Duration = Duration::from_millis(3_000);
 const MAX_WAIT: Duration = Duration::from_secs(25);
 const WAIT_PER_HOST: Duration = Duration::from_millis(500);
+/// Maximum wait of a host that hears nothing from others: with a lost call and the next one, changes
+/// are known within 3 s.
+const ISOLATED_WAIT: Duration = Duration::from_millis(1_000);
 /// Time between checks whether a rollout is open.
 const OPEN_POLL_INTERVAL: Duration = Duration::from_millis(200);
 /// Time over which hosts spread full reads that all of them have to do, and its maximum, which is
@@ -64,7 +67,8 @@
         // A store that has just not answered may not answer the next call either, which would be
         // noticed only after its wait.
         let wait = if cursor.is_some() && is_confirmed {
-            LongPollSchedule.next(state.pool.counted_hosts(), state.random.next_unit())
+            let wait = LongPollSchedule.next(state.pool.counted_hosts(), state.random.next_unit());
+            if reconnects.calls().is_isolated() { wait.min(ISOLATED_WAIT) } else { wait }
         } else {
             Duration::ZERO
         };
