--- a/crates/gateway/src/gateway_process.rs
+++ b/crates/gateway/src/gateway_process.rs
@@ -4,7 +4,7 @@
 use crate::caller_server::CallerServer;
 use crate::control_cache::ControlSnapshot;
 use crate::control_port::{ControlPort, Topic};
-use crate::gossip::run_gossip;
+use crate::gossip::{GossipNode, run_gossip};
 use crate::host_count::count_hosts;
 use crate::latency_tracker::{LatencyTracker, PrefillTracker};
 use crate::metrics::GatewayMetrics;
@@ -134,7 +134,8 @@
         tasks.spawn(run_expiry(Arc::clone(&state), publisher.clone()));
         tasks.spawn(count_hosts(Arc::clone(&state), Arc::clone(&control), Arc::clone(&peers)));
         if let Some(socket) = gossip {
-            tasks.spawn(run_gossip(Arc::clone(&state), socket, peers, calls));
+            let node = GossipNode::new(Arc::clone(&state), peers, calls);
+            tasks.spawn(run_gossip(Arc::clone(&state), socket, node));
         }
         tasks.spawn(RolloutDriver::new(Arc::clone(&state), control).run());
         tasks.spawn(ready.serve(std::future::pending()));
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -13,6 +13,7 @@
 use crate::state::GatewayState;
 use crate::store_calls::{LagDetector, StoreCalls};
 use oleander_core::store_era::{StoreEra, StoreRevision};
+use oleander_core::units::Timestamp;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -20,7 +21,7 @@
 use tokio::net::UdpSocket;
 
 /// Time between datagrams: half of the half-life of a load report.
-const GOSSIP_INTERVAL: Duration = Duration::from_millis(250);
+pub const GOSSIP_INTERVAL: Duration = Duration::from_millis(250);
 /// Hosts of the own region that receive each datagram. A load reaches thirty hosts after three to
 /// four rounds. With datagrams of at most 1,150 bytes this is 9.2 kB per second.
 const REGION_FAN_OUT: usize = 2;
@@ -75,28 +76,108 @@
     }
 }
 
-/// Sends and receives datagrams for as long as it is polled.
-pub async fn run_gossip(
+/// One host's part in the gossip, without its socket.
+pub struct GossipNode {
     state: Arc<GatewayState>,
-    socket: UdpSocket,
     peers: Arc<PeerTable>,
     calls: Arc<StoreCalls>,
-) {
-    let mut lag = LagDetector::default();
-    let mut heard_at = state.clock.now();
+    lag: LagDetector,
+    heard_at: Timestamp,
+    rounds: u64,
+}
+
+impl GossipNode {
+    /// Creates the node of a host.
+    #[must_use]
+    pub fn new(state: Arc<GatewayState>, peers: Arc<PeerTable>, calls: Arc<StoreCalls>) -> Self {
+        let heard_at = state.clock.now();
+        Self { state, peers, calls, lag: LagDetector::default(), heard_at, rounds: 0 }
+    }
+
+    /// Applies a datagram.
+    pub fn receive(&mut self, bytes: &[u8], sender: SocketAddr) {
+        let message = match GossipMessage::decode(bytes) {
+            Ok(message) => message,
+            Err(error) => {
+                log::debug!(target: "beacon", error:%; "malformed gossip datagram ignored");
+                return;
+            }
+        };
+        let now = self.state.clock.now();
+        let revisions = message.eras.into_iter().zip(message.versions);
+        let known = revisions.map(|(era, version)| StoreRevision::new(era, version));
+        for (topic, (known, heard)) in Topic::ALL.into_iter().zip(known.zip(message.heard)) {
+            self.lag.record_peer_revision(topic, known.max(heard), &self.calls, now);
+        }
+        self.state.pool.merge_load_reports(&message.loads, now);
+        self.state.pool.merge_leaving(&message.leaving, now);
+        self.peers.add(sender, message.region);
+        self.heard_at = now;
+    }
+
+    /// Performs a round, which is due each [`GOSSIP_INTERVAL`]; returns a datagram and the hosts to
+    /// send it to.
+    pub fn next_round(&mut self) -> Option<(Vec<u8>, Vec<SocketAddr>)> {
+        self.rounds += 1;
+        self.check_calls();
+        let message = self.message();
+        let bytes = postcard::to_allocvec(&message).ok()?;
+        let random = &self.state.random;
+        let same_region =
+            (0..REGION_FAN_OUT).map(|_| self.peers.in_region(message.region, random.next_unit()));
+        let include_any_region = self.rounds.is_multiple_of(ANY_REGION_STRIDE);
+        let any = include_any_region.then(|| self.peers.any(random.next_unit()));
+        Some((bytes, same_region.chain(any).flatten().collect()))
+    }
+
+    /// Has the calls to the store begun again that are lost, as far as other hosts tell.
+    fn check_calls(&mut self) {
+        let now = self.state.clock.now();
+        if let Some(heard_for) = self.lag.lagging_for(&self.calls, now) {
+            log::warn!(
+                target: "dependency", cursors:? = self.state.snapshot.load().cursors,
+                heard_ms = heard_for.as_millis() as u64;
+                "another host knows newer versions, reconnecting to the store"
+            );
+            self.calls.reconnect(now);
+        }
+        let is_isolated = !self.peers.is_empty() && now.since(self.heard_at) >= ISOLATION_TIMEOUT;
+        if is_isolated && !self.calls.is_isolated() {
+            log::warn!(
+                target: "dependency",
+                "no other host is heard from, asking the store more often"
+            );
+            self.calls.reconnect(now);
+        }
+        self.calls.set_isolated(is_isolated);
+    }
+
+    fn message(&self) -> GossipMessage {
+        let state = &self.state;
+        let snapshot = state.snapshot.load_full();
+        let revisions =
+            Topic::ALL.map(|topic| snapshot.revisions.get(&topic).copied().unwrap_or_default());
+        let now = state.clock.now();
+        GossipMessage {
+            versions: revisions.map(|revision| revision.version),
+            region: RegionHash::new(&state.settings.load().region),
+            loads: state.pool.load_reports(now),
+            eras: revisions.map(|revision| revision.era),
+            leaving: state.pool.leaving_hashes(now),
+            heard: Topic::ALL.map(|topic| self.lag.heard(topic)),
+        }
+    }
+}
+
+/// Sends and receives datagrams for as long as it is polled.
+pub async fn run_gossip(state: Arc<GatewayState>, socket: UdpSocket, mut node: GossipNode) {
     let mut buffer = [0u8; MAX_DATAGRAM_BYTES];
     let mut send_at =
         tokio::time::Instant::now() + GOSSIP_INTERVAL.mul_f64(state.random.next_unit());
-    let mut rounds = 0u64;
     loop {
         tokio::select! {
             received = socket.recv_from(&mut buffer) => match received {
-                Ok((length, sender)) => {
-                    if let Some(region) = receive(&state, &buffer[..length], &mut lag, &calls) {
-                        peers.add(sender, region);
-                        heard_at = state.clock.now();
-                    }
-                }
+                Ok((length, sender)) => node.receive(&buffer[..length], sender),
                 Err(error) => log::debug!(
                     target: "beacon", error:%;
                     "cannot receive gossip datagram"
@@ -104,85 +185,16 @@
             },
             () = tokio::time::sleep_until(send_at) => {
                 send_at += GOSSIP_INTERVAL;
-                rounds += 1;
-                let now = state.clock.now();
-                if let Some(heard_for) = lag.lagging_for(&calls, now) {
-                    log::warn!(
-                        target: "dependency", cursors:? = state.snapshot.load().cursors,
-                        heard_ms = heard_for.as_millis() as u64;
-                        "another host knows newer versions, reconnecting to the store"
-                    );
-                    calls.reconnect(now);
-                }
-                let is_isolated = !peers.is_empty() && now.since(heard_at) >= ISOLATION_TIMEOUT;
-                if is_isolated && !calls.is_isolated() {
-                    log::warn!(
-                        target: "dependency",
-                        "no other host is heard from, asking the store more often"
-                    );
-                    calls.reconnect(now);
+                let Some((bytes, targets)) = node.next_round() else { continue };
+                for peer in targets {
+                    if let Err(error) = socket.send_to(&bytes, peer).await {
+                        log::debug!(
+                            target: "beacon", error:%, peer:%;
+                            "cannot send gossip datagram"
+                        );
+                    }
                 }
-                calls.set_isolated(is_isolated);
-                let to_any = rounds.is_multiple_of(ANY_REGION_STRIDE);
-                send(&state, &socket, &peers, &lag, to_any).await;
             }
         }
     }
 }
-
-/// Applies a datagram and returns the sender's region.
-fn receive(
-    state: &GatewayState,
-    bytes: &[u8],
-    lag: &mut LagDetector,
-    calls: &StoreCalls,
-) -> Option<RegionHash> {
-    let message: GossipMessage = match GossipMessage::decode(bytes) {
-        Ok(message) => message,
-        Err(error) => {
-            log::debug!(target: "beacon", error:%; "malformed gossip datagram ignored");
-            return None;
-        }
-    };
-    let now = state.clock.now();
-    let revisions = message.eras.into_iter().zip(message.versions);
-    let known = revisions.map(|(era, version)| StoreRevision::new(era, version));
-    for (topic, (known, heard)) in Topic::ALL.into_iter().zip(known.zip(message.heard)) {
-        lag.record_peer_revision(topic, known.max(heard), calls, now);
-    }
-    state.pool.merge_load_reports(&message.loads, now);
-    state.pool.merge_leaving(&message.leaving, now);
-    Some(message.region)
-}
-
-async fn send(
-    state: &GatewayState,
-    socket: &UdpSocket,
-    peers: &PeerTable,
-    lag: &LagDetector,
-    include_any_region: bool,
-) {
-    let snapshot = state.snapshot.load_full();
-    let revisions =
-        Topic::ALL.map(|topic| snapshot.revisions.get(&topic).copied().unwrap_or_default());
-    let now = state.clock.now();
-    let message = GossipMessage {
-        versions: revisions.map(|revision| revision.version),
-        region: RegionHash::new(&state.settings.load().region),
-        loads: state.pool.load_reports(now),
-        eras: revisions.map(|revision| revision.era),
-        leaving: state.pool.leaving_hashes(now),
-        heard: Topic::ALL.map(|topic| lag.heard(topic)),
-    };
-    let region = message.region;
-    let Ok(bytes) = postcard::to_allocvec(&message) else { return };
-    let same_region =
-        (0..REGION_FAN_OUT).map(|_| peers.in_region(region, state.random.next_unit()));
-    let any = include_any_region.then(|| peers.any(state.random.next_unit()));
-    let targets: Vec<SocketAddr> = same_region.chain(any).flatten().collect();
-    for peer in targets {
-        if let Err(error) = socket.send_to(&bytes, peer).await {
-            log::debug!(target: "beacon", error:%, peer:%; "cannot send gossip datagram");
-        }
-    }
-}
