Load the upstreams of a canary one after the other

Callers got answers of a bad version: it fails only on upstreams of which half of the slots are in use, and its canary was spread over all new upstreams, at most 6 running on any of them while the old ones had up to 18. It was completed, which cannot be taken back.

A canary's requests now go to the first upstream, in an order that all hosts share and that changes every 4 s, that can take them.

--- a/crates/gateway/src/control_cache.rs
+++ b/crates/gateway/src/control_cache.rs
@@ -84,17 +84,19 @@
 }
 
 impl ControlSnapshot {
-    /// Versions that a request of a session may use. `last_version` is the version that the session
-    /// used most recently, if known.
+    /// Versions that a request of a session may use at the local time `now`. `last_version` is the
+    /// version that the session used most recently, if known.
     #[must_use]
     pub fn version_rule(
         &self,
         service: &ServiceName,
         session: &str,
         last_version: Option<&str>,
+        now: Timestamp,
     ) -> VersionRule {
         let Some(rollout) = self.rollouts.get(service) else { return VersionRule::Any };
-        version_rule(&rollout.order, rollout.decision.as_ref(), session, last_version)
+        let (decision, now) = (rollout.decision.as_ref(), self.store_time(now));
+        version_rule(&rollout.order, decision, session, last_version, now)
     }
 
     /// Whether a version is ordered for a service and has not come into use.
--- a/crates/gateway/src/request_run.rs
+++ b/crates/gateway/src/request_run.rs
@@ -287,7 +287,7 @@
         let retention = self.state.settings.load().bounds.session_retention();
         let now = self.state.clock.now();
         let last_version = self.state.sessions.version(service, session, retention, now);
-        snapshot.version_rule(service, session, last_version.as_deref())
+        snapshot.version_rule(service, session, last_version.as_deref(), now)
     }
 
     fn expected_prefill(&self, model: Option<&Arc<str>>, tokens: u32) -> Duration {
--- a/crates/gateway/src/rollout_plan.rs
+++ b/crates/gateway/src/rollout_plan.rs
@@ -23,6 +23,9 @@
 /// increases exposure and moves more running sessions when the rollout begins, each of which
 /// changes its version once, whichever host serves it.
 const CANARY_REQUESTS_PER_SECOND: f64 = 6.0;
+/// Time after which a canary's requests go to other upstreams first, so that none decides alone.
+/// Longer than most answers, so that an upstream reaches its full load meanwhile.
+const CANARY_PERIOD: Duration = Duration::from_secs(4);
 const PER_MILLE: f64 = 1_000.0;
 /// Time before the deadline at which a rollout is completed. Covers a conditional write to a store
 /// that is sixty times slower than usual (540 ms), 200 ms until an order is visible, the 500 ms
@@ -163,6 +166,14 @@
     Any,
     /// This version; another one only where it has no upstream.
     Prefer(Arc<str>),
+    /// This version, with its requests on as few upstreams as can take them; another one only where
+    /// it has no upstream. Which ones are used first differs from one `period` to the next.
+    Canary {
+        /// The version.
+        to: Arc<str>,
+        /// Number of periods since the rollout began.
+        period: u64,
+    },
     /// Any version but this one.
     Not(Arc<str>),
 }
@@ -179,14 +190,15 @@
     pub fn prefers(&self, version: &str) -> bool {
         match self {
             Self::Any => true,
-            Self::Prefer(preferred) => **preferred == *version,
+            Self::Prefer(preferred) | Self::Canary { to: preferred, .. } => **preferred == *version,
             Self::Not(excluded) => **excluded != *version,
         }
     }
 }
 
-/// The rule for a request of `session` while `order` is in force. `last_version` is the version
-/// that the session used most recently, if known; a canary does not move such a session.
+/// The rule for a request of `session` at `now` while `order` is in force, on the store's monotonic
+/// clock. `last_version` is the version that the session used most recently, if known; a canary
+/// does not move such a session.
 ///
 /// ```
 /// use oleander_core::ids::ServiceName;
@@ -202,7 +214,8 @@
 ///     duration: Duration::from_secs(24),
 ///     revision: StoreRevision::new(StoreEra::default(), 7),
 /// };
-/// assert_eq!(version_rule(&order, None, "van-1", None), VersionRule::Not("v2".into()));
+/// let now = Timestamp::from_millis(30_000);
+/// assert_eq!(version_rule(&order, None, "van-1", None, now), VersionRule::Not("v2".into()));
 /// let decision = RolloutDecision {
 ///     service,
 ///     to: "v2".into(),
@@ -214,7 +227,7 @@
 ///     withdrawn: Vec::new(),
 /// };
 /// assert_eq!(
-///     version_rule(&order, Some(&decision), "van-1", None),
+///     version_rule(&order, Some(&decision), "van-1", None, now),
 ///     VersionRule::Prefer("v2".into())
 /// );
 /// ```
@@ -224,6 +237,7 @@
     decision: Option<&RolloutDecision>,
     session: &str,
     last_version: Option<&str>,
+    now: Timestamp,
 ) -> VersionRule {
     let to = Arc::clone(&order.to);
     let Some(decision) = decision.filter(|decision| decision.is_on(order)) else {
@@ -234,7 +248,9 @@
         RolloutPhase::Canary => {
             let drawn = session_point(session) < f64::from(decision.canary) / PER_MILLE;
             let is_new = last_version.map_or(drawn, |version| *version == *to);
-            if is_new { VersionRule::Prefer(to) } else { VersionRule::Not(to) }
+            let periods = now.since(decision.began).as_millis() / CANARY_PERIOD.as_millis();
+            let period = u64::try_from(periods).unwrap_or(u64::MAX);
+            if is_new { VersionRule::Canary { to, period } } else { VersionRule::Not(to) }
         }
         RolloutPhase::Moving | RolloutPhase::Done => VersionRule::Prefer(to),
     }
--- a/crates/gateway/src/upstream_pool.rs
+++ b/crates/gateway/src/upstream_pool.rs
@@ -11,6 +11,7 @@
 use oleander_core::ejection::OutlierEjection;
 use oleander_core::ids::{ServiceName, UpstreamName};
 use oleander_core::retry_budget::RetryBudget;
+use oleander_core::stable_hash::hash_parts;
 use oleander_core::units::{Millis, Money, Timestamp, TokenCount};
 use oleander_core::upstream_choice::{UpstreamRule, UpstreamView, choose_upstream};
 use oleander_core::upstream_standing::SendPermission;
@@ -267,10 +268,32 @@
         let usable = self.standings.open_only(usable, input.now);
         let preferred: Vec<&Arc<UpstreamEntry>> =
             usable.iter().copied().filter(|entry| input.rule.prefers(&entry.version)).collect();
-        let chosen = self.choose_among(&preferred, input);
+        let loaded = self.canary_upstream(&preferred, input);
+        let chosen = loaded.and_then(|entry| self.choose_among(&[entry], input));
+        let chosen = chosen.or_else(|| self.choose_among(&preferred, input));
         chosen.or_else(|| self.choose_among(&usable, input))
     }
 
+    /// The upstream that a canary's request goes to: the first one, in an order that all hosts share,
+    /// that can take it. A version may be bad only under load, and a canary that is spread over all
+    /// upstreams loads none of them.
+    fn canary_upstream<'a>(
+        &self,
+        entries: &[&'a Arc<UpstreamEntry>],
+        input: &ChoiceInput<'_>,
+    ) -> Option<&'a Arc<UpstreamEntry>> {
+        let VersionRule::Canary { period, .. } = input.rule else { return None };
+        let (period, reported) = (period.to_string(), self.standings.reported(entries, input.now));
+        let can_take = |index: &usize| {
+            let view = self.view(&self.handle(entries[*index]), input.now);
+            view.is_available() && has_free_slots(&view) && !reported.contains(index)
+        };
+        let rank = |index: &usize| hash_parts(&[&period, entries[*index].name.as_str()]);
+        let mut ranked: Vec<usize> = (0..entries.len()).collect();
+        ranked.sort_by_key(rank);
+        ranked.into_iter().find(can_take).map(|index| entries[index])
+    }
+
     fn record_prefill(&self, input: &ChoiceInput<'_>) {
         let Some(service) = input.entries.first().map(|entry| &entry.service) else { return };
         if let Some(state) = lock(&self.services).get_mut(service) {
--- a/crates/gateway/tests/canary_load.rs
+++ b/crates/gateway/tests/canary_load.rs
@@ -122,7 +122,8 @@
         let entries = &self.snapshot.upstreams[&service];
         for _ in 0..count {
             let number = self.permits.len();
-            let rule = self.snapshot.version_rule(&service, &format!("session-{number}"), None);
+            let rule =
+                self.snapshot.version_rule(&service, &format!("session-{number}"), None, now);
             let prices = prices(&PricedRequest {
                 size: None,
                 shared_tokens: 0,
@@ -176,3 +177,16 @@
     let loads = test.loads();
     assert!(loads.values().all(|load| *load <= SLOTS as usize), "{loads:?}");
 }
+
+/// Guards against a faulty upstream that alone decides on a version.
+#[test]
+fn a_canary_changes_its_upstreams() {
+    let mut first: HashSet<UpstreamName> = HashSet::new();
+    for seconds in [0, 4, 8, 12, 16] {
+        let mut test = CanaryTest::new();
+        test.begin(SLOTS as usize / 2, START + Duration::from_secs(seconds));
+        assert_eq!(test.loads().len(), 1, "{:?}", test.loads());
+        first.extend(test.loads().into_keys());
+    }
+    assert!(first.len() >= 3, "{first:?}");
+}
--- a/crates/gateway/tests/control_cache.rs
+++ b/crates/gateway/tests/control_cache.rs
@@ -191,12 +191,15 @@
         &change(true, 12, vec![decision(12, 10, RolloutPhase::Done)]),
         START,
     );
-    let rule = cache.snapshot().version_rule(&service, "session", None);
+    let rule = cache.snapshot().version_rule(&service, "session", None, START);
     assert_eq!(rule, VersionRule::Prefer("v2".into()));
     assert!(!cache.snapshot().has_open_rollout());
     cache.apply(Topic::Orders, &change(false, 20, vec![order(20, "v3")]), START);
     let snapshot = cache.snapshot();
-    assert_eq!(snapshot.version_rule(&service, "session", None), VersionRule::Not("v3".into()));
+    assert_eq!(
+        snapshot.version_rule(&service, "session", None, START),
+        VersionRule::Not("v3".into())
+    );
     assert!(snapshot.has_open_rollout());
     assert_eq!(snapshot.rollouts[&service].decision_row, revision(12), "the row to overwrite");
 }
@@ -209,15 +212,16 @@
     let rows = vec![decision(12, 10, RolloutPhase::Canary)];
     cache.apply(Topic::Decisions, &change(true, 12, rows), START);
     let snapshot = cache.snapshot();
+    let canary = VersionRule::Canary { to: "v2".into(), period: 0 };
     let mut new = 0;
     for number in 0..1_000 {
         let session = format!("session-{number}");
-        let drawn = snapshot.version_rule(&service, &session, None);
-        new += usize::from(drawn == VersionRule::Prefer("v2".into()));
-        let old = snapshot.version_rule(&service, &session, Some("v1"));
+        let drawn = snapshot.version_rule(&service, &session, None, START);
+        new += usize::from(drawn == canary);
+        let old = snapshot.version_rule(&service, &session, Some("v1"), START);
         assert_eq!(old, VersionRule::Not("v2".into()));
-        let kept = snapshot.version_rule(&service, &session, Some("v2"));
-        assert_eq!(kept, VersionRule::Prefer("v2".into()));
+        let kept = snapshot.version_rule(&service, &session, Some("v2"), START);
+        assert_eq!(kept, canary);
     }
     assert!((50..=110).contains(&new), "{new} of 1000 for a share of 80");
 }
@@ -255,13 +259,13 @@
         decision.to = "v3".into();
     }
     cache.apply(Topic::Decisions, &change(false, 21, vec![next]), START);
-    let rule = cache.snapshot().version_rule(&service, "session", Some("v2"));
+    let rule = cache.snapshot().version_rule(&service, "session", Some("v2"), START);
     assert_eq!(rule, VersionRule::Prefer("v2".into()));
     assert!(cache.snapshot().rollouts[&service].is_superseded);
     cache.apply(Topic::Orders, &change(false, 22, vec![order(20, "v3")]), START);
     let snapshot = cache.snapshot();
     assert_eq!(
-        snapshot.version_rule(&service, "session", Some("v2")),
+        snapshot.version_rule(&service, "session", Some("v2"), START),
         VersionRule::Not("v3".into())
     );
     assert!(!snapshot.rollouts[&service].is_superseded);
--- a/crates/gateway/tests/store_eras.rs
+++ b/crates/gateway/tests/store_eras.rs
@@ -167,7 +167,8 @@
     cache.apply(Topic::Decisions, &change(true, 1, 30, rows), START);
     cache.apply(Topic::Orders, &change(true, 2, 5, vec![]), START);
     let service = "desk".parse().unwrap();
-    let rule = |cache: &ControlCache| cache.snapshot().version_rule(&service, "session", None);
+    let rule =
+        |cache: &ControlCache| cache.snapshot().version_rule(&service, "session", None, START);
     assert_eq!(rule(&cache), VersionRule::Not("v2".into()), "the order is kept meanwhile");
     let again = StoreRevision::new(StoreEra::new(2), 8);
     let orders = vec![row("rollout/desk", 8, order_value("v2", again))];
--- a/crates/gateway/tests/withdrawn_versions.rs
+++ b/crates/gateway/tests/withdrawn_versions.rs
@@ -89,7 +89,7 @@
     fn usable(&self) -> (Vec<String>, Vec<String>) {
         let snapshot = self.0.snapshot();
         let service = "writer".parse().unwrap();
-        let rule = snapshot.version_rule(&service, "session", Some("v1"));
+        let rule = snapshot.version_rule(&service, "session", Some("v1"), START);
         let entries = snapshot.upstreams.get(&service).into_iter().flatten();
         let listed: Vec<String> = entries.map(|entry| entry.version.to_string()).collect();
         let permitted = listed.iter().filter(|version| rule.permits(version)).cloned().collect();
