Plan what a new version gets until the deadline within the allowance

The canary, the move and the time after completion now share nine tenths of the allowance; the move is at least 0.3 s. Completion is due 1.05 s before the deadline instead of 1.4 s, a twelfth of a rollout shorter than 12.6 s. So the canary has to find a bad version: it has up to twelve requests a second instead of six, on as many upstreams as have one and a half times the mean load, and slow streams of a short canary make it suspected.

--- a/crates/gateway/src/rollout_driver.rs
+++ b/crates/gateway/src/rollout_driver.rs
@@ -7,7 +7,7 @@
 use crate::control_cache::RolloutState;
 use crate::control_port::{ControlPort, WriteOutcome};
 use crate::rollout_plan::{
-    ExposureBound, FINISH_MARGIN, MIN_MOVE_TIME, RolloutDecision, RolloutPhase, canary_share,
+    ExposureBound, MIN_MOVE_TIME, RolloutDecision, RolloutPhase, canary_share, finish_margin,
     next_phase,
 };
 use crate::rollout_sums::{HostSums, RolloutJudge};
@@ -102,7 +102,7 @@
                     }
                 }
                 Some(phase) => {
-                    self.spread_calls(service, phase);
+                    self.spread_calls(service, rollout, phase);
                     self.report(service, rollout, phase).await;
                     self.evaluate(service, rollout).await;
                 }
@@ -150,7 +150,8 @@
 
     /// Spreads the writes and evaluations of all hosts evenly when a phase begins. Hosts learn of a
     /// phase at the same time and would otherwise all call at once, followed by a long gap.
-    fn spread_calls(&mut self, service: &ServiceName, phase: RolloutPhase) {
+    fn spread_calls(&mut self, service: &ServiceName, rollout: &RolloutState, phase: RolloutPhase) {
+        let until_end = self.time_until_end(rollout);
         let interval = self.evaluation_interval();
         let at = self.state.clock.now() + interval.mul_f64(self.state.random.next_unit());
         let report_interval = self.report_interval(phase);
@@ -162,9 +163,25 @@
             (schedule.phase, schedule.interval) = (Some(phase), interval);
             schedule.evaluate_at = at;
             schedule.report_at = schedule.report_at.min(report_at);
+            if phase == RolloutPhase::Moving {
+                self.schedule_final_evaluation(service, until_end);
+            }
         }
     }
 
+    /// Time until a rollout is due to complete.
+    fn time_until_end(&self, rollout: &RolloutState) -> Duration {
+        let Some(decision) = &rollout.decision else { return Duration::ZERO };
+        let store_now = self.state.snapshot.load().store_time(self.state.clock.now());
+        let until_end = rollout
+            .order
+            .duration
+            .saturating_sub(finish_margin(rollout.order.duration))
+            .saturating_sub(store_now.since(decision.began));
+        let since_move = store_now.since(decision.moved.unwrap_or(decision.began));
+        until_end.max(MIN_MOVE_TIME.saturating_sub(since_move))
+    }
+
     /// Begins a rollout once the new version has an upstream.
     async fn start(&mut self, service: &ServiceName, rollout: &RolloutState) {
         let snapshot = self.state.snapshot.load_full();
@@ -182,7 +199,8 @@
         if !first {
             self.count_hosts().await;
             let text = "the new version has an upstream";
-            let canary = canary_share(self.state.pool.fleet_rate(service, now));
+            let rate = self.state.pool.fleet_rate(service, now);
+            let canary = canary_share(rate, rollout.order.duration, &self.exposure_bound());
             let decision = RolloutDecision {
                 service: rollout.order.service.clone(),
                 to: Arc::clone(&rollout.order.to),
@@ -284,13 +302,10 @@
         let has_moved = decision.phase == RolloutPhase::Moving;
         let since_move = has_moved.then(|| store_now.since(moved));
         let evidence = judge.evidence(&sums, elapsed, since_move);
-        let bounds = self.state.settings.load().bounds;
-        let bound = ExposureBound { share: bounds.exposure_share, slack: bounds.exposure_slack };
+        let bound = self.exposure_bound();
         let next = next_phase(decision.phase, rollout.order.duration, &evidence, &bound);
-        let until_end =
-            rollout.order.duration.saturating_sub(FINISH_MARGIN).saturating_sub(elapsed);
-        if let Some(since_move) = since_move {
-            let until_end = until_end.max(MIN_MOVE_TIME.saturating_sub(since_move));
+        if has_moved {
+            let until_end = self.time_until_end(rollout);
             self.schedule_final_evaluation(service, until_end);
         }
         // Counts that are missing would let all work move too early.
@@ -341,6 +356,11 @@
         self.schedules.entry(service.clone()).or_default()
     }
 
+    fn exposure_bound(&self) -> ExposureBound {
+        let bounds = self.state.settings.load().bounds;
+        ExposureBound { share: bounds.exposure_share, slack: bounds.exposure_slack }
+    }
+
     fn host_count(&self) -> u32 {
         u32::try_from(self.state.pool.hosts()).unwrap_or(u32::MAX)
     }
--- a/crates/gateway/src/rollout_plan.rs
+++ b/crates/gateway/src/rollout_plan.rs
@@ -14,34 +14,51 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-/// Maximum initial share of sessions for the new version: half of the lowest exposure that
-/// deployments allow a bad version (0.12 to 0.15), since it also gets all requests at the end.
-const CANARY_SHARE: f64 = 0.06;
+/// Maximum initial share of sessions for the new version.
+const MAX_CANARY_SHARE: f64 = 0.06;
 /// Minimum initial share.
 const MIN_CANARY_SHARE: f64 = 0.005;
 /// Canary request rate that is enough to judge a version within seconds. A higher rate only
 /// increases exposure and moves more running sessions when the rollout begins, each of which
 /// changes its version once, whichever host serves it.
-const CANARY_REQUESTS_PER_SECOND: f64 = 6.0;
+const CANARY_REQUESTS_PER_SECOND: f64 = 12.0;
+/// Load of the upstreams that a canary uses, relative to the mean load in normal work: that of a busy
+/// one.
+const CANARY_LOAD: f64 = 1.5;
 /// Time after which a canary's requests go to other upstreams first, so that none decides alone.
 /// Longer than most answers, so that an upstream reaches its full load meanwhile.
-const CANARY_PERIOD: Duration = Duration::from_secs(4);
+const CANARY_PERIOD: Duration = Duration::from_secs(8);
 const PER_MILLE: f64 = 1_000.0;
 /// Time before the deadline at which a rollout is completed. Covers a conditional write to a store
-/// that is sixty times slower than usual (540 ms), 200 ms until an order is visible, the 500 ms
-/// over which hosts spread their evaluations, and a reserve.
-pub const FINISH_MARGIN: Duration = Duration::from_millis(1_400);
+/// that is sixty times slower than usual (540 ms), 200 ms until it is due and a reserve.
+pub const FINISH_MARGIN: Duration = Duration::from_millis(1_050);
+/// Share of a rollout's duration that the margin takes at most, so that a short one has time left
+/// for its canary.
+const MAX_FINISH_SHARE: f64 = 1.0 / 12.0;
 /// Share of the exposure allowance that is planned for; the rest covers hosts that learn of a
 /// decision late.
-const PLANNED_ALLOWANCE_SHARE: f64 = 0.75;
-/// Minimum time between moving all work and completion. A version may be bad only under load, on
-/// one route or since a moment ago, and completion cannot be reverted: the answers of this time
-/// have to be given, counted by the hosts and evaluated. Short answers on old upstreams finish.
-pub const MIN_MOVE_TIME: Duration = Duration::from_millis(2_500);
+const PLANNED_ALLOWANCE_SHARE: f64 = 0.9;
+/// Minimum time between moving all work and completion, in which all hosts learn of the move and
+/// short answers on old upstreams finish.
+pub const MIN_MOVE_TIME: Duration = Duration::from_millis(300);
 /// Maximum time between them; once the answers on old upstreams have finished, more time gains
 /// nothing.
 const MAX_MOVE_TIME: Duration = Duration::from_secs(6);
 
+/// Time before its deadline at which a rollout of `duration` is completed.
+///
+/// ```
+/// use oleander_gateway::rollout_plan::{FINISH_MARGIN, finish_margin};
+/// use std::time::Duration;
+///
+/// assert_eq!(finish_margin(Duration::from_secs(24)), FINISH_MARGIN);
+/// assert_eq!(finish_margin(Duration::from_secs(6)), Duration::from_millis(500));
+/// ```
+#[must_use]
+pub fn finish_margin(duration: Duration) -> Duration {
+    FINISH_MARGIN.min(duration.mul_f64(MAX_FINISH_SHARE))
+}
+
 /// An operator's order to move a service to a version.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct RolloutOrder {
@@ -145,18 +162,45 @@
     }
 }
 
-/// Initial share of sessions for the new version, in thousandths, at a given request rate.
+/// Initial share of sessions for the new version, in thousandths, of a rollout of `duration` at a
+/// given request rate: what the exposure allowance leaves beside the shortest move of all work and
+/// the time from completion to the deadline.
 ///
 /// ```
-/// use oleander_gateway::rollout_plan::canary_share;
+/// use oleander_gateway::rollout_plan::{ExposureBound, canary_share};
+/// use std::time::Duration;
 ///
-/// assert_eq!(canary_share(45.0), 60);
-/// assert_eq!(canary_share(400.0), 15);
+/// let bound = ExposureBound { share: 0.15, slack: 30.0 };
+/// assert_eq!(canary_share(45.0, Duration::from_secs(24), &bound), 60);
+/// assert_eq!(canary_share(400.0, Duration::from_secs(24), &bound), 30);
+/// assert_eq!(canary_share(800.0, Duration::from_secs(12), &bound), 15);
 /// ```
 #[must_use]
-pub fn canary_share(requests_per_second: f64) -> u16 {
-    let share = CANARY_REQUESTS_PER_SECOND / requests_per_second.max(1.0);
-    (share.clamp(MIN_CANARY_SHARE, CANARY_SHARE) * PER_MILLE) as u16
+pub fn canary_share(requests_per_second: f64, duration: Duration, bound: &ExposureBound) -> u16 {
+    let rate = requests_per_second.max(1.0);
+    let all_work = (finish_margin(duration) + MIN_MOVE_TIME).as_secs_f64();
+    let canary_time = (duration.as_secs_f64() - all_work).max(1.0);
+    let allowed = bound.planned_allowance(rate * duration.as_secs_f64()) - rate * all_work;
+    let share = (CANARY_REQUESTS_PER_SECOND / rate).min(allowed / (rate * canary_time));
+    (share.clamp(MIN_CANARY_SHARE, MAX_CANARY_SHARE) * PER_MILLE) as u16
+}
+
+/// Number of upstreams, of `upstreams` that a version has, which a canary of a `share` of sessions in
+/// thousandths uses at a time, so that they have the load of busy ones in normal work. Spread over all of them, it
+/// would load none, and a version may be bad only under load.
+///
+/// ```
+/// use oleander_gateway::rollout_plan::canary_upstreams;
+///
+/// assert_eq!(canary_upstreams(60, 9), 1);
+/// assert_eq!(canary_upstreams(31, 60), 1);
+/// assert_eq!(canary_upstreams(31, 90), 2);
+/// assert_eq!(canary_upstreams(31, 0), 0);
+/// ```
+#[must_use]
+pub fn canary_upstreams(share: u16, upstreams: usize) -> usize {
+    let used = (f64::from(share) / PER_MILLE * upstreams as f64 / CANARY_LOAD).round();
+    (used as usize).clamp(1, upstreams.max(1)).min(upstreams)
 }
 
 /// Restricts the upstreams of a request by their version.
@@ -166,12 +210,14 @@
     Any,
     /// This version; another one only where it has no upstream.
     Prefer(Arc<str>),
-    /// This version, with its requests on as few upstreams as can take them; another one only where
-    /// it has no upstream. Which ones are used first differs from one `period` to the next.
+    /// This version, on as many of its upstreams as have the load of normal work; another one only
+    /// where it has no upstream.
     Canary {
         /// The version.
         to: Arc<str>,
-        /// Number of periods since the rollout began.
+        /// Share of sessions that the version gets, in thousandths.
+        share: u16,
+        /// Number of periods since the rollout began; each has other upstreams.
         period: u64,
     },
     /// Any version but this one.
@@ -250,7 +296,8 @@
             let is_new = last_version.map_or(drawn, |version| *version == *to);
             let periods = now.since(decision.began).as_millis() / CANARY_PERIOD.as_millis();
             let period = u64::try_from(periods).unwrap_or(u64::MAX);
-            if is_new { VersionRule::Canary { to, period } } else { VersionRule::Not(to) }
+            let share = decision.canary;
+            if is_new { VersionRule::Canary { to, share, period } } else { VersionRule::Not(to) }
         }
         RolloutPhase::Moving | RolloutPhase::Done => VersionRule::Prefer(to),
     }
@@ -265,6 +312,14 @@
     pub slack: f64,
 }
 
+impl ExposureBound {
+    /// Requests that a new version is planned to get at most, of `requests` to its service between
+    /// the order and its deadline.
+    fn planned_allowance(&self, requests: f64) -> f64 {
+        (self.share * requests + self.slack) * PLANNED_ALLOWANCE_SHARE
+    }
+}
+
 /// Evidence that the next phase is decided on.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct StepEvidence {
@@ -299,7 +354,7 @@
     if evidence.alarmed {
         return Some((RolloutPhase::Reverted, "the new version answers worse than the old one"));
     }
-    let left = duration.saturating_sub(FINISH_MARGIN).saturating_sub(evidence.elapsed);
+    let left = duration.saturating_sub(finish_margin(duration)).saturating_sub(evidence.elapsed);
     let is_over = left.is_zero();
     let was_moved = evidence.since_move.is_some_and(|since| since >= MIN_MOVE_TIME);
     match phase {
@@ -313,7 +368,7 @@
         }
         _ if !is_over || !was_moved => None,
         // Completion cannot be reverted, since the old upstreams are gone by then.
-        _ if evidence.doubtful => Some((
+        _ if evidence.doubtful || evidence.suspected => Some((
             RolloutPhase::Reverted,
             "too few or too bad answers on some route to complete the rollout",
         )),
@@ -326,10 +381,9 @@
 fn move_time(duration: Duration, evidence: &StepEvidence, bound: &ExposureBound) -> Duration {
     let elapsed = evidence.elapsed.as_secs_f64().max(1.0);
     let rate = evidence.requests as f64 / elapsed;
-    let expected = rate * duration.as_secs_f64();
-    let allowance = (bound.share * expected + bound.slack) * PLANNED_ALLOWANCE_SHARE;
+    let allowance = bound.planned_allowance(rate * duration.as_secs_f64());
     // A version that is completed gets all requests until the deadline.
-    let after_completion = rate * FINISH_MARGIN.as_secs_f64();
+    let after_completion = rate * finish_margin(duration).as_secs_f64();
     let left = (allowance - after_completion - evidence.exposed as f64).max(0.0);
     let seconds = if rate > 0.0 { left / rate } else { f64::INFINITY };
     let covered = Duration::try_from_secs_f64(seconds).unwrap_or(MAX_MOVE_TIME);
--- a/crates/gateway/src/rollout_sums.rs
+++ b/crates/gateway/src/rollout_sums.rs
@@ -44,6 +44,9 @@
 /// bring the ratio below this value, two do not; this holds for failure rates of the old version up
 /// to about 5 %, above which two are enough.
 const DOUBTFUL_LIKELIHOOD_RATIO: f64 = 0.4;
+/// The same for the pace of streams, which varies more: three slow streams of five are above it, two
+/// are not.
+const SUSPECT_PACE_RATIO: f64 = 8.0;
 /// Requests to any version on a route below which the route is neither doubtful nor suspected,
 /// whether answers are bad or missing: a version that is bad there can hardly produce fifty bad
 /// answers in a rollout. The alarm tests have no such minimum.
@@ -324,7 +327,8 @@
             exposed: sums.values().map(|route| route.exposed).sum(),
             alarmed: self.alarmed,
             doubtful: sums.values().any(is_doubtful),
-            suspected: sums.values().any(|route| route.new.bad > 0 && is_doubtful(route)),
+            suspected: sums.values().any(|route| route.new.bad > 0 && is_doubtful(route))
+                || sums.iter().any(|(key, counts)| is_pace_suspected(key, counts)),
         }
     }
 }
@@ -332,6 +336,17 @@
 /// Whether the bad or missing answers of the new version on a route leave it too likely that it is
 /// bad there; never with fewer than `MIN_ROUTE_REQUESTS` requests.
 fn is_doubtful(sums: &RouteSums) -> bool {
+    sums.requests >= MIN_ROUTE_REQUESTS && log_bad_ratio(sums) >= DOUBTFUL_LIKELIHOOD_RATIO.ln()
+}
+
+/// Whether the streams counted under `key` make it likely that the new version is slow, without
+/// being enough for an alarm, as in a short canary.
+fn is_pace_suspected(key: &str, sums: &RouteSums) -> bool {
+    key.ends_with(PACE_SUFFIX) && log_bad_ratio(sums) >= SUSPECT_PACE_RATIO.ln()
+}
+
+/// Logarithm of the likelihood ratio of a bad to a good version on a route.
+fn log_bad_ratio(sums: &RouteSums) -> f64 {
     let old = (sums.old.bad as f64 + PRIOR_ANSWERS * (1.0 - PRIOR_SUCCESS_RATE))
         / (sums.old.answers as f64 + PRIOR_ANSWERS);
     let failures_if_good =
@@ -339,9 +354,8 @@
     let failures_if_bad = (failures_if_good + BAD_VERSION_ADDED_FAILURE_RATE)
         .min(1.0 - MIN_GOOD_VERSION_FAILURE_RATE);
     let good = sums.new.answers.saturating_sub(sums.new.bad) as f64;
-    let log_ratio = sums.new.bad as f64 * (failures_if_bad / failures_if_good).ln()
-        + good * ((1.0 - failures_if_bad) / (1.0 - failures_if_good)).ln();
-    sums.requests >= MIN_ROUTE_REQUESTS && log_ratio >= DOUBTFUL_LIKELIHOOD_RATIO.ln()
+    sums.new.bad as f64 * (failures_if_bad / failures_if_good).ln()
+        + good * ((1.0 - failures_if_bad) / (1.0 - failures_if_good)).ln()
 }
 
 /// Answers of the old version (the sum of all other versions), by route and over all routes.
--- a/crates/gateway/src/upstream_pool.rs
+++ b/crates/gateway/src/upstream_pool.rs
@@ -3,11 +3,12 @@
 use crate::fault::AttemptFault;
 use crate::load_report::{LoadReport, MAX_LOAD_REPORTS, UpstreamHash};
 use crate::placement::{ChoiceInput, attempt_work, cache_holder, has_free_slots};
-use crate::rollout_plan::VersionRule;
+use crate::rollout_plan::{VersionRule, canary_upstreams};
 use crate::settings::{GatewayBounds, SharedSettings};
 use crate::upstream_entry::UpstreamEntry;
 use crate::upstream_handle::{UpstreamHandle, UpstreamPermit};
 use crate::upstream_standings::SharedStandings;
+use crate::wire_format::TokenSize;
 use oleander_core::ejection::OutlierEjection;
 use oleander_core::ids::{ServiceName, UpstreamName};
 use oleander_core::retry_budget::RetryBudget;
@@ -268,30 +269,35 @@
         let usable = self.standings.open_only(usable, input.now);
         let preferred: Vec<&Arc<UpstreamEntry>> =
             usable.iter().copied().filter(|entry| input.rule.prefers(&entry.version)).collect();
-        let loaded = self.canary_upstream(&preferred, input);
-        let chosen = loaded.and_then(|entry| self.choose_among(&[entry], input));
+        let loaded = self.canary_upstreams(&preferred, input);
+        let chosen = self.choose_among(&loaded, input);
         let chosen = chosen.or_else(|| self.choose_among(&preferred, input));
         chosen.or_else(|| self.choose_among(&usable, input))
     }
 
-    /// The upstream that a canary's request goes to: the first one, in an order that all hosts share,
-    /// that can take it. A version may be bad only under load, and a canary that is spread over all
-    /// upstreams loads none of them.
-    fn canary_upstream<'a>(
+    /// The upstreams that a canary's request goes to: the first ones, in an order that all hosts
+    /// share, that can take it. None if the request is not of a canary.
+    fn canary_upstreams<'a>(
         &self,
         entries: &[&'a Arc<UpstreamEntry>],
         input: &ChoiceInput<'_>,
-    ) -> Option<&'a Arc<UpstreamEntry>> {
-        let VersionRule::Canary { period, .. } = input.rule else { return None };
+    ) -> Vec<&'a Arc<UpstreamEntry>> {
+        let VersionRule::Canary { share, period, .. } = input.rule else { return Vec::new() };
         let (period, reported) = (period.to_string(), self.standings.reported(entries, input.now));
+        // An answer that is generated takes much longer than the way to another region.
+        let is_plain = input.size == TokenSize::default();
         let can_take = |index: &usize| {
             let view = self.view(&self.handle(entries[*index]), input.now);
             view.is_available() && has_free_slots(&view) && !reported.contains(index)
         };
-        let rank = |index: &usize| hash_parts(&[&period, entries[*index].name.as_str()]);
+        let rank = |index: &usize| {
+            let entry = entries[*index];
+            (is_plain && !self.is_local(entry), hash_parts(&[&period, entry.name.as_str()]))
+        };
         let mut ranked: Vec<usize> = (0..entries.len()).collect();
         ranked.sort_by_key(rank);
-        ranked.into_iter().find(can_take).map(|index| entries[index])
+        let count = canary_upstreams(*share, entries.len());
+        ranked.into_iter().filter(can_take).take(count).map(|index| entries[index]).collect()
     }
 
     fn record_prefill(&self, input: &ChoiceInput<'_>) {
@@ -403,15 +409,21 @@
                 view.limit = 1;
             }
         }
-        if !self.is_local(handle) {
+        if !self.is_local(&handle.entry) {
             view.delay = REGION_DELAY;
         }
         view
     }
 
-    fn is_local(&self, handle: &UpstreamHandle) -> bool {
+    fn is_local(&self, entry: &UpstreamEntry) -> bool {
         let settings = self.settings.load();
-        settings.region_of(&handle.entry.domain) == Some(&settings.region)
+        settings.region_of(&entry.domain) == Some(&settings.region)
+    }
+
+    /// Time that the network adds to an answer of an upstream, on a new connection.
+    #[must_use]
+    pub fn network_time(&self, entry: &UpstreamEntry) -> Duration {
+        if self.is_local(entry) { Duration::ZERO } else { REGION_DELAY.as_duration() * 2 }
     }
 
     fn handle(&self, entry: &Arc<UpstreamEntry>) -> Arc<UpstreamHandle> {
