Tell a busy upstream of a canary from a slow version

Sound versions were taken back since their canary's upstreams are loaded: hosts of other regions counted the way there as the version's time, and long prompts that no upstream has cached yet took more than four times the usual.

--- a/crates/gateway/src/request_run.rs
+++ b/crates/gateway/src/request_run.rs
@@ -211,7 +211,10 @@
         self.state.metrics.record_fault(fault.kind);
         if fault.may_have_run() {
             self.count_fault(entry);
-            self.avoid_new_version(entry);
+            // A silent upstream may only be busy, and the session has begun on its version.
+            if fault.kind != FaultKind::Silent {
+                self.avoid_new_version(entry);
+            }
         }
         if self.state.pool.record_fault(entry, fault, now) {
             self.state.metrics.record_ejection();
@@ -489,7 +492,7 @@
         entry: &UpstreamEntry,
         model: Option<&Arc<str>>,
         answer: &UpstreamAnswer,
-        head_time: Duration,
+        latency: Duration,
     ) -> AnswerStart {
         AnswerStart {
             service: self.request.service.clone(),
@@ -497,7 +500,7 @@
             model: model.cloned(),
             version: Arc::clone(&entry.version),
             running: answer.head.load.map_or(0, |load| load.running),
-            head_time,
+            head_time: latency.saturating_sub(self.state.pool.network_time(entry)),
         }
     }
 
--- a/crates/gateway/src/rollout_answer.rs
+++ b/crates/gateway/src/rollout_answer.rs
@@ -12,8 +12,8 @@
 /// Gaps between events after which the pace of a stream is known.
 const PACE_GAPS: u32 = 6;
 /// Multiple of the expected time to response headers above which an answer counts as slow. Prompts
-/// differ in length, and in how much of them an upstream has read before.
-const SLOW_HEAD_FACTOR: u32 = 4;
+/// differ in length, and a canary's upstream has read none of them before.
+const SLOW_HEAD_FACTOR: u32 = 6;
 /// Multiple of the expected gap between events above which an answer counts as slow. The pace of an
 /// engine varies less: one answer in ten of a good version is above it.
 const SLOW_GAP_FACTOR: u32 = 2;
@@ -31,7 +31,7 @@
     pub version: Arc<str>,
     /// Requests that the upstream reported as running.
     pub running: u32,
-    /// Time from the request to the response headers.
+    /// Time from the request to the response headers, without that of the network.
     pub head_time: Duration,
 }
 
