Block requests with a part in their prompts that crashes upstreams

core::part_quarantine decides, without a clock or a network: a part is implicated in the end of an upstream when a request with it was in flight there and had not been answered for a second; an answer clears its parts of all earlier crashes, so that the caller's part and the first one, which sound requests share, are cleared; crashes of one moment count once; four at different times block a part, while other requests are answered, the one that explains most first and one never answered before the others. Hosts tell each other crashes and answers in their datagrams; a host that hears none goes by its own. Crashes are forgotten after 300 s, on one host first, then the part is tried again; one that was answered before, after 20 s. Memory is bounded. Every attempt is checked, also retries and resumed streams. A request that has not run is refused at once with 503 and the time until the part is tried.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -30,6 +30,7 @@
 pub mod leaving;
 pub mod ledger;
 pub mod membership;
+pub mod part_quarantine;
 pub mod pending_loads;
 pub mod placement;
 pub mod pool_rotation;
--- a/crates/gateway/src/admitted.rs
+++ b/crates/gateway/src/admitted.rs
@@ -2,6 +2,7 @@
 
 use crate::attempt::{OutgoingRequest, remove_hop_headers};
 use crate::control_cache::ControlSnapshot;
+use crate::part_guard::shared_parts;
 use crate::refusal::Refusal;
 use crate::request_record::RequestRecord;
 use crate::routes::{AccountSpec, Route, RouteTable};
@@ -15,6 +16,7 @@
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
 use oleander_core::ids::ServiceName;
+use oleander_core::part_quarantine::PartHash;
 use oleander_core::stable_hash::{hash_parts, unit_point};
 use oleander_core::units::Timestamp;
 use std::sync::Arc;
@@ -55,6 +57,8 @@
     pub session: Arc<str>,
     /// Prompt prefix shared with other requests.
     pub shared_prefix: Option<SharedPrefix>,
+    /// Parts of its prompt that other requests may share.
+    pub parts: Vec<PartHash>,
     /// When it arrived.
     pub started: Timestamp,
     /// Its deadline.
@@ -194,6 +198,10 @@
     record.set_route(&route.name, account.as_ref().map(|account| &account.name), table.version());
     let timeout = head.timeout.unwrap_or(DEFAULT_TIMEOUT).min(route.timeout);
     let deadline = started + timeout;
+    let prompt_parts = shared_parts(&head);
+    if let Some(wait) = state.parts.blocked_for(&prompt_parts, started) {
+        return Err(blocked_refusal(wait));
+    }
     let limit = table.limits().max_body_bytes;
     let (body, reservation) = read_request(state, body, limit, deadline).await?;
     let session = session_of(&head);
@@ -214,12 +222,19 @@
         snapshot,
         session,
         shared_prefix,
+        parts: prompt_parts,
         started,
         deadline,
         _reservation: reservation,
     })
 }
 
+/// Refusal of a request with a part in its prompt that crashes upstreams.
+pub(crate) const fn blocked_refusal(wait: Duration) -> Refusal {
+    let reason = "upstreams crash on a part of the prompt";
+    Refusal::new(StatusCode::SERVICE_UNAVAILABLE, reason).with_retry_after(wait)
+}
+
 const fn stopping_refusal() -> Refusal {
     Refusal::new(StatusCode::SERVICE_UNAVAILABLE, "this host is stopping")
         .with_retry_after(STOPPING_RETRY_AFTER)
--- a/crates/gateway/src/gateway_process.rs
+++ b/crates/gateway/src/gateway_process.rs
@@ -8,6 +8,7 @@
 use crate::host_count::count_hosts;
 use crate::latency_tracker::{LatencyTracker, PrefillTracker};
 use crate::metrics::GatewayMetrics;
+use crate::part_guard::PartGuard;
 use crate::peer_table::PeerTable;
 use crate::rollout_counters::RolloutCounters;
 use crate::rollout_driver::RolloutDriver;
@@ -194,6 +195,7 @@
         prefills: PrefillTracker::new(),
         sessions: SessionVersions::new(),
         rollout_counters: RolloutCounters::new(host, incarnation),
+        parts: Arc::new(PartGuard::new(seed)),
         random: SeededRandom::new(seed),
         metrics: GatewayMetrics::new(registry),
         stop: StopState::default(),
@@ -208,6 +210,7 @@
         if publisher.tell(ExpiryDue).await.is_err() {
             return;
         }
+        state.parts.expire(state.clock.now());
         state.sessions.evict(state.settings.load().bounds.session_retention(), state.clock.now());
     }
 }
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -8,10 +8,11 @@
 //! some latency at most.
 
 use crate::control_port::Topic;
-use crate::load_report::{LoadReport, UpstreamHash};
+use crate::load_report::{LoadReport, MAX_LOAD_REPORTS, UpstreamHash};
 use crate::peer_table::{PeerTable, RegionHash};
 use crate::state::GatewayState;
 use crate::store_calls::{LagDetector, StoreCalls};
+use oleander_core::part_quarantine::PartReport;
 use oleander_core::store_era::{StoreEra, StoreRevision};
 use oleander_core::units::Timestamp;
 use serde::{Deserialize, Serialize};
@@ -50,6 +51,8 @@
     /// Latest revisions that the sender has heard of and lacks. Passed on at once, since a host
     /// that has lost its call to the store would hold a change back until it has reconnected.
     pub heard: [StoreRevision; Topic::ALL.len()],
+    /// Parts of prompts that crash upstreams, as the sender knows.
+    pub parts: PartReport,
 }
 
 /// The part of a datagram that earlier releases of this program send and read.
@@ -63,14 +66,18 @@
     /// When the bytes are no datagram of any release.
     pub fn decode(bytes: &[u8]) -> Result<Self, postcard::Error> {
         let ((versions, region, loads), rest) = postcard::take_from_bytes::<EarlierMessage>(bytes)?;
-        let (mut message, rest) = if rest.is_empty() {
+        let (mut message, remaining) = if rest.is_empty() {
             (Self { versions, region, loads, ..Self::default() }, rest)
         } else {
             let ((eras, leaving), rest) = postcard::take_from_bytes(rest)?;
             (Self { versions, region, loads, eras, leaving, ..Self::default() }, rest)
         };
-        if !rest.is_empty() {
-            message.heard = postcard::from_bytes(rest)?;
+        if !remaining.is_empty() {
+            let rest;
+            (message.heard, rest) = postcard::take_from_bytes(remaining)?;
+            if !rest.is_empty() {
+                message.parts = postcard::from_bytes(rest)?;
+            }
         }
         Ok(message)
     }
@@ -111,6 +118,7 @@
         }
         self.state.pool.merge_load_reports(&message.loads, now);
         self.state.pool.merge_leaving(&message.leaving, now);
+        self.state.parts.merge(&message.parts, now);
         self.peers.add(sender, message.region);
         self.heard_at = now;
     }
@@ -158,13 +166,18 @@
         let revisions =
             Topic::ALL.map(|topic| snapshot.revisions.get(&topic).copied().unwrap_or_default());
         let now = state.clock.now();
+        let parts = state.parts.report(now);
+        let mut loads = state.pool.load_reports(now);
+        // A reported crash takes up to fourteen bytes, a load nine.
+        loads.truncate(MAX_LOAD_REPORTS.saturating_sub(parts.len() * 2));
         GossipMessage {
             versions: revisions.map(|revision| revision.version),
             region: RegionHash::new(&state.settings.load().region),
-            loads: state.pool.load_reports(now),
+            loads,
             eras: revisions.map(|revision| revision.era),
             leaving: state.pool.leaving_hashes(now),
             heard: Topic::ALL.map(|topic| self.lag.heard(topic)),
+            parts,
         }
     }
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod latency_tracker;
 pub mod load_report;
 pub mod metrics;
+pub mod part_guard;
 pub mod peer_table;
 pub mod placement;
 pub mod refusal;
--- a/crates/gateway/src/request_run.rs
+++ b/crates/gateway/src/request_run.rs
@@ -1,6 +1,6 @@
 //! The attempts of one request: picks the next upstream and model, and decides when to stop.
 
-use crate::admitted::AdmittedRequest;
+use crate::admitted::{AdmittedRequest, blocked_refusal};
 use crate::attempt::{UpstreamAnswer, send_attempt};
 use crate::cascade::{CascadeModel, CascadeRequest, CascadeStep, plan_steps};
 use crate::choice_price::{ChoicePrices, PLAIN_ANSWER_VALUE, PricedRequest, answer_value, prices};
@@ -21,6 +21,8 @@
 use http::{HeaderValue, StatusCode};
 use oleander_core::attempt_retry::FaultKind;
 use oleander_core::ids::UpstreamName;
+use oleander_core::part_quarantine::SERVED_TIME;
+use oleander_core::units::Timestamp;
 use std::collections::HashSet;
 use std::sync::Arc;
 use std::time::Duration;
@@ -54,6 +56,8 @@
     NoUpstream,
     /// The last attempt failed and no retry is allowed.
     Failed(AttemptFault),
+    /// Upstreams crash on a part of the prompt.
+    Blocked(Duration),
 }
 
 /// The attempts of one request.
@@ -78,6 +82,10 @@
     /// Whether the answer of a silent upstream is kept, so that attempts do not go back there.
     keeps_silent: bool,
     may_have_run: bool,
+    /// When the response headers of the latest answer arrived.
+    head_at: Option<Timestamp>,
+    /// Whether the latest answer has shown that the parts of the prompt are sound.
+    is_part_answered: bool,
     /// Version under rollout that failed this request.
     failed_version: Option<Arc<str>>,
     /// The latest answer, which counts in a rollout.
@@ -101,6 +109,8 @@
             last_refused: None,
             keeps_silent: false,
             may_have_run: false,
+            head_at: None,
+            is_part_answered: false,
             failed_version: None,
             answer: None,
         }
@@ -134,6 +144,10 @@
             if self.time_left() < MIN_TIME_LEFT {
                 return Err(RunError::TimedOut);
             }
+            let now = self.state.clock.now();
+            if let Some(wait) = self.state.parts.blocked_for(&self.request.parts, now) {
+                return Err(RunError::Blocked(wait));
+            }
             let Some(permit) = self.choose(last_fault.as_ref()) else {
                 return Err(last_fault.map_or(RunError::NoUpstream, RunError::Failed));
             };
@@ -223,6 +237,24 @@
         }
     }
 
+    /// Records a fault that may be an upstream's crash on a part of the prompt.
+    pub fn record_part_fault(&self, entry: &UpstreamEntry, fault: &AttemptFault) {
+        let (parts, clock) = (&self.request.parts, &self.state.clock);
+        match fault.kind {
+            FaultKind::Connect => self.state.parts.record_end(entry, clock.now()),
+            FaultKind::Lost | FaultKind::Cut if !self.is_part_answered => {
+                self.state.parts.record_loss(entry, parts, clock);
+            }
+            _ => {}
+        }
+    }
+
+    fn record_part_answer(&mut self) {
+        if !std::mem::replace(&mut self.is_part_answered, true) {
+            self.state.parts.record_answer(&self.request.parts, self.state.clock.now());
+        }
+    }
+
     /// Excludes a version that is being rolled out from further attempts of a request that it
     /// failed.
     fn avoid_new_version(&mut self, entry: &UpstreamEntry) {
@@ -339,6 +371,8 @@
         match &result {
             Ok(answer) => self.record_head(&entry, model.as_ref(), answer, latency),
             Err(fault) => {
+                self.head_at = None;
+                self.record_part_fault(&entry, fault);
                 self.runs += u32::from(fault.may_have_run());
                 if fault.kind == FaultKind::NotRun {
                     self.last_refused = Some(entry.name.clone());
@@ -434,6 +468,10 @@
     ) {
         self.runs += 1;
         self.may_have_run = true;
+        (self.head_at, self.is_part_answered) = (Some(self.state.clock.now()), false);
+        if answer.status.is_success() && !self.request.route.retry_policy.is_stream() {
+            self.record_part_answer();
+        }
         self.record_session(&entry.version);
         self.state.metrics.record_head(latency);
         let key = self.latency_key(model);
@@ -466,6 +504,7 @@
 
     /// Records that a stream ended on a version; the session's idle gap counts from now.
     pub fn record_stream_end(&mut self, entry: &UpstreamEntry) {
+        self.record_part_answer();
         self.record_session(&entry.version);
     }
 
@@ -507,6 +546,9 @@
     /// Records that events of the latest answer's stream arrived.
     pub fn record_events(&mut self, events: u32) {
         let now = self.state.clock.now();
+        if self.head_at.is_some_and(|head_at| now.since(head_at) >= SERVED_TIME) {
+            self.record_part_answer();
+        }
         if let Some(answer) = &mut self.answer {
             answer.record_events(events, now);
             self.record.set_events(answer.pace());
@@ -555,11 +597,14 @@
             RunError::TimedOut if self.may_have_run => {
                 Refusal::new(StatusCode::GATEWAY_TIMEOUT, "the time of the request is over")
             }
+            RunError::Blocked(wait) if !self.may_have_run => blocked_refusal(*wait),
             _ if self.may_have_run => {
                 Refusal::new(StatusCode::BAD_GATEWAY, "no upstream gave a whole answer")
             }
             RunError::TimedOut => not_run("no upstream took the request in time"),
-            RunError::NoUpstream => not_run("no upstream is open to the request"),
+            RunError::NoUpstream | RunError::Blocked(_) => {
+                not_run("no upstream is open to the request")
+            }
             RunError::Failed(_) => not_run("every upstream is full or out of reach"),
         }
     }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -3,6 +3,7 @@
 use crate::answer_times::AnswerTimes;
 use crate::latency_tracker::{LatencyTracker, PrefillTracker};
 use crate::metrics::GatewayMetrics;
+use crate::part_guard::PartGuard;
 use crate::rollout_counters::RolloutCounters;
 use crate::seeded_random::SeededRandom;
 use crate::session_versions::SessionVersions;
@@ -39,6 +40,8 @@
     pub sessions: SessionVersions,
     /// Request and answer counts of rollouts.
     pub rollout_counters: RolloutCounters,
+    /// Parts of prompts that crash upstreams.
+    pub parts: Arc<PartGuard>,
     /// Random numbers.
     pub random: SeededRandom,
     /// Metrics.
--- a/crates/gateway/tests/store_silence.rs
+++ b/crates/gateway/tests/store_silence.rs
@@ -14,6 +14,7 @@
 use oleander_gateway::gossip::{GOSSIP_INTERVAL, GossipNode};
 use oleander_gateway::latency_tracker::{LatencyTracker, PrefillTracker};
 use oleander_gateway::metrics::GatewayMetrics;
+use oleander_gateway::part_guard::PartGuard;
 use oleander_gateway::peer_table::{PeerTable, RegionHash};
 use oleander_gateway::rollout_counters::RolloutCounters;
 use oleander_gateway::rollout_plan::RolloutDecision;
@@ -227,6 +228,7 @@
         prefills: PrefillTracker::new(),
         sessions: SessionVersions::new(),
         rollout_counters: RolloutCounters::new("host".parse().unwrap(), 1),
+        parts: Arc::new(PartGuard::new(seed)),
         random: SeededRandom::new(seed),
         metrics: GatewayMetrics::new(&mut prometheus_client::registry::Registry::default()),
         stop: StopState::default(),
