--- a/crates/gateway/src/rollout_plan.rs
+++ b/crates/gateway/src/rollout_plan.rs
@@ -185,9 +185,9 @@
     (share.clamp(MIN_CANARY_SHARE, MAX_CANARY_SHARE) * PER_MILLE) as u16
 }
 
-/// Number of upstreams, of `upstreams` that a version has, which a canary of a `share` of sessions in
-/// thousandths uses at a time, so that they have the load of busy ones in normal work. Spread over all of them, it
-/// would load none, and a version may be bad only under load.
+/// Number of the `upstreams` of a version that its canary uses at a time, so that they have the load
+/// of busy ones in normal work. `share` is that of its sessions, in thousandths. Spread over all of
+/// them, a canary would load none, and a version may be bad only under load.
 ///
 /// ```
 /// use oleander_gateway::rollout_plan::canary_upstreams;
@@ -210,8 +210,7 @@
     Any,
     /// This version; another one only where it has no upstream.
     Prefer(Arc<str>),
-    /// This version, on as many of its upstreams as have the load of normal work; another one only
-    /// where it has no upstream.
+    /// This version, on the upstreams that its canary uses; another one only where it has none.
     Canary {
         /// The version.
         to: Arc<str>,
--- a/crates/gateway/src/store_calls.rs
+++ b/crates/gateway/src/store_calls.rs
@@ -61,8 +61,8 @@
         lock(&self.topics).entry(topic).or_default().waiting_since = Some(now);
     }
 
-    /// Records that a call ended without an answer.
-    pub fn fail(&self, topic: Topic) {
+    /// Records that a call ended, answered or not; see [`StoreCalls::confirm`] for an answer.
+    pub fn end(&self, topic: Topic) {
         lock(&self.topics).entry(topic).or_default().waiting_since = None;
     }
 
--- a/crates/gateway/src/topic_watch.rs
+++ b/crates/gateway/src/topic_watch.rs
@@ -81,12 +81,12 @@
             () = reconnects.next() => {
                 log::info!(target: "dependency", topic:% = topic; "reconnecting to the store");
                 control.reset_connections();
-                reconnects.calls().fail(topic);
+                reconnects.calls().end(topic);
                 is_confirmed = false;
                 continue;
             }
         };
-        reconnects.calls().fail(topic);
+        reconnects.calls().end(topic);
         is_confirmed = update.is_ok();
         let delivered = match update {
             Ok(TopicUpdate::Change(change))
--- a/crates/gateway/tests/streams.rs
+++ b/crates/gateway/tests/streams.rs
@@ -75,7 +75,7 @@
     assert_eq!(lag.lagging_for(&calls, at(25_399)), None);
     let heard_for = Duration::from_millis(5_400);
     assert_eq!(lag.lagging_for(&calls, at(25_400)), Some(heard_for), "timed from the first");
-    calls.fail(topic);
+    calls.end(topic);
     assert_eq!(lag.lagging_for(&calls, at(25_500)), None);
 }
 
