Write the limit that an answer names to the access log

The lines of requests named the upstream and its load, but not the limit that its answer named, so that a host which did not know of the limit could not be told from one that kept it for itself alone. The header is read, and the lines of requests have it as `limit`; nothing is decided by it yet.

--- a/crates/gateway/src/request_run.rs
+++ b/crates/gateway/src/request_run.rs
@@ -491,8 +491,10 @@
         }
         let confidence = answer.head.confidence.map(|value| format!(" confidence {value:.2}"));
         let load = answer.head.load.map(|load| format!(" running {}", load.running));
+        let limit = answer.head.limits.first().map(|limit| format!(" limit {limit}"));
         let (confidence, load) = (confidence.unwrap_or_default(), load.unwrap_or_default());
-        let result = format!("{}{confidence}{load}", answer.status.as_u16());
+        let limit = limit.unwrap_or_default();
+        let result = format!("{}{confidence}{load}{limit}", answer.status.as_u16());
         self.record.add_attempt(entry.name.as_str(), model.map(|model| &**model), &result);
     }
 
--- a/crates/gateway/src/wire_format.rs
+++ b/crates/gateway/src/wire_format.rs
@@ -99,6 +99,9 @@
     pub leaving: bool,
     /// For how long the upstream wants no requests, as stated; several when repeated.
     pub retry_after: Vec<Arc<str>>,
+    /// How many requests a second the upstream takes from all hosts together, as stated; several
+    /// when repeated.
+    pub limits: Vec<Arc<str>>,
 }
 
 /// Codec for a deployment's headers.
