Use reports of crashes from authentic datagrams only

Any process that could reach a host's port blocked callers' requests on it: one datagram that reports four crashes of upstreams under a part of a prompt was enough, and the other hosts passed it on. The head of the module promised the opposite.

Hosts now share a key that lies in the store, written by the first host that finds none, and seal their datagrams with it; the tag, the windows against repetition and the bound on age are those of the peers' protocol. Datagrams without a valid tag still rank upstreams, and keep no request back.

--- a/crates/gateway/src/control_port.rs
+++ b/crates/gateway/src/control_port.rs
@@ -4,6 +4,7 @@
 //! an era of the store, so that late or stale answers can be recognized. A store that comes back
 //! from an older copy begins a new era.
 
+use crate::gossip_seal::GossipKey;
 use crate::rollout_plan::{RolloutDecision, RolloutOrder};
 use crate::rollout_sums::HostSums;
 use crate::routes::RouteTable;
@@ -154,6 +155,10 @@
     /// All hosts that ever registered, including those that are gone.
     fn hosts(&self) -> PortFuture<'_, Result<Vec<HostRecord>, PlatformError>>;
 
+    /// Writes the key that hosts authenticate each other by, unless there is one; returns the one that
+    /// is in force.
+    fn agree_key(&self, proposed: GossipKey) -> PortFuture<'_, Result<GossipKey, PlatformError>>;
+
     /// Drops connections that may have silently died; later calls open new ones.
     fn reset_connections(&self);
 }
--- a/crates/gateway/src/gateway_process.rs
+++ b/crates/gateway/src/gateway_process.rs
@@ -5,6 +5,7 @@
 use crate::control_cache::ControlSnapshot;
 use crate::control_port::{ControlPort, Topic};
 use crate::gossip::{GossipNode, run_gossip};
+use crate::gossip_seal::GossipSeal;
 use crate::host_count::count_hosts;
 use crate::latency_tracker::{LatencyTracker, PrefillTracker};
 use crate::metrics::GatewayMetrics;
@@ -27,6 +28,7 @@
 use kameo::actor::{ActorRef, Spawn};
 use oleander_adapters::admin::{AdminPort, ProcessHealth};
 use oleander_adapters::http_server::{HttpHandler, HttpServer, text_response};
+use oleander_core::ids::Incarnation;
 use oleander_core::stable_hash::hash_parts;
 use oleander_core::units::Timestamp;
 use oleander_ports::clock::{ClockPort, RuntimeClock};
@@ -194,7 +196,8 @@
         answer_times: AnswerTimes::new(),
         prefills: PrefillTracker::new(),
         sessions: SessionVersions::new(),
-        rollout_counters: RolloutCounters::new(host, incarnation),
+        rollout_counters: RolloutCounters::new(host.clone(), incarnation),
+        seal: GossipSeal::new(host, Incarnation::new(incarnation)),
         parts: Arc::new(PartGuard::new(seed)),
         random: SeededRandom::new(seed),
         metrics: GatewayMetrics::new(registry),
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -3,11 +3,12 @@
 //! A long-poll call to the store can hang on a connection that has silently died. Every host
 //! therefore sends small datagrams to a few others with the newest row version it knows of each
 //! topic, and with those it has only heard of. A host that hears of a newer version and does not get
-//! it from the store soon opens new connections. The only other data used from a datagram are upstream loads and which upstreams are
-//! leaving. They rank upstreams that may be used anyway, so a forged datagram costs a few calls and
-//! some latency at most.
+//! it from the store soon opens new connections. Upstream loads and which upstreams are leaving rank
+//! upstreams that may be used anyway. What keeps requests from upstreams is used only from datagrams
+//! that other hosts have authenticated, so a forged one costs a few calls and some latency at most.
 
 use crate::control_port::Topic;
+use crate::gossip_seal::GossipOrigin;
 use crate::load_report::{LoadReport, MAX_LOAD_REPORTS, UpstreamHash};
 use crate::peer_table::{PeerTable, RegionHash};
 use crate::state::GatewayState;
@@ -15,6 +16,7 @@
 use oleander_core::part_quarantine::PartReport;
 use oleander_core::store_era::{StoreEra, StoreRevision};
 use oleander_core::units::Timestamp;
+use oleander_ports::clock::{ClockPort, SystemClock};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -51,8 +53,18 @@
     /// Latest revisions that the sender has heard of and lacks. Passed on at once, since a host
     /// that has lost its call to the store would hold a change back until it has reconnected.
     pub heard: [StoreRevision; Topic::ALL.len()],
-    /// Parts of prompts that crash upstreams, as the sender knows.
+    /// Parts of prompts that crash upstreams, as the sender knows. Used if the datagram is
+    /// authentic.
     pub parts: PartReport,
+    /// What is used only if the datagram is authentic.
+    pub sealed: Option<SealedReport>,
+}
+
+/// The part of a datagram that says who sent it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SealedReport {
+    /// The sender.
+    pub origin: GossipOrigin,
 }
 
 /// The part of a datagram that earlier releases of this program send and read.
@@ -76,7 +88,11 @@
             let rest;
             (message.heard, rest) = postcard::take_from_bytes(remaining)?;
             if !rest.is_empty() {
-                message.parts = postcard::from_bytes(rest)?;
+                let sealed;
+                (message.parts, sealed) = postcard::take_from_bytes(rest)?;
+                if !sealed.is_empty() {
+                    message.sealed = postcard::from_bytes(sealed)?;
+                }
             }
         }
         Ok(message)
@@ -103,7 +119,9 @@
 
     /// Applies a datagram.
     pub fn receive(&mut self, bytes: &[u8], sender: SocketAddr) {
-        let message = match GossipMessage::decode(bytes) {
+        let own = self.state.settings.load().peers;
+        let content = own.and_then(|own| self.state.seal.verify(bytes, own));
+        let message = match GossipMessage::decode(content.unwrap_or(bytes)) {
             Ok(message) => message,
             Err(error) => {
                 log::debug!(target: "beacon", error:%; "malformed gossip datagram ignored");
@@ -118,24 +136,32 @@
         }
         self.state.pool.merge_load_reports(&message.loads, now);
         self.state.pool.merge_leaving(&message.leaving, now);
-        self.state.parts.merge(&message.parts, now);
+        let sealed = message.sealed.as_ref().filter(|_| content.is_some());
+        if sealed.is_some_and(|sealed| self.state.seal.accept(&sealed.origin, SystemClock.now())) {
+            self.state.parts.merge(&message.parts, now);
+        }
         self.peers.add(sender, message.region);
         self.heard_at = now;
     }
 
-    /// Performs a round, which is due each [`GOSSIP_INTERVAL`]; returns a datagram and the hosts to
-    /// send it to.
-    pub fn next_round(&mut self) -> Option<(Vec<u8>, Vec<SocketAddr>)> {
+    /// Performs a round, which is due each [`GOSSIP_INTERVAL`]; returns the datagrams to send.
+    pub fn next_round(&mut self) -> Vec<(SocketAddr, Vec<u8>)> {
         self.rounds += 1;
         self.check_calls();
         let message = self.message();
-        let bytes = postcard::to_allocvec(&message).ok()?;
+        // Plain data is always encoded.
+        let content = postcard::to_allocvec(&message).unwrap_or_default();
         let random = &self.state.random;
         let same_region =
             (0..REGION_FAN_OUT).map(|_| self.peers.in_region(message.region, random.next_unit()));
         let include_any_region = self.rounds.is_multiple_of(ANY_REGION_STRIDE);
         let any = include_any_region.then(|| self.peers.any(random.next_unit()));
-        Some((bytes, same_region.chain(any).flatten().collect()))
+        let datagram = |to: SocketAddr| {
+            let mut bytes = content.clone();
+            self.state.seal.append_tag(&mut bytes, to);
+            (to, bytes)
+        };
+        same_region.chain(any).flatten().map(datagram).collect()
     }
 
     /// Has the calls to the store begun again that are lost, as far as other hosts tell.
@@ -178,6 +204,7 @@
             leaving: state.pool.leaving_hashes(now),
             heard: Topic::ALL.map(|topic| self.lag.heard(topic)),
             parts,
+            sealed: Some(SealedReport { origin: state.seal.next_origin(SystemClock.now()) }),
         }
     }
 }
@@ -198,8 +225,7 @@
             },
             () = tokio::time::sleep_until(send_at) => {
                 send_at += GOSSIP_INTERVAL;
-                let Some((bytes, targets)) = node.next_round() else { continue };
-                for peer in targets {
+                for (peer, bytes) in node.next_round() {
                     if let Err(error) = socket.send_to(&bytes, peer).await {
                         log::debug!(
                             target: "beacon", error:%, peer:%;
--- a/crates/gateway/src/host_count.rs
+++ b/crates/gateway/src/host_count.rs
@@ -1,6 +1,7 @@
 //! Registers this host and counts all hosts, which share the deployment's allowances.
 
 use crate::control_port::{ControlPort, HostRecord};
+use crate::gossip_seal::GossipKey;
 use crate::peer_table::{PeerTable, RegionHash};
 use crate::state::GatewayState;
 use oleander_core::store_era::StoreEra;
@@ -34,8 +35,14 @@
     loop {
         let era = state.snapshot.load().era();
         register(&*control, &record).await;
-        let others = count_while_registered(&state, &*control, &peers, &record, era);
-        others.await;
+        let agreed = async {
+            agree_key(&state, &*control).await;
+            std::future::pending::<()>().await;
+        };
+        tokio::select! {
+            () = count_while_registered(&state, &*control, &peers, &record, era) => {}
+            () = agreed => {}
+        }
         // Hosts must not all write at once.
         let hosts = u32::try_from(state.pool.hosts()).unwrap_or(u32::MAX);
         let spread = REGISTRATION_SPREAD_PER_HOST.saturating_mul(hosts);
@@ -50,6 +57,24 @@
     }
 }
 
+/// Reads the key that hosts share, or writes the one that this host knows. A store that came back from
+/// an older copy may have lost it.
+async fn agree_key(state: &GatewayState, control: &dyn ControlPort) {
+    let proposed = state.seal.key().unwrap_or_else(GossipKey::random);
+    loop {
+        match control.agree_key(proposed.clone()).await {
+            Ok(key) => {
+                log::info!(target: "dependency", "datagrams between hosts are authenticated");
+                return state.seal.set_key(key);
+            }
+            Err(error) => {
+                log::warn!(target: "dependency", error:%; "cannot read the key of the hosts");
+                tokio::time::sleep(RETRY_INTERVAL).await;
+            }
+        }
+    }
+}
+
 /// Counts all hosts periodically until the store begins a later era than `era`, in which it may have
 /// lost the registration.
 async fn count_while_registered(
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod fault;
 pub mod gateway_process;
 pub mod gossip;
+pub mod gossip_seal;
 pub mod head_timer;
 pub mod host_count;
 pub mod latency_tracker;
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -1,6 +1,7 @@
 //! State shared by all requests of a gateway.
 
 use crate::answer_times::AnswerTimes;
+use crate::gossip_seal::GossipSeal;
 use crate::latency_tracker::{LatencyTracker, PrefillTracker};
 use crate::metrics::GatewayMetrics;
 use crate::part_guard::PartGuard;
@@ -40,6 +41,8 @@
     pub sessions: SessionVersions,
     /// Request and answer counts of rollouts.
     pub rollout_counters: RolloutCounters,
+    /// Authenticates datagrams between hosts.
+    pub seal: GossipSeal,
     /// Parts of prompts that crash upstreams.
     pub parts: Arc<PartGuard>,
     /// Random numbers.
--- a/crates/gateway/tests/store_silence.rs
+++ b/crates/gateway/tests/store_silence.rs
@@ -4,7 +4,7 @@
 
 use arc_swap::ArcSwap;
 use kameo::actor::Spawn;
-use oleander_core::ids::ServiceName;
+use oleander_core::ids::{Incarnation, ServiceName};
 use oleander_core::store_era::{StoreEra, StoreRevision};
 use oleander_core::units::Timestamp;
 use oleander_gateway::answer_times::AnswerTimes;
@@ -12,6 +12,7 @@
     ControlPort, HostRecord, Topic, TopicChange, TopicRow, TopicUpdate, TopicValue, WriteOutcome,
 };
 use oleander_gateway::gossip::{GOSSIP_INTERVAL, GossipNode};
+use oleander_gateway::gossip_seal::{GossipKey, GossipSeal};
 use oleander_gateway::latency_tracker::{LatencyTracker, PrefillTracker};
 use oleander_gateway::metrics::GatewayMetrics;
 use oleander_gateway::part_guard::PartGuard;
@@ -168,6 +169,10 @@
         Box::pin(async { Ok(Vec::new()) })
     }
 
+    fn agree_key(&self, proposed: GossipKey) -> PortFuture<'_, Result<GossipKey, PlatformError>> {
+        Box::pin(async move { Ok(proposed) })
+    }
+
     fn reset_connections(&self) {}
 }
 
@@ -228,6 +233,7 @@
         prefills: PrefillTracker::new(),
         sessions: SessionVersions::new(),
         rollout_counters: RolloutCounters::new("host".parse().unwrap(), 1),
+        seal: GossipSeal::new(format!("host-{index}").parse().unwrap(), Incarnation::new(seed)),
         parts: Arc::new(PartGuard::new(seed)),
         random: SeededRandom::new(seed),
         metrics: GatewayMetrics::new(&mut prometheus_client::registry::Registry::default()),
@@ -292,13 +298,11 @@
             Some((bytes, sender)) = mailbox.recv() => node.receive(&bytes, sender),
             () = tokio::time::sleep_until(send_at) => {
                 send_at += GOSSIP_INTERVAL;
-                let Some((bytes, targets)) = node.next_round() else { continue };
-                for target in targets {
+                for (target, bytes) in node.next_round() {
                     if random.next_unit() < DATAGRAM_LOSS {
                         continue;
                     }
                     let sender = senders[usize::from(target.port() - 7_000)].clone();
-                    let bytes = bytes.clone();
                     tokio::spawn(async move {
                         tokio::time::sleep(LINK_DELAY).await;
                         let _ = sender.send((bytes, own));
--- a/crates/gateway/tests/topic_calls.rs
+++ b/crates/gateway/tests/topic_calls.rs
@@ -6,6 +6,7 @@
     ControlPort, HostRecord, Topic, TopicChange, TopicUpdate, WriteOutcome,
 };
 use oleander_gateway::gateway_process::GatewayProcess;
+use oleander_gateway::gossip_seal::GossipKey;
 use oleander_gateway::rollout_plan::RolloutDecision;
 use oleander_gateway::rollout_sums::HostSums;
 use oleander_gateway::settings::{GatewayBounds, GatewaySettings};
@@ -85,6 +86,10 @@
         })
     }
 
+    fn agree_key(&self, proposed: GossipKey) -> PortFuture<'_, Result<GossipKey, PlatformError>> {
+        Box::pin(async move { Ok(proposed) })
+    }
+
     fn reset_connections(&self) {}
 }
 
