Divide the limits that upstreams name among the hosts

Callers saw nothing.

Cause: a number that an upstream says for all hosts together was read by none. The class is a limit on a sum that no one adds up: what each host knows of an upstream it knows for itself.

Now some of the live hosts hold a seat at a limited upstream, the first ones in an order that all hosts compute alike, one for each request a second and three more. Each takes an equal part, the others send nothing there. `core::host_view` decides who is alive: heartbeats in sealed datagrams; a host that hears from no other keeps what it knew. `core::limit_division` divides, and tells others what answers named last, so that hosts without a seat learn of an end. A seat is asked for by each attempt: retries, escalations, resumed streams, and the second send after a kept connection turned out to be closed. When all upstreams of a service have limits, what cannot be sent is refused at once, with a turn at the rate of their sum as Retry-After.

--- a/crates/core/src/token_bucket.rs
+++ b/crates/core/src/token_bucket.rs
@@ -34,6 +34,13 @@
         Self { rate, burst, level: burst, refilled_at: now }
     }
 
+    /// Sets the number of tokens that it holds, at most its burst.
+    #[must_use]
+    pub const fn with_level(mut self, level: f64) -> Self {
+        self.level = level.min(self.burst);
+        self
+    }
+
     /// Updates rate and burst.
     pub fn set(&mut self, rate: f64, burst: f64, now: Timestamp) {
         self.refill(now);
@@ -60,6 +67,13 @@
         Err(Duration::try_from_secs_f64(seconds).unwrap_or(NO_RATE_WAIT))
     }
 
+    /// The time until a token is available.
+    #[must_use]
+    pub fn wait(&self, now: Timestamp) -> Duration {
+        let mut later = *self;
+        later.try_take(now).err().unwrap_or_default()
+    }
+
     fn refill(&mut self, now: Timestamp) {
         let elapsed = now.since(self.refilled_at).as_secs_f64();
         self.level = (self.level + elapsed * self.rate).min(self.burst);
--- a/crates/core/src/upstream_choice.rs
+++ b/crates/core/src/upstream_choice.rs
@@ -74,6 +74,9 @@
     pub ejected: bool,
     /// Whether it is leaving or drained.
     pub leaving: bool,
+    /// Whether it is compared with those that are drawn at random each time. One that may be sent a
+    /// request now and then would be drawn too rarely among many.
+    pub is_always_drawn: bool,
 }
 
 impl UpstreamView {
@@ -94,6 +97,7 @@
             failure_rate: 0.0,
             ejected: false,
             leaving: false,
+            is_always_drawn: false,
         }
     }
 
@@ -201,7 +205,8 @@
     let cost = |index: usize| expected_cost(&views[index], work, mean);
     let [first_near, second_near] = draw_nearest(views, available, mix(random ^ 1));
     let candidates = [Some(first), Some(second), first_near, second_near, prefix_holder];
-    candidates.into_iter().flatten().min_by(|&a, &b| cost(a).total_cmp(&cost(b)))
+    let always = available.iter().copied().filter(|&index| views[index].is_always_drawn);
+    candidates.into_iter().flatten().chain(always).min_by(|&a, &b| cost(a).total_cmp(&cost(b)))
 }
 
 /// Draws an available upstream other than `excluded`. One that warms up or fails is drawn less
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -132,12 +132,14 @@
         let opened_at = connection.opened_at;
         permit.upstream.record_standing(parts.status, &answer, opened_at, clock.now());
     }
-    check_answer(
-        &parts.status,
-        &parts.headers,
-        &answer,
-        expected_request_id(wire, request).as_ref(),
-    )?;
+    let expected = expected_request_id(wire, request);
+    let checked = check_answer(&parts.status, &parts.headers, &answer, expected.as_ref());
+    if parts.status != StatusCode::MISDIRECTED_REQUEST
+        && (answer.not_run || answer.request == expected)
+    {
+        permit.upstream.record_limit(&answer, checked.is_ok(), clock.now());
+    }
+    checked?;
     let (status, headers) = (parts.status, parts.headers);
     Ok(UpstreamAnswer { status, headers, head: answer, body, connection, permit })
 }
@@ -158,7 +160,10 @@
         match connection.send(new_request(wire, request, head)?).await {
             Ok(response) => return Ok((connection, response)),
             // The pooled connection may have been closed meanwhile. Sending again is safe, since
-            // only retryable requests use pooled connections.
+            // only retryable requests use pooled connections. The first one may have arrived.
+            Err(fault) if fault.may_have_run() && !permit.upstream.try_send_again(clock.now()) => {
+                return Err(fault);
+            }
             Err(fault) => log::debug!(target: "attempt", fault:% = fault; "idle connection closed"),
         }
     }
--- a/crates/gateway/src/gateway_process.rs
+++ b/crates/gateway/src/gateway_process.rs
@@ -214,6 +214,7 @@
             return;
         }
         state.parts.expire(state.clock.now());
+        state.pool.limits().divide(state.clock.now());
         state.sessions.evict(state.settings.load().bounds.session_retention(), state.clock.now());
     }
 }
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -13,6 +13,8 @@
 use crate::peer_table::{PeerTable, RegionHash};
 use crate::state::GatewayState;
 use crate::store_calls::{LagDetector, StoreCalls};
+use oleander_core::host_view::HostReport;
+use oleander_core::limit_division::ReportedLimit;
 use oleander_core::part_quarantine::PartReport;
 use oleander_core::store_era::{StoreEra, StoreRevision};
 use oleander_core::units::Timestamp;
@@ -34,6 +36,8 @@
 /// Time without a datagram after which a host counts as isolated from the others. Each host gets ten
 /// a second on average.
 const ISOLATION_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Number of loads whose place the origin and the tag of a datagram take.
+const SEAL_LOADS: usize = 8;
 /// Maximum size of a received datagram, in bytes.
 const MAX_DATAGRAM_BYTES: usize = 1_400;
 
@@ -65,6 +69,10 @@
 pub struct SealedReport {
     /// The sender.
     pub origin: GossipOrigin,
+    /// Which hosts are alive.
+    pub hosts: HostReport,
+    /// Limits that upstreams name.
+    pub limits: Vec<ReportedLimit>,
 }
 
 /// The part of a datagram that earlier releases of this program send and read.
@@ -137,8 +145,12 @@
         self.state.pool.merge_load_reports(&message.loads, now);
         self.state.pool.merge_leaving(&message.leaving, now);
         let sealed = message.sealed.as_ref().filter(|_| content.is_some());
-        if sealed.is_some_and(|sealed| self.state.seal.accept(&sealed.origin, SystemClock.now())) {
+        let is_fresh =
+            |sealed: &&SealedReport| self.state.seal.accept(&sealed.origin, SystemClock.now());
+        if let Some(sealed) = sealed.filter(is_fresh) {
             self.state.parts.merge(&message.parts, now);
+            let limits = self.state.pool.limits();
+            limits.merge(&sealed.origin.host, &sealed.hosts, &sealed.limits, now);
         }
         self.peers.add(sender, message.region);
         self.heard_at = now;
@@ -194,8 +206,10 @@
         let now = state.clock.now();
         let parts = state.parts.report(now);
         let mut loads = state.pool.load_reports(now);
-        // A reported crash takes up to fourteen bytes, a load nine.
-        loads.truncate(MAX_LOAD_REPORTS.saturating_sub(parts.len() * 2));
+        let (hosts, limits) = state.pool.limits().report(now);
+        // A load takes nine bytes, a reported crash up to fourteen, a host eight and a limit twelve.
+        let others = SEAL_LOADS + parts.len() * 2 + hosts.others.len() + limits.len() * 3 / 2;
+        loads.truncate(MAX_LOAD_REPORTS.saturating_sub(others));
         GossipMessage {
             versions: revisions.map(|revision| revision.version),
             region: RegionHash::new(&state.settings.load().region),
@@ -204,7 +218,11 @@
             leaving: state.pool.leaving_hashes(now),
             heard: Topic::ALL.map(|topic| self.lag.heard(topic)),
             parts,
-            sealed: Some(SealedReport { origin: state.seal.next_origin(SystemClock.now()) }),
+            sealed: Some(SealedReport {
+                origin: state.seal.next_origin(SystemClock.now()),
+                hosts,
+                limits,
+            }),
         }
     }
 }
--- a/crates/gateway/src/host_count.rs
+++ b/crates/gateway/src/host_count.rs
@@ -93,6 +93,7 @@
         wait = match control.hosts().await {
             Ok(hosts) => {
                 state.pool.set_hosts(hosts.len());
+                state.pool.limits().register_hosts(&hosts, state.clock.now());
                 let others = hosts.iter().filter(|other| other.host != record.host);
                 for other in others {
                     let Some(address) = other.peers else { continue };
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -46,6 +46,7 @@
 pub mod seeded_random;
 pub mod session_versions;
 pub mod settings;
+pub mod shared_limits;
 pub mod snapshot_publisher;
 pub mod state;
 pub mod stop_state;
--- a/crates/gateway/src/request_run.rs
+++ b/crates/gateway/src/request_run.rs
@@ -587,12 +587,22 @@
         self.state.pool.reopens_at(entries, &rule, now).map(|at| at.since(now))
     }
 
+    /// Time until it is the caller's turn, when all upstreams of the service have limits.
+    fn next_turn(&self) -> Option<Duration> {
+        let snapshot = self.state.snapshot.load();
+        let service = &self.request.service;
+        let entries = snapshot.upstreams.get(service)?;
+        let (rule, now) = (self.version_rule(&snapshot), self.state.clock.now());
+        self.state.pool.next_turn(service, entries, &rule, now)
+    }
+
     /// The response to a caller whose request got no answer.
     #[must_use]
     pub fn refusal(&self, error: &RunError) -> Refusal {
         let (min, max) = RETRY_AFTER;
         let spread = (max - min).mul_f64(self.state.random.next_unit());
-        let wait = self.time_until_reopening().unwrap_or(min).max(min) + spread;
+        let wait = self.next_turn().or_else(|| self.time_until_reopening()).unwrap_or(min);
+        let wait = wait.max(min) + spread;
         let not_run =
             |reason| Refusal::new(StatusCode::SERVICE_UNAVAILABLE, reason).with_retry_after(wait);
         match error {
--- a/crates/gateway/src/upstream_handle.rs
+++ b/crates/gateway/src/upstream_handle.rs
@@ -1,6 +1,7 @@
 //! One upstream as used by this host: connections, requests in flight and reported load.
 
 use crate::load_report::{LoadReport, UpstreamHash};
+use crate::shared_limits::SharedLimits;
 use crate::upstream_connection::UpstreamConnection;
 use crate::upstream_entry::UpstreamEntry;
 use crate::upstream_standings::SharedStandings;
@@ -59,12 +60,17 @@
     pub(crate) hash: UpstreamHash,
     state: Mutex<HandleState>,
     standings: Arc<SharedStandings>,
+    limits: Arc<SharedLimits>,
 }
 
 impl UpstreamHandle {
-    pub(crate) fn new(entry: Arc<UpstreamEntry>, standings: Arc<SharedStandings>) -> Self {
+    pub(crate) fn new(
+        entry: Arc<UpstreamEntry>,
+        standings: Arc<SharedStandings>,
+        limits: Arc<SharedLimits>,
+    ) -> Self {
         let hash = UpstreamHash::new(&entry.name);
-        Self { entry, hash, state: Mutex::default(), standings }
+        Self { entry, hash, state: Mutex::default(), standings, limits }
     }
 
     /// Records what an answer, on a connection opened at `opened_at`, says about whether the
@@ -79,6 +85,16 @@
         self.standings.record_answer(&self.entry, status, head, opened_at, now);
     }
 
+    /// Records which limit an answer names; `is_complete` if its head was accepted.
+    pub(crate) fn record_limit(&self, head: &AnswerHead, is_complete: bool, now: Timestamp) {
+        self.limits.record_answer(&self.entry, head, is_complete, now);
+    }
+
+    /// Takes the permission to send the request once more.
+    pub(crate) fn try_send_again(&self, now: Timestamp) -> bool {
+        self.limits.try_take(&self.entry, now)
+    }
+
     /// Whether the upstream has not asked this host for no more requests.
     pub(crate) fn is_open(&self, now: Timestamp) -> bool {
         let permission = self.standings.permission(&self.entry, now);
--- a/crates/gateway/src/upstream_pool.rs
+++ b/crates/gateway/src/upstream_pool.rs
@@ -5,13 +5,17 @@
 use crate::placement::{ChoiceInput, attempt_work, cache_holder, has_free_slots};
 use crate::rollout_plan::{VersionRule, canary_upstreams};
 use crate::settings::{GatewayBounds, SharedSettings};
+use crate::shared_limits::SharedLimits;
 use crate::upstream_entry::UpstreamEntry;
 use crate::upstream_handle::{UpstreamHandle, UpstreamPermit};
 use crate::upstream_standings::SharedStandings;
 use crate::wire_format::TokenSize;
 use oleander_core::ejection::OutlierEjection;
 use oleander_core::ids::{ServiceName, UpstreamName};
+use oleander_core::limit_division::LimitWait;
+use oleander_core::request_rate::RequestRate;
 use oleander_core::retry_budget::RetryBudget;
+use oleander_core::retry_turns::RetryTurns;
 use oleander_core::stable_hash::hash_parts;
 use oleander_core::units::{Millis, Money, Timestamp, TokenCount};
 use oleander_core::upstream_choice::{UpstreamRule, UpstreamView, choose_upstream};
@@ -54,6 +58,8 @@
     reserve: f64,
     /// Moving mean of prefill times.
     prefill: Duration,
+    /// When callers come back that were refused because all upstreams have limits.
+    turns: RetryTurns,
 }
 
 /// All upstreams used by this host.
@@ -62,6 +68,7 @@
     clock: Arc<dyn ClockPort>,
     handles: Mutex<HashMap<UpstreamName, Arc<UpstreamHandle>>>,
     standings: Arc<SharedStandings>,
+    limits: Arc<SharedLimits>,
     services: Mutex<BTreeMap<ServiceName, ServiceState>>,
     /// Number of hosts, once counted.
     hosts: Mutex<Option<usize>>,
@@ -71,11 +78,13 @@
     /// Creates an empty pool.
     #[must_use]
     pub fn new(settings: SharedSettings, clock: Arc<dyn ClockPort>) -> Self {
+        let limits = Arc::new(SharedLimits::new(&settings.load().host));
         Self {
             settings,
             clock,
             handles: Mutex::default(),
             standings: Arc::default(),
+            limits,
             services: Mutex::default(),
             hosts: Mutex::default(),
         }
@@ -111,9 +120,16 @@
             rate: 0.0,
             reserve,
             prefill,
+            turns: RetryTurns::default(),
         }
     }
 
+    /// The limits that upstreams name, and the hosts that share them.
+    #[must_use]
+    pub const fn limits(&self) -> &Arc<SharedLimits> {
+        &self.limits
+    }
+
     /// Sets the number of hosts that share the extra retries.
     pub fn set_hosts(&self, hosts: usize) {
         let hosts = hosts.max(1);
@@ -255,10 +271,21 @@
         }
     }
 
-    /// Chooses an upstream; `None` when none is eligible.
+    /// Chooses an upstream and takes a request of its limit, if it has one; `None` when no upstream
+    /// is eligible.
     #[must_use]
     pub fn choose(&self, input: &ChoiceInput<'_>) -> Option<UpstreamPermit> {
         self.record_prefill(input);
+        loop {
+            let permit = self.choose_open(input)?;
+            // Another request may have taken the last one meanwhile.
+            if self.limits.try_take(&permit.upstream.entry, input.now) {
+                return Some(permit);
+            }
+        }
+    }
+
+    fn choose_open(&self, input: &ChoiceInput<'_>) -> Option<UpstreamPermit> {
         let untried = |entry: &&Arc<UpstreamEntry>| !input.tried.contains(&entry.name);
         let usable: Vec<&Arc<UpstreamEntry>> = input
             .entries
@@ -267,6 +294,7 @@
             .filter(|entry| input.rule.permits(&entry.version))
             .collect();
         let usable = self.standings.open_only(usable, input.now);
+        let usable = self.limits.open_only(usable, input.now);
         let preferred: Vec<&Arc<UpstreamEntry>> =
             usable.iter().copied().filter(|entry| input.rule.prefers(&entry.version)).collect();
         let loaded = self.canary_upstreams(&preferred, input);
@@ -324,6 +352,9 @@
         for index in self.standings.reported(entries, input.now) {
             views[index].ejected = true;
         }
+        for index in self.limits.limited(entries) {
+            views[index].is_always_drawn = true;
+        }
         if !views.iter().any(UpstreamView::is_available) {
             // All of them failed recently: any one is better than none.
             views.iter_mut().for_each(|view| {
@@ -355,6 +386,7 @@
             !input.tried.contains(&entry.name) && input.rule.permits(&entry.version)
         });
         let open = self.standings.open_only(permitted.collect(), input.now);
+        let open = self.limits.open_only(open, input.now);
         open.into_iter().map(|entry| self.view(&self.handle(entry), input.now)).any(|view| {
             let wait = view.backlog.as_duration() + view.delay.as_duration() + input.prefill;
             view.is_available() && has_free_slots(&view) && wait <= limit
@@ -373,17 +405,46 @@
         let permitted = entries.iter().filter(|entry| rule.permits(&entry.version));
         let mut soonest: Option<Timestamp> = None;
         for entry in permitted {
-            match self.standings.permission(entry, now) {
-                SendPermission::Open | SendPermission::Reported => return None,
-                SendPermission::Paused(until) => {
-                    soonest = Some(soonest.map_or(until, |known| known.min(until)));
+            let reopening = match self.standings.permission(entry, now) {
+                SendPermission::Open | SendPermission::Reported => {
+                    match self.limits.wait(entry, now) {
+                        LimitWait::Unlimited | LimitWait::Ready => return None,
+                        LimitWait::After(wait) => now + wait,
+                        LimitWait::NoSeat => continue,
+                    }
                 }
-                SendPermission::Leaving => {}
-            }
+                SendPermission::Paused(until) => until,
+                SendPermission::Leaving => continue,
+            };
+            soonest = Some(soonest.map_or(reopening, |known| known.min(reopening)));
         }
         soonest
     }
 
+    /// Time after which a caller should come back that was refused because all upstreams of a service
+    /// have limits; `None` if one of them has none. Callers are spread over the rate that all hosts
+    /// together may send.
+    #[must_use]
+    pub fn next_turn(
+        &self,
+        service: &ServiceName,
+        entries: &[Arc<UpstreamEntry>],
+        rule: &VersionRule,
+        now: Timestamp,
+    ) -> Option<Duration> {
+        let open = entries.iter().filter(|entry| {
+            rule.permits(&entry.version)
+                && matches!(
+                    self.standings.permission(entry, now),
+                    SendPermission::Open | SendPermission::Reported
+                )
+        });
+        let total = self.limits.total(open)?;
+        let part = RequestRate::new(total.per_second() / self.limits.live_hosts(now) as f64);
+        let mut services = lock(&self.services);
+        services.get_mut(service).map(|state| state.turns.next_turn(part, now))
+    }
+
     /// Hashes of upstreams that recently told this host that they are leaving, for other hosts.
     #[must_use]
     pub fn leaving_hashes(&self, now: Timestamp) -> Vec<UpstreamHash> {
@@ -437,8 +498,8 @@
         if let Some(handle) = same {
             return Arc::clone(handle);
         }
-        let standings = Arc::clone(&self.standings);
-        let handle = Arc::new(UpstreamHandle::new(Arc::clone(entry), standings));
+        let (standings, limits) = (Arc::clone(&self.standings), Arc::clone(&self.limits));
+        let handle = Arc::new(UpstreamHandle::new(Arc::clone(entry), standings, limits));
         handles.insert(entry.name.clone(), Arc::clone(&handle));
         handle
     }
