Log the hash of a request that is lost before its answer

Lines of requests have neither path nor body, so repeats of one request could not be told from other requests of its route.

--- a/crates/gateway/src/admitted.rs
+++ b/crates/gateway/src/admitted.rs
@@ -12,11 +12,12 @@
 use bytes::{Bytes, BytesMut};
 use http::header::{EXPECT, HOST};
 use http::request::Parts;
-use http::{Request, StatusCode};
+use http::{HeaderValue, Request, StatusCode};
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
 use oleander_core::ids::ServiceName;
 use oleander_core::part_quarantine::PartHash;
+use oleander_core::request_hash::RequestHash;
 use oleander_core::stable_hash::{hash_parts, unit_point};
 use oleander_core::units::Timestamp;
 use std::sync::Arc;
@@ -68,6 +69,17 @@
 }
 
 impl AdmittedRequest {
+    /// Hash of what the caller sends again when it repeats the request. Reads the whole body.
+    #[must_use]
+    pub fn hash(&self) -> RequestHash {
+        let account = self.account.as_ref().map_or("", |account| &account.name);
+        let host = self.outgoing.headers.get(HOST).map_or(&[][..], HeaderValue::as_bytes);
+        let target = self.outgoing.target.to_string();
+        let method = self.outgoing.method.as_str().as_bytes();
+        let fields = [account.as_bytes(), host, method, target.as_bytes(), &self.outgoing.body];
+        RequestHash::new(&fields)
+    }
+
     /// Priority of the request; 0 is served first.
     #[must_use]
     pub fn priority(&self) -> u8 {
--- a/crates/gateway/src/request_run.rs
+++ b/crates/gateway/src/request_run.rs
@@ -243,6 +243,11 @@
         match fault.kind {
             FaultKind::Connect => self.state.parts.record_end(entry, clock.now()),
             FaultKind::Lost | FaultKind::Cut if !self.is_part_answered => {
+                log::info!(
+                    target: "attempt", upstream = entry.name.as_str(),
+                    request:% = self.request.hash(), fault:% = fault;
+                    "request lost before its answer was complete"
+                );
                 self.state.parts.record_loss(entry, parts, clock);
             }
             _ => {}
