Do not say not run of a request that was lost on a kept connection

Callers got 503, which promises that their request has not run, although an upstream had run it: it was sent on a kept connection, the upstream ended, and the new connection was refused. Only the refusal was looked at, so the fault was one of connecting, with nothing sent.

The loss on the kept connection now counts when nothing is sent after it; the attempt may have run then. The new test got 503 before ("every upstream is full or out of reach"), and gets 502.

Found while reproducing requests that crash upstreams: the first three of four crashes were of this kind, and counted as refused connections.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -156,6 +156,7 @@
     head: &UpstreamHead,
 ) -> Result<(UpstreamConnection, Response<AnswerBody>), AttemptFault> {
     let idle = if request.may_reuse { permit.upstream.take_idle(clock.now()) } else { None };
+    let mut lost = None;
     if let Some(mut connection) = idle {
         match connection.send(new_request(wire, request, head)?).await {
             Ok(response) => return Ok((connection, response)),
@@ -164,15 +165,29 @@
             Err(fault) if fault.may_have_run() && !permit.upstream.try_send_again(clock.now()) => {
                 return Err(fault);
             }
-            Err(fault) => log::debug!(target: "attempt", fault:% = fault; "idle connection closed"),
+            Err(fault) => {
+                log::debug!(target: "attempt", fault:% = fault; "idle connection closed");
+                lost = Some(fault).filter(AttemptFault::may_have_run);
+            }
         }
     }
+    let sent = send_on_new(permit, clock, new_request(wire, request, head)?).await;
+    // If nothing was sent now, the upstream may have ended while it ran the request that was lost.
+    sent.map_err(|fault| if fault.may_have_run() { fault } else { lost.unwrap_or(fault) })
+}
+
+/// Sends a request on a new connection.
+async fn send_on_new(
+    permit: &UpstreamPermit,
+    clock: &dyn ClockPort,
+    request: Request<Full<Bytes>>,
+) -> Result<(UpstreamConnection, Response<AnswerBody>), AttemptFault> {
     let mut connection = UpstreamConnection::open(permit.upstream.entry.address).await?;
     if !permit.upstream.is_open(clock.now()) {
         let reason = "the upstream asked for no more requests while the connection was opened";
         return Err(AttemptFault::new(FaultKind::Connect, reason));
     }
-    let response = connection.send(new_request(wire, request, head)?).await?;
+    let response = connection.send(request).await?;
     Ok((connection, response))
 }
 
