Block a request that crashes each upstream which runs it

Callers of a service with three upstreams got 502 and 503 for spans of twenty seconds: one request ended all three, and did so again as soon as they were back, at whatever host it came. After three had ended it was sent 6 to 9 times more; 14 to 16 ended.

Cause: the quarantine knew parts of prompts only, which such a request has not, and a failure was held against the upstream alone. The class is a poison request again, one level up: what is known of a failure is kept under a key that the guilty one need not have.

`core::request_quarantine` goes by a hash of account, method, host, target and body. A request is blocked from three ends under it of at least two causes, however close they are if it was sent to the next upstream after the last one had ended; unless another request explains them, or it is answered. Each attempt asks, hosts tell each other in sealed datagrams, and a blocked request is tried again twice in all, by one host and at one upstream. The hash is computed once some request is suspected. A plain answer counts from its end, not its head. `part_guard` is now `crash_guard` and carries out both quarantines.

--- a/crates/core/src/host_view.rs
+++ b/crates/core/src/host_view.rs
@@ -6,7 +6,7 @@
 //! they share for itself.
 
 use crate::ids::HostId;
-use crate::stable_hash::hash_parts;
+use crate::stable_hash::{hash_parts, mix};
 use crate::units::Timestamp;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
@@ -191,6 +191,17 @@
         std::iter::once(self.me).chain(others.map(|(host, _)| *host)).collect()
     }
 
+    /// Whether this host is the first one in the order of a key, among those that are alive. None is
+    /// as long as it has not settled, or is out of touch with others that it knows.
+    #[must_use]
+    pub fn is_first(&self, key: u64, now: Timestamp) -> bool {
+        let is_in_touch = self.hosts.is_empty()
+            || self.contact.is_some_and(|contact| now.since(contact.last) <= CONTACT_TIMEOUT);
+        let rank = |host: HostHash| (mix(key ^ u64::from(host.get())), host);
+        let first = self.live(now).into_iter().min_by_key(|host| rank(*host));
+        self.is_settled(now) && is_in_touch && first == Some(self.me)
+    }
+
     /// Whether the store's list was read, so that this host knows of the others.
     #[must_use]
     pub const fn knows_others(&self) -> bool {
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -43,6 +43,7 @@
 pub mod rate_share;
 pub mod reason;
 pub mod request_hash;
+pub mod request_quarantine;
 pub mod request_rate;
 pub mod retry_after;
 pub mod retry_budget;
--- a/crates/core/src/part_quarantine.rs
+++ b/crates/core/src/part_quarantine.rs
@@ -427,7 +427,7 @@
 }
 
 /// Removes the quarter of the entries with the earliest times when there are more than `max`.
-fn evict_oldest<K: Copy + Ord, V>(
+pub(crate) fn evict_oldest<K: Copy + Ord, V>(
     entries: &mut BTreeMap<K, V>,
     max: usize,
     time: impl Fn(&V) -> Timestamp,
--- a/crates/gateway/src/admitted.rs
+++ b/crates/gateway/src/admitted.rs
@@ -2,7 +2,7 @@
 
 use crate::attempt::{OutgoingRequest, remove_hop_headers};
 use crate::control_cache::ControlSnapshot;
-use crate::part_guard::shared_parts;
+use crate::crash_guard::shared_parts;
 use crate::refusal::Refusal;
 use crate::request_record::RequestRecord;
 use crate::routes::{AccountSpec, Route, RouteTable};
@@ -211,7 +211,7 @@
     let timeout = head.timeout.unwrap_or(DEFAULT_TIMEOUT).min(route.timeout);
     let deadline = started + timeout;
     let prompt_parts = shared_parts(&head);
-    if let Some(wait) = state.parts.blocked_for(&prompt_parts, started) {
+    if let Some(wait) = state.crashes.blocked_for(&prompt_parts, started) {
         return Err(blocked_refusal(wait));
     }
     let limit = table.limits().max_body_bytes;
@@ -241,9 +241,9 @@
     })
 }
 
-/// Refusal of a request with a part in its prompt that crashes upstreams.
+/// Refusal of a request that crashes upstreams, or has a part in its prompt that does.
 pub(crate) const fn blocked_refusal(wait: Duration) -> Refusal {
-    let reason = "upstreams crash on a part of the prompt";
+    let reason = "upstreams crash on this request";
     Refusal::new(StatusCode::SERVICE_UNAVAILABLE, reason).with_retry_after(wait)
 }
 
--- a/crates/gateway/src/crash_guard.rs
+++ b/crates/gateway/src/crash_guard.rs
@@ -1,14 +1,19 @@
-//! Blocks requests with a part in their prompts that crashes upstreams, as all hosts report it.
+//! Blocks requests that crash upstreams, by themselves or by a part in their prompts, as all hosts
+//! report them.
 
 use crate::upstream_entry::UpstreamEntry;
 use crate::wire_format::CallerHead;
+use oleander_core::host_view::HostHash;
+use oleander_core::ids::HostId;
 use oleander_core::part_quarantine::{PartHash, PartQuarantine, PartReport, RunHash};
+use oleander_core::request_hash::RequestHash;
+use oleander_core::request_quarantine::{RequestPermission, RequestQuarantine, RequestReport};
 use oleander_core::stable_hash::unit_point;
 use oleander_core::units::Timestamp;
 use oleander_ports::clock::ClockPort;
 use std::collections::BTreeSet;
 use std::io::ErrorKind;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 use tokio::net::TcpStream;
 
@@ -20,21 +25,54 @@
 /// Timeout of the connection by which an upstream is checked.
 const CHECK_TIMEOUT: Duration = Duration::from_millis(500);
 
-/// The quarantine of prompt parts, shared by all requests.
-#[derive(Debug, Default)]
-pub struct PartGuard(Mutex<PartQuarantine>);
+/// The quarantines of prompt parts and of requests.
+#[derive(Debug)]
+pub struct CrashGuard {
+    parts: Mutex<PartQuarantine>,
+    requests: Mutex<RequestQuarantine>,
+}
+
+/// A request that was lost on an upstream.
+#[derive(Clone, Copy, Debug)]
+pub struct LostRequest<'a> {
+    /// Parts of its prompt that other requests may share.
+    pub parts: &'a [PartHash],
+    /// What the caller sends again.
+    pub request: RequestHash,
+    /// When it was sent there.
+    pub sent_at: Timestamp,
+}
 
-impl PartGuard {
-    /// Creates a guard; `seed` differs from host to host.
+impl CrashGuard {
+    /// Creates the guard of a host; `seed` differs from host to host.
     #[must_use]
-    pub fn new(seed: u64) -> Self {
+    pub fn new(host: &HostId, seed: u64) -> Self {
         let delay = TRIAL_SPREAD.mul_f64(unit_point(seed));
-        Self(Mutex::new(PartQuarantine::new().with_trial_delay(delay)))
+        let parts = Mutex::new(PartQuarantine::new().with_trial_delay(delay));
+        Self { parts, requests: Mutex::new(RequestQuarantine::new(HostHash::new(host))) }
+    }
+
+    /// Performs `work` and logs which requests it blocked or unblocked.
+    fn update_requests<T>(&self, work: impl FnOnce(&mut RequestQuarantine) -> T) -> T {
+        let mut quarantine = lock(&self.requests);
+        let before: BTreeSet<RequestHash> = quarantine.blocked().collect();
+        let result = work(&mut quarantine);
+        let after: BTreeSet<RequestHash> = quarantine.blocked().collect();
+        for request in after.difference(&before) {
+            log::warn!(
+                target: "belief", request:% = request;
+                "request blocked, since it crashes upstreams"
+            );
+        }
+        for request in before.difference(&after) {
+            log::info!(target: "belief", request:% = request; "request no longer blocked");
+        }
+        result
     }
 
     /// Performs `work` and logs which parts it blocked or unblocked.
-    fn update<T>(&self, work: impl FnOnce(&mut PartQuarantine) -> T) -> T {
-        let mut quarantine = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+    fn update_parts<T>(&self, work: impl FnOnce(&mut PartQuarantine) -> T) -> T {
+        let mut quarantine = lock(&self.parts);
         let before: BTreeSet<PartHash> = quarantine.blocked().collect();
         let result = work(&mut quarantine);
         let after: BTreeSet<PartHash> = quarantine.blocked().collect();
@@ -50,16 +88,21 @@
         result
     }
 
-    /// Records that a request with these parts was lost on an upstream before its answer had begun
-    /// for long, and finds out whether the upstream has ended.
+    /// Records that a request was lost on an upstream before its answer had begun for long, and finds
+    /// out whether the upstream has ended.
     pub fn record_loss(
         self: &Arc<Self>,
         entry: &UpstreamEntry,
-        parts: &[PartHash],
+        lost: &LostRequest<'_>,
         clock: &Arc<dyn ClockPort>,
     ) {
         let (run, now) = (run_hash(entry), clock.now());
-        if self.update(|quarantine| quarantine.record_loss(run, parts, now)) {
+        let are_parts_first =
+            self.update_parts(|quarantine| quarantine.record_loss(run, lost.parts, now));
+        let is_request_first = self.update_requests(|quarantine| {
+            quarantine.record_loss(run, lost.request, lost.sent_at, now)
+        });
+        if are_parts_first || is_request_first {
             let (guard, clock, address) = (Arc::clone(self), Arc::clone(clock), entry.address);
             tokio::spawn(async move {
                 for delay in CHECK_DELAYS {
@@ -68,8 +111,7 @@
                     let refused =
                         |error: &std::io::Error| error.kind() == ErrorKind::ConnectionRefused;
                     if connect.await.is_ok_and(|connected| connected.as_ref().is_err_and(refused)) {
-                        let now = clock.now();
-                        guard.update(|quarantine| quarantine.record_end(run, now));
+                        guard.record_run_end(run, clock.now());
                         return;
                     }
                 }
@@ -79,37 +121,73 @@
 
     /// Records that an upstream refused a connection.
     pub fn record_end(&self, entry: &UpstreamEntry, now: Timestamp) {
-        self.update(|quarantine| quarantine.record_end(run_hash(entry), now));
+        self.record_run_end(run_hash(entry), now);
+    }
+
+    fn record_run_end(&self, run: RunHash, now: Timestamp) {
+        self.update_parts(|quarantine| quarantine.record_end(run, now));
+        self.update_requests(|quarantine| quarantine.record_end(run, now));
+    }
+
+    /// Records that an upstream answered a request; `hash` computes its hash, if any request is
+    /// suspected.
+    pub fn record_request_answer(&self, hash: impl FnOnce() -> RequestHash, now: Timestamp) {
+        if !lock(&self.requests).is_empty() {
+            let request = hash();
+            self.update_requests(|quarantine| quarantine.record_answer(request, now));
+        }
+    }
+
+    /// Whether a request may be sent; a trial has then begun. `hash` computes its hash, if any request
+    /// is suspected; `is_first` tells whether this host is the first live one in the order of a key.
+    pub fn request_permission(
+        &self,
+        hash: impl FnOnce() -> RequestHash,
+        is_first: impl FnOnce(u64) -> bool,
+        now: Timestamp,
+    ) -> RequestPermission {
+        if lock(&self.requests).is_empty() {
+            return RequestPermission::Open;
+        }
+        let request = hash();
+        let mut quarantine = lock(&self.requests);
+        let permission = quarantine.permission(request, is_first, now);
+        if permission == RequestPermission::Trial {
+            log::info!(target: "belief", request:% = request; "blocked request is tried again");
+            quarantine.begin_trial(request);
+        }
+        permission
     }
 
     /// Records that a request with these parts was answered.
-    pub fn record_answer(&self, parts: &[PartHash], now: Timestamp) {
+    pub fn record_part_answer(&self, parts: &[PartHash], now: Timestamp) {
         if !parts.is_empty() {
-            self.update(|quarantine| quarantine.record_answer(parts, now));
+            self.update_parts(|quarantine| quarantine.record_answer(parts, now));
         }
     }
 
     /// Time until requests with these parts are served again; `None` if they are not blocked.
     #[must_use]
     pub fn blocked_for(&self, parts: &[PartHash], now: Timestamp) -> Option<Duration> {
-        let quarantine = self.0.lock().unwrap_or_else(PoisonError::into_inner);
-        quarantine.blocked_until(parts).map(|until| until.since(now))
+        lock(&self.parts).blocked_until(parts).map(|until| until.since(now))
     }
 
     /// Forgets what is too old.
     pub fn expire(&self, now: Timestamp) {
-        self.update(|quarantine| quarantine.expire(now));
+        self.update_parts(|quarantine| quarantine.expire(now));
+        self.update_requests(|quarantine| quarantine.expire(now));
     }
 
     /// What other hosts should know.
     #[must_use]
-    pub fn report(&self, now: Timestamp) -> PartReport {
-        self.0.lock().unwrap_or_else(PoisonError::into_inner).report(now)
+    pub fn report(&self, now: Timestamp) -> (PartReport, RequestReport) {
+        (lock(&self.parts).report(now), lock(&self.requests).report(now))
     }
 
     /// Takes over what another host tells.
-    pub fn merge(&self, report: &PartReport, now: Timestamp) {
-        self.update(|quarantine| quarantine.merge(report, now));
+    pub fn merge(&self, parts: &PartReport, requests: &RequestReport, now: Timestamp) {
+        self.update_parts(|quarantine| quarantine.merge(parts, now));
+        self.update_requests(|quarantine| quarantine.merge(requests, now));
     }
 }
 
@@ -123,3 +201,7 @@
 fn run_hash(entry: &UpstreamEntry) -> RunHash {
     RunHash::new(entry.name.as_str(), entry.started_ms)
 }
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -67,10 +67,12 @@
         match buffer_answer(&run, answer).await {
             Ok(response) => {
                 let status = response.status().as_u16();
+                run.record_answered();
                 run.record.set_outcome("answered", status, "");
                 return response;
             }
             Err(fault) => {
+                run.record_crash(&entry, &fault);
                 run.record_fault(&entry, &fault);
                 run.record.add_attempt(entry.name.as_str(), None, &fault.to_string());
                 if !run.may_retry(&fault) {
--- a/crates/gateway/src/gateway_process.rs
+++ b/crates/gateway/src/gateway_process.rs
@@ -4,12 +4,12 @@
 use crate::caller_server::CallerServer;
 use crate::control_cache::ControlSnapshot;
 use crate::control_port::{ControlPort, Topic};
+use crate::crash_guard::CrashGuard;
 use crate::gossip::{GossipNode, run_gossip};
 use crate::gossip_seal::GossipSeal;
 use crate::host_count::count_hosts;
 use crate::latency_tracker::{LatencyTracker, PrefillTracker};
 use crate::metrics::GatewayMetrics;
-use crate::part_guard::PartGuard;
 use crate::peer_table::PeerTable;
 use crate::rollout_counters::RolloutCounters;
 use crate::rollout_driver::RolloutDriver;
@@ -197,8 +197,8 @@
         prefills: PrefillTracker::new(),
         sessions: SessionVersions::new(),
         rollout_counters: RolloutCounters::new(host.clone(), incarnation),
+        crashes: Arc::new(CrashGuard::new(&host, seed)),
         seal: GossipSeal::new(host, Incarnation::new(incarnation)),
-        parts: Arc::new(PartGuard::new(seed)),
         random: SeededRandom::new(seed),
         metrics: GatewayMetrics::new(registry),
         stop: StopState::default(),
@@ -213,7 +213,7 @@
         if publisher.tell(ExpiryDue).await.is_err() {
             return;
         }
-        state.parts.expire(state.clock.now());
+        state.crashes.expire(state.clock.now());
         state.pool.limits().divide(state.clock.now());
         state.sessions.evict(state.settings.load().bounds.session_retention(), state.clock.now());
     }
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -16,6 +16,7 @@
 use oleander_core::host_view::HostReport;
 use oleander_core::limit_division::ReportedLimit;
 use oleander_core::part_quarantine::PartReport;
+use oleander_core::request_quarantine::RequestReport;
 use oleander_core::store_era::{StoreEra, StoreRevision};
 use oleander_core::units::Timestamp;
 use oleander_ports::clock::{ClockPort, SystemClock};
@@ -73,6 +74,8 @@
     pub hosts: HostReport,
     /// Limits that upstreams name.
     pub limits: Vec<ReportedLimit>,
+    /// Requests that crash upstreams.
+    pub requests: RequestReport,
 }
 
 /// The part of a datagram that earlier releases of this program send and read.
@@ -148,7 +151,7 @@
         let is_fresh =
             |sealed: &&SealedReport| self.state.seal.accept(&sealed.origin, SystemClock.now());
         if let Some(sealed) = sealed.filter(is_fresh) {
-            self.state.parts.merge(&message.parts, now);
+            self.state.crashes.merge(&message.parts, &sealed.requests, now);
             let limits = self.state.pool.limits();
             limits.merge(&sealed.origin.host, &sealed.hosts, &sealed.limits, now);
         }
@@ -204,11 +207,16 @@
         let revisions =
             Topic::ALL.map(|topic| snapshot.revisions.get(&topic).copied().unwrap_or_default());
         let now = state.clock.now();
-        let parts = state.parts.report(now);
+        let (parts, requests) = state.crashes.report(now);
         let mut loads = state.pool.load_reports(now);
         let (hosts, limits) = state.pool.limits().report(now);
-        // A load takes nine bytes, a reported crash up to fourteen, a host eight and a limit twelve.
-        let others = SEAL_LOADS + parts.len() * 2 + hosts.others.len() + limits.len() * 3 / 2;
+        // A load takes nine bytes, a reported crash up to fourteen, a host eight, a limit twelve and
+        // an end of an upstream under a request up to thirty.
+        let others = SEAL_LOADS
+            + parts.len() * 2
+            + hosts.others.len()
+            + limits.len() * 3 / 2
+            + requests.len() * 7 / 2;
         loads.truncate(MAX_LOAD_REPORTS.saturating_sub(others));
         GossipMessage {
             versions: revisions.map(|revision| revision.version),
@@ -222,6 +230,7 @@
                 origin: state.seal.next_origin(SystemClock.now()),
                 hosts,
                 limits,
+                requests,
             }),
         }
     }
--- a/crates/gateway/src/request_run.rs
+++ b/crates/gateway/src/request_run.rs
@@ -5,6 +5,7 @@
 use crate::cascade::{CascadeModel, CascadeRequest, CascadeStep, plan_steps};
 use crate::choice_price::{ChoicePrices, PLAIN_ANSWER_VALUE, PricedRequest, answer_value, prices};
 use crate::control_cache::ControlSnapshot;
+use crate::crash_guard::LostRequest;
 use crate::fault::AttemptFault;
 use crate::latency_tracker::LatencyKey;
 use crate::placement::ChoiceInput;
@@ -22,9 +23,11 @@
 use oleander_core::attempt_retry::FaultKind;
 use oleander_core::ids::UpstreamName;
 use oleander_core::part_quarantine::SERVED_TIME;
+use oleander_core::request_hash::RequestHash;
+use oleander_core::request_quarantine::RequestPermission;
 use oleander_core::units::Timestamp;
 use std::collections::HashSet;
-use std::sync::Arc;
+use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
 /// Maximum sends per request, including those that upstreams refused.
@@ -56,7 +59,7 @@
     NoUpstream,
     /// The last attempt failed and no retry is allowed.
     Failed(AttemptFault),
-    /// Upstreams crash on a part of the prompt.
+    /// Upstreams crash on the request, or on a part of its prompt.
     Blocked(Duration),
 }
 
@@ -84,8 +87,13 @@
     may_have_run: bool,
     /// When the response headers of the latest answer arrived.
     head_at: Option<Timestamp>,
-    /// Whether the latest answer has shown that the parts of the prompt are sound.
-    is_part_answered: bool,
+    /// Whether the latest answer has shown that the request does not crash its upstream.
+    is_answered: bool,
+    /// When the latest attempt was sent.
+    sent_at: Timestamp,
+    /// Whether it is a trial of a blocked request, which runs once.
+    is_trial: bool,
+    hash: OnceLock<RequestHash>,
     /// Version under rollout that failed this request.
     failed_version: Option<Arc<str>>,
     /// The latest answer, which counts in a rollout.
@@ -110,7 +118,10 @@
             keeps_silent: false,
             may_have_run: false,
             head_at: None,
-            is_part_answered: false,
+            is_answered: false,
+            sent_at: Timestamp::default(),
+            is_trial: false,
+            hash: OnceLock::new(),
             failed_version: None,
             answer: None,
         }
@@ -145,7 +156,7 @@
                 return Err(RunError::TimedOut);
             }
             let now = self.state.clock.now();
-            if let Some(wait) = self.state.parts.blocked_for(&self.request.parts, now) {
+            if let Some(wait) = self.blocked_for(now) {
                 return Err(RunError::Blocked(wait));
             }
             let Some(permit) = self.choose(last_fault.as_ref()) else {
@@ -178,12 +189,37 @@
         }
     }
 
+    /// Time for which the request is blocked; `None` if it may be sent, once more or as a trial.
+    fn blocked_for(&mut self, now: Timestamp) -> Option<Duration> {
+        let state = &self.state;
+        if let Some(wait) = state.crashes.blocked_for(&self.request.parts, now) {
+            return Some(wait);
+        }
+        if self.is_trial {
+            return None;
+        }
+        let is_first = |key| state.pool.limits().is_first(key, now);
+        match state.crashes.request_permission(|| self.hash(), is_first, now) {
+            RequestPermission::Open => None,
+            RequestPermission::Blocked(until) => Some(until.since(now)),
+            RequestPermission::Trial => {
+                self.is_trial = true;
+                None
+            }
+        }
+    }
+
+    fn hash(&self) -> RequestHash {
+        *self.hash.get_or_init(|| self.request.hash())
+    }
+
     /// Whether the request may be retried after a fault; spends the retry budget.
     pub fn may_retry(&mut self, fault: &AttemptFault) -> bool {
         if fault.may_have_run() {
             self.may_have_run = true;
             if !self.request.route.retry_policy.allows_retry()
                 || self.runs >= self.request.route.max_attempts
+                || self.is_trial
             {
                 return false;
             }
@@ -237,26 +273,32 @@
         }
     }
 
-    /// Records a fault that may be an upstream's crash on a part of the prompt.
-    pub fn record_part_fault(&self, entry: &UpstreamEntry, fault: &AttemptFault) {
-        let (parts, clock) = (&self.request.parts, &self.state.clock);
+    /// Records a fault that may be an upstream's crash on the request.
+    pub fn record_crash(&self, entry: &UpstreamEntry, fault: &AttemptFault) {
+        let clock = &self.state.clock;
         match fault.kind {
-            FaultKind::Connect => self.state.parts.record_end(entry, clock.now()),
-            FaultKind::Lost | FaultKind::Cut if !self.is_part_answered => {
+            FaultKind::Connect => self.state.crashes.record_end(entry, clock.now()),
+            FaultKind::Lost | FaultKind::Cut if !self.is_answered => {
                 log::info!(
                     target: "attempt", upstream = entry.name.as_str(),
-                    request:% = self.request.hash(), fault:% = fault;
+                    request:% = self.hash(), fault:% = fault;
                     "request lost before its answer was complete"
                 );
-                self.state.parts.record_loss(entry, parts, clock);
+                let (request, sent_at) = (self.hash(), self.sent_at);
+                let lost = LostRequest { parts: &self.request.parts, request, sent_at };
+                self.state.crashes.record_loss(entry, &lost, clock);
             }
             _ => {}
         }
     }
 
-    fn record_part_answer(&mut self) {
-        if !std::mem::replace(&mut self.is_part_answered, true) {
-            self.state.parts.record_answer(&self.request.parts, self.state.clock.now());
+    /// Records that the latest answer is complete, or has been written for long: the request does not
+    /// crash its upstream.
+    pub fn record_answered(&mut self) {
+        if !std::mem::replace(&mut self.is_answered, true) {
+            let now = self.state.clock.now();
+            self.state.crashes.record_part_answer(&self.request.parts, now);
+            self.state.crashes.record_request_answer(|| self.hash(), now);
         }
     }
 
@@ -371,13 +413,14 @@
         self.state.rollout_counters.record_sent(&snapshot, self.counter_labels(&entry));
         let head = self.upstream_head(&entry, model.clone(), resume_after);
         let sent_at = self.state.clock.now();
+        self.sent_at = sent_at;
         let result = self.send_with_timeout(permit, &head, model.as_ref()).await;
         let latency = self.state.clock.now().since(sent_at);
         match &result {
             Ok(answer) => self.record_head(&entry, model.as_ref(), answer, latency),
             Err(fault) => {
                 self.head_at = None;
-                self.record_part_fault(&entry, fault);
+                self.record_crash(&entry, fault);
                 self.runs += u32::from(fault.may_have_run());
                 if fault.kind == FaultKind::NotRun {
                     self.last_refused = Some(entry.name.clone());
@@ -473,10 +516,7 @@
     ) {
         self.runs += 1;
         self.may_have_run = true;
-        (self.head_at, self.is_part_answered) = (Some(self.state.clock.now()), false);
-        if answer.status.is_success() && !self.request.route.retry_policy.is_stream() {
-            self.record_part_answer();
-        }
+        (self.head_at, self.is_answered) = (Some(self.state.clock.now()), false);
         self.record_session(&entry.version);
         self.state.metrics.record_head(latency);
         let key = self.latency_key(model);
@@ -511,7 +551,7 @@
 
     /// Records that a stream ended on a version; the session's idle gap counts from now.
     pub fn record_stream_end(&mut self, entry: &UpstreamEntry) {
-        self.record_part_answer();
+        self.record_answered();
         self.record_session(&entry.version);
     }
 
@@ -554,7 +594,7 @@
     pub fn record_events(&mut self, events: u32) {
         let now = self.state.clock.now();
         if self.head_at.is_some_and(|head_at| now.since(head_at) >= SERVED_TIME) {
-            self.record_part_answer();
+            self.record_answered();
         }
         if let Some(answer) = &mut self.answer {
             answer.record_events(events, now);
--- a/crates/gateway/src/shared_limits.rs
+++ b/crates/gateway/src/shared_limits.rs
@@ -67,6 +67,12 @@
         lock(&self.division).divide(&hosts, now);
     }
 
+    /// Whether this host is the first live one in the order of a key.
+    #[must_use]
+    pub fn is_first(&self, key: u64, now: Timestamp) -> bool {
+        lock(&self.hosts).is_first(key, now)
+    }
+
     /// Number of live hosts, this one included.
     #[must_use]
     pub fn live_hosts(&self, now: Timestamp) -> usize {
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -1,10 +1,10 @@
 //! State shared by all requests of a gateway.
 
 use crate::answer_times::AnswerTimes;
+use crate::crash_guard::CrashGuard;
 use crate::gossip_seal::GossipSeal;
 use crate::latency_tracker::{LatencyTracker, PrefillTracker};
 use crate::metrics::GatewayMetrics;
-use crate::part_guard::PartGuard;
 use crate::rollout_counters::RolloutCounters;
 use crate::seeded_random::SeededRandom;
 use crate::session_versions::SessionVersions;
@@ -43,8 +43,8 @@
     pub rollout_counters: RolloutCounters,
     /// Authenticates datagrams between hosts.
     pub seal: GossipSeal,
-    /// Parts of prompts that crash upstreams.
-    pub parts: Arc<PartGuard>,
+    /// Requests that crash upstreams.
+    pub crashes: Arc<CrashGuard>,
     /// Random numbers.
     pub random: SeededRandom,
     /// Metrics.
--- a/crates/gateway/src/stream_relay.rs
+++ b/crates/gateway/src/stream_relay.rs
@@ -156,7 +156,7 @@
     }
 
     fn record_fault(&mut self, entry: &UpstreamEntry, fault: &AttemptFault) {
-        self.run.record_part_fault(entry, fault);
+        self.run.record_crash(entry, fault);
         self.run.record_fault(entry, fault);
         self.run.record.add_attempt(entry.name.as_str(), None, &fault.to_string());
     }
--- a/crates/gateway/tests/store_silence.rs
+++ b/crates/gateway/tests/store_silence.rs
@@ -11,11 +11,11 @@
 use oleander_gateway::control_port::{
     ControlPort, HostRecord, Topic, TopicChange, TopicRow, TopicUpdate, TopicValue, WriteOutcome,
 };
+use oleander_gateway::crash_guard::CrashGuard;
 use oleander_gateway::gossip::{GOSSIP_INTERVAL, GossipNode};
 use oleander_gateway::gossip_seal::{GossipKey, GossipSeal};
 use oleander_gateway::latency_tracker::{LatencyTracker, PrefillTracker};
 use oleander_gateway::metrics::GatewayMetrics;
-use oleander_gateway::part_guard::PartGuard;
 use oleander_gateway::peer_table::{PeerTable, RegionHash};
 use oleander_gateway::rollout_counters::RolloutCounters;
 use oleander_gateway::rollout_plan::RolloutDecision;
@@ -234,7 +234,7 @@
         sessions: SessionVersions::new(),
         rollout_counters: RolloutCounters::new("host".parse().unwrap(), 1),
         seal: GossipSeal::new(format!("host-{index}").parse().unwrap(), Incarnation::new(seed)),
-        parts: Arc::new(PartGuard::new(seed)),
+        crashes: Arc::new(CrashGuard::new(&format!("host-{index}").parse().unwrap(), seed)),
         random: SeededRandom::new(seed),
         metrics: GatewayMetrics::new(&mut prometheus_client::registry::Registry::default()),
         stop: StopState::default(),
