Keep blocked requests in the store for hosts that start later

Callers of the crashing request's service would have lost it again after each restart of all hosts: what hosts knew of the request was in their memory alone.

A host that has seen an end under a request writes the blocked ones to a row of the store, and the call by which a host reads the key when it starts also returns that row: no call more for each start. The evidence is kept, not the verdict, so that an answer still clears it.

--- a/crates/core/src/request_quarantine.rs
+++ b/crates/core/src/request_quarantine.rs
@@ -54,6 +54,8 @@
 const MAX_REPORTED_ENDS: usize = 14;
 const MAX_REPORTED_ENDS_PER_SUSPECT: usize = 4;
 const MAX_REPORTED_ANSWERS: usize = 6;
+/// Maximum number of blocked requests that are kept for hosts that start later.
+const MAX_KEPT_SUSPECTS: usize = 64;
 /// Unit of times in reports, in milliseconds.
 const TIME_UNIT_MS: u64 = 10;
 /// Maximum error of the difference of two times that one host has told.
@@ -177,6 +179,31 @@
     }
 }
 
+fn time_units(time: Duration) -> u64 {
+    time.as_millis() as u64 / TIME_UNIT_MS
+}
+
+fn age_units(at: Timestamp, now: Timestamp) -> u32 {
+    u32::try_from(time_units(now.since(at))).unwrap_or(u32::MAX)
+}
+
+/// A suspect with at most `max_ends` of its ends.
+fn reported_suspect(
+    request: RequestHash,
+    suspect: &RequestSuspect,
+    max_ends: usize,
+    now: Timestamp,
+) -> ReportedSuspect {
+    let end = |(run, loss): (RunHash, RequestLoss)| ReportedEnd {
+        run,
+        observer: loss.observer,
+        age: age_units(loss.lost_at, now),
+        ran: u16::try_from(time_units(loss.lost_at.since(loss.sent_at))).unwrap_or(u16::MAX),
+    };
+    let ends = suspect.told_ends().into_iter().take(max_ends).map(end).collect();
+    ReportedSuspect { request, trials: suspect.trials, ends }
+}
+
 /// The places of two losses of different causes.
 fn separate_pair(losses: &[RequestLoss]) -> Option<(usize, usize)> {
     (0..losses.len()).find_map(|earlier| {
@@ -345,6 +372,25 @@
         self.blocked.keys().copied()
     }
 
+    /// Whether this host has seen an end under a request itself.
+    #[must_use]
+    pub fn is_observed(&self, request: RequestHash) -> bool {
+        let suspect = self.suspects.get(&request);
+        suspect.is_some_and(|suspect| suspect.ends.values().any(|loss| loss.observer == self.me))
+    }
+
+    /// The blocked requests with what they are blocked for, the latest ones.
+    #[must_use]
+    pub fn blocked_report(&self, now: Timestamp) -> RequestReport {
+        let mut latest: Vec<(&RequestHash, &RequestBlock)> = self.blocked.iter().collect();
+        latest.sort_by_key(|(_, block)| std::cmp::Reverse(block.since));
+        let suspects = latest.into_iter().take(MAX_KEPT_SUSPECTS).filter_map(|(request, _)| {
+            let suspect = self.suspects.get(request)?;
+            Some(reported_suspect(*request, suspect, usize::MAX, now))
+        });
+        RequestReport { suspects: suspects.collect(), clearances: Vec::new() }
+    }
+
     /// Number of entries that are kept.
     #[must_use]
     pub fn retained_entries(&self) -> usize {
@@ -370,8 +416,6 @@
     /// What other hosts should know: requests implicated in several ends, or in a recent one, in
     /// turn.
     pub fn report(&mut self, now: Timestamp) -> RequestReport {
-        let units = |time: Duration| time.as_millis() as u64 / TIME_UNIT_MS;
-        let age = |at: Timestamp| u32::try_from(units(now.since(at))).unwrap_or(u32::MAX);
         let is_told = |suspect: &RequestSuspect| {
             suspect.ends.len() > 1 || now.since(suspect.newest()) < TELL_TIME
         };
@@ -384,24 +428,16 @@
         self.reports = self.reports.wrapping_add(1);
         let (mut suspects, mut left) = (Vec::new(), MAX_REPORTED_ENDS);
         for (request, suspect) in told {
-            let mut ends = suspect.told_ends();
-            ends.truncate(left);
-            left -= ends.len();
-            let end = |(run, loss): (RunHash, RequestLoss)| ReportedEnd {
-                run,
-                observer: loss.observer,
-                age: age(loss.lost_at),
-                ran: u16::try_from(units(loss.lost_at.since(loss.sent_at))).unwrap_or(u16::MAX),
-            };
-            let ends = ends.into_iter().map(end).collect();
-            suspects.push(ReportedSuspect { request: *request, trials: suspect.trials, ends });
+            let reported = reported_suspect(*request, suspect, left, now);
+            left -= reported.ends.len();
+            suspects.push(reported);
             if left == 0 {
                 break;
             }
         }
         let clearances = self.cleared.keys().filter_map(|request| {
             let answered = self.answers.get(request)?;
-            Some(ReportedClearance { request: *request, age: age(*answered) })
+            Some(ReportedClearance { request: *request, age: age_units(*answered, now) })
         });
         let clearances = clearances.take(MAX_REPORTED_ANSWERS).collect();
         RequestReport { suspects, clearances }
--- a/crates/gateway/src/control_port.rs
+++ b/crates/gateway/src/control_port.rs
@@ -108,6 +108,15 @@
     pub peers: Option<SocketAddr>,
 }
 
+/// What hosts share through the store.
+#[derive(Clone, Debug)]
+pub struct HostAgreement {
+    /// The key that they authenticate each other by.
+    pub key: GossipKey,
+    /// The blocked requests, as the last host wrote them.
+    pub blocked: Option<Vec<u8>>,
+}
+
 /// Result of a conditional write.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum WriteOutcome {
@@ -156,8 +165,11 @@
     fn hosts(&self) -> PortFuture<'_, Result<Vec<HostRecord>, PlatformError>>;
 
     /// Writes the key that hosts authenticate each other by, unless there is one; returns the one that
-    /// is in force.
-    fn agree_key(&self, proposed: GossipKey) -> PortFuture<'_, Result<GossipKey, PlatformError>>;
+    /// is in force, and the blocked requests.
+    fn agree(&self, proposed: GossipKey) -> PortFuture<'_, Result<HostAgreement, PlatformError>>;
+
+    /// Writes the requests that are blocked.
+    fn write_blocked(&self, report: Vec<u8>) -> PortFuture<'_, Result<(), PlatformError>>;
 
     /// Drops connections that may have silently died; later calls open new ones.
     fn reset_connections(&self);
--- a/crates/gateway/src/crash_guard.rs
+++ b/crates/gateway/src/crash_guard.rs
@@ -16,6 +16,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 use tokio::net::TcpStream;
+use tokio::sync::Notify;
 
 /// Time over which hosts spread the first trial of a part that was blocked.
 const TRIAL_SPREAD: Duration = Duration::from_secs(30);
@@ -30,6 +31,8 @@
 pub struct CrashGuard {
     parts: Mutex<PartQuarantine>,
     requests: Mutex<RequestQuarantine>,
+    /// Notified when what the store should hold of blocked requests has changed.
+    changed: Notify,
 }
 
 /// A request that was lost on an upstream.
@@ -49,7 +52,8 @@
     pub fn new(host: &HostId, seed: u64) -> Self {
         let delay = TRIAL_SPREAD.mul_f64(unit_point(seed));
         let parts = Mutex::new(PartQuarantine::new().with_trial_delay(delay));
-        Self { parts, requests: Mutex::new(RequestQuarantine::new(HostHash::new(host))) }
+        let requests = Mutex::new(RequestQuarantine::new(HostHash::new(host)));
+        Self { parts, requests, changed: Notify::new() }
     }
 
     /// Performs `work` and logs which requests it blocked or unblocked.
@@ -63,6 +67,9 @@
                 target: "belief", request:% = request;
                 "request blocked, since it crashes upstreams"
             );
+            if quarantine.is_observed(*request) {
+                self.changed.notify_one();
+            }
         }
         for request in before.difference(&after) {
             log::info!(target: "belief", request:% = request; "request no longer blocked");
@@ -129,6 +136,28 @@
         self.update_requests(|quarantine| quarantine.record_end(run, now));
     }
 
+    /// Whether any request is blocked.
+    #[must_use]
+    pub fn has_blocked(&self) -> bool {
+        lock(&self.requests).blocked().next().is_some()
+    }
+
+    /// Resolves when a request was blocked for ends that this host has seen.
+    pub async fn next_change(&self) {
+        self.changed.notified().await;
+    }
+
+    /// The blocked requests, for hosts that start later.
+    #[must_use]
+    pub fn blocked_report(&self, now: Timestamp) -> RequestReport {
+        lock(&self.requests).blocked_report(now)
+    }
+
+    /// Takes over what another host tells of requests.
+    pub fn merge_requests(&self, report: &RequestReport, now: Timestamp) {
+        self.update_requests(|quarantine| quarantine.merge(report, now));
+    }
+
     /// Records that an upstream answered a request; `hash` computes its hash, if any request is
     /// suspected.
     pub fn record_request_answer(&self, hash: impl FnOnce() -> RequestHash, now: Timestamp) {
@@ -187,7 +216,7 @@
     /// Takes over what another host tells.
     pub fn merge(&self, parts: &PartReport, requests: &RequestReport, now: Timestamp) {
         self.update_parts(|quarantine| quarantine.merge(parts, now));
-        self.update_requests(|quarantine| quarantine.merge(requests, now));
+        self.merge_requests(requests, now);
     }
 }
 
--- a/crates/gateway/src/host_count.rs
+++ b/crates/gateway/src/host_count.rs
@@ -1,8 +1,8 @@
 //! Registers this host and counts all hosts, which share the deployment's allowances.
 
 use crate::control_port::{ControlPort, HostRecord};
-use crate::gossip_seal::GossipKey;
 use crate::peer_table::{PeerTable, RegionHash};
+use crate::shared_state::share_state;
 use crate::state::GatewayState;
 use oleander_core::store_era::StoreEra;
 use std::sync::Arc;
@@ -35,13 +35,9 @@
     loop {
         let era = state.snapshot.load().era();
         register(&*control, &record).await;
-        let agreed = async {
-            agree_key(&state, &*control).await;
-            std::future::pending::<()>().await;
-        };
         tokio::select! {
             () = count_while_registered(&state, &*control, &peers, &record, era) => {}
-            () = agreed => {}
+            () = share_state(&state, &*control) => {}
         }
         // Hosts must not all write at once.
         let hosts = u32::try_from(state.pool.hosts()).unwrap_or(u32::MAX);
@@ -57,24 +53,6 @@
     }
 }
 
-/// Reads the key that hosts share, or writes the one that this host knows. A store that came back from
-/// an older copy may have lost it.
-async fn agree_key(state: &GatewayState, control: &dyn ControlPort) {
-    let proposed = state.seal.key().unwrap_or_else(GossipKey::random);
-    loop {
-        match control.agree_key(proposed.clone()).await {
-            Ok(key) => {
-                log::info!(target: "dependency", "datagrams between hosts are authenticated");
-                return state.seal.set_key(key);
-            }
-            Err(error) => {
-                log::warn!(target: "dependency", error:%; "cannot read the key of the hosts");
-                tokio::time::sleep(RETRY_INTERVAL).await;
-            }
-        }
-    }
-}
-
 /// Counts all hosts periodically until the store begins a later era than `era`, in which it may have
 /// lost the registration.
 async fn count_while_registered(
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -47,6 +47,7 @@
 pub mod session_versions;
 pub mod settings;
 pub mod shared_limits;
+pub mod shared_state;
 pub mod snapshot_publisher;
 pub mod state;
 pub mod stop_state;
--- a/crates/gateway/tests/store_silence.rs
+++ b/crates/gateway/tests/store_silence.rs
@@ -9,7 +9,8 @@
 use oleander_core::units::Timestamp;
 use oleander_gateway::answer_times::AnswerTimes;
 use oleander_gateway::control_port::{
-    ControlPort, HostRecord, Topic, TopicChange, TopicRow, TopicUpdate, TopicValue, WriteOutcome,
+    ControlPort, HostAgreement, HostRecord, Topic, TopicChange, TopicRow, TopicUpdate, TopicValue,
+    WriteOutcome,
 };
 use oleander_gateway::crash_guard::CrashGuard;
 use oleander_gateway::gossip::{GOSSIP_INTERVAL, GossipNode};
@@ -169,8 +170,12 @@
         Box::pin(async { Ok(Vec::new()) })
     }
 
-    fn agree_key(&self, proposed: GossipKey) -> PortFuture<'_, Result<GossipKey, PlatformError>> {
-        Box::pin(async move { Ok(proposed) })
+    fn agree(&self, key: GossipKey) -> PortFuture<'_, Result<HostAgreement, PlatformError>> {
+        Box::pin(async move { Ok(HostAgreement { key, blocked: None }) })
+    }
+
+    fn write_blocked(&self, _: Vec<u8>) -> PortFuture<'_, Result<(), PlatformError>> {
+        Box::pin(async { Ok(()) })
     }
 
     fn reset_connections(&self) {}
--- a/crates/gateway/tests/topic_calls.rs
+++ b/crates/gateway/tests/topic_calls.rs
@@ -3,7 +3,7 @@
 use oleander_core::store_era::{StoreEra, StoreRevision};
 use oleander_core::units::Timestamp;
 use oleander_gateway::control_port::{
-    ControlPort, HostRecord, Topic, TopicChange, TopicUpdate, WriteOutcome,
+    ControlPort, HostAgreement, HostRecord, Topic, TopicChange, TopicUpdate, WriteOutcome,
 };
 use oleander_gateway::gateway_process::GatewayProcess;
 use oleander_gateway::gossip_seal::GossipKey;
@@ -86,8 +86,12 @@
         })
     }
 
-    fn agree_key(&self, proposed: GossipKey) -> PortFuture<'_, Result<GossipKey, PlatformError>> {
-        Box::pin(async move { Ok(proposed) })
+    fn agree(&self, key: GossipKey) -> PortFuture<'_, Result<HostAgreement, PlatformError>> {
+        Box::pin(async move { Ok(HostAgreement { key, blocked: None }) })
+    }
+
+    fn write_blocked(&self, _: Vec<u8>) -> PortFuture<'_, Result<(), PlatformError>> {
+        Box::pin(async { Ok(()) })
     }
 
     fn reset_connections(&self) {}
