Let hosts agree on a key again after the store came back without it

A host that started after a restore of the store wrote another key than the others had, and none of them believed the others until they had all noticed the new era and registered again, over seconds; one that had just started began to wait for its first count of the hosts anew with each era.

--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -147,6 +147,9 @@
         }
         self.state.pool.merge_load_reports(&message.loads, now);
         self.state.pool.merge_leaving(&message.leaving, now);
+        if content.is_none() && message.sealed.is_some() && self.peers.contains(sender) {
+            self.state.seal.record_unverified();
+        }
         let sealed = message.sealed.as_ref().filter(|_| content.is_some());
         let is_fresh =
             |sealed: &&SealedReport| self.state.seal.accept(&sealed.origin, SystemClock.now());
--- a/crates/gateway/src/gossip_seal.rs
+++ b/crates/gateway/src/gossip_seal.rs
@@ -13,6 +13,7 @@
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Mutex, MutexGuard, PoisonError};
+use tokio::sync::Notify;
 
 /// Size of the key, in bytes.
 const KEY_BYTES: usize = 32;
@@ -75,6 +76,7 @@
     key: Mutex<Option<(GossipKey, MacKey)>>,
     counter: AtomicU64,
     guard: Mutex<ReplayGuard>,
+    unverified: Notify,
 }
 
 impl GossipSeal {
@@ -82,7 +84,8 @@
     #[must_use]
     pub fn new(host: HostId, incarnation: Incarnation) -> Self {
         let (key, guard) = (Mutex::default(), Mutex::default());
-        Self { host, incarnation, key, counter: AtomicU64::new(0), guard }
+        let (counter, unverified) = (AtomicU64::new(0), Notify::new());
+        Self { host, incarnation, key, counter, guard, unverified }
     }
 
     /// Sets the key.
@@ -123,6 +126,17 @@
         key.verify(&[&address_bytes(own), content], &tag).then_some(content)
     }
 
+    /// Records that a host sealed a datagram with another key than this host knows: one of them may
+    /// have read it before the store came back from an older copy.
+    pub fn record_unverified(&self) {
+        self.unverified.notify_one();
+    }
+
+    /// Resolves when a datagram was sealed with another key.
+    pub async fn next_unverified(&self) {
+        self.unverified.notified().await;
+    }
+
     /// Whether a verified datagram is neither repeated nor old, by this host's time since the Unix
     /// epoch.
     #[must_use]
--- a/crates/gateway/src/host_count.rs
+++ b/crates/gateway/src/host_count.rs
@@ -7,8 +7,10 @@
 use oleander_core::store_era::StoreEra;
 use std::sync::Arc;
 use std::time::Duration;
+use tokio::time::Instant;
 
-/// Delay of the first count, so that hosts which start together are all registered.
+/// Delay of the first count of a process, and of the first one of an era, so that hosts which start
+/// together are all registered.
 const FIRST_COUNT_DELAY: Duration = Duration::from_secs(3);
 /// Time between counts. Hosts rarely change, and each count costs a call to the store.
 const COUNT_INTERVAL: Duration = Duration::from_secs(60);
@@ -32,11 +34,15 @@
         region: settings.region.clone(),
         peers: settings.peers,
     };
+    let first_count_at = Instant::now() + FIRST_COUNT_DELAY;
     loop {
         let era = state.snapshot.load().era();
+        let is_counted = state.pool.counted_hosts().is_some();
+        let until_first = first_count_at.saturating_duration_since(Instant::now());
+        let wait = if is_counted { FIRST_COUNT_DELAY } else { until_first };
         register(&*control, &record).await;
         tokio::select! {
-            () = count_while_registered(&state, &*control, &peers, &record, era) => {}
+            () = count_while_registered(&state, &*control, &peers, &record, era, wait) => {}
             () = share_state(&state, &*control) => {}
         }
         // Hosts must not all write at once.
@@ -53,7 +59,7 @@
     }
 }
 
-/// Counts all hosts periodically until the store begins a later era than `era`, in which it may have
+/// Counts all hosts after `wait` and then periodically, until the store begins a later era than `era`, in which it may have
 /// lost the registration.
 async fn count_while_registered(
     state: &GatewayState,
@@ -61,8 +67,8 @@
     peers: &PeerTable,
     record: &HostRecord,
     era: StoreEra,
+    mut wait: Duration,
 ) {
-    let mut wait = FIRST_COUNT_DELAY;
     loop {
         tokio::select! {
             () = tokio::time::sleep(wait) => {}
--- a/crates/gateway/src/peer_table.rs
+++ b/crates/gateway/src/peer_table.rs
@@ -58,6 +58,12 @@
         }
     }
 
+    /// Whether a host is known.
+    #[must_use]
+    pub fn contains(&self, address: SocketAddr) -> bool {
+        self.lock().contains_key(&address)
+    }
+
     /// Whether no other host is known.
     #[must_use]
     pub fn is_empty(&self) -> bool {
--- a/crates/gateway/src/shared_state.rs
+++ b/crates/gateway/src/shared_state.rs
@@ -9,16 +9,27 @@
 
 /// Delay after a failed call.
 const RETRY_INTERVAL: Duration = Duration::from_secs(2);
+/// Minimum time between two reads of the key because of datagrams that another key has sealed.
+const REREAD_INTERVAL: Duration = Duration::from_secs(5);
 
 /// Reads what hosts share and writes what this host adds, for as long as it is polled.
 pub async fn share_state(state: &GatewayState, control: &dyn ControlPort) {
-    let agreement = agree(state, control).await;
-    if agreement.blocked.is_none() && state.crashes.has_blocked() {
-        write_blocked(state, control).await;
-    }
     loop {
-        state.crashes.next_change().await;
-        write_blocked(state, control).await;
+        let agreement = agree(state, control).await;
+        if agreement.blocked.is_none() && state.crashes.has_blocked() {
+            write_blocked(state, control).await;
+        }
+        let reread = async {
+            tokio::time::sleep(REREAD_INTERVAL).await;
+            state.seal.next_unverified().await;
+        };
+        tokio::pin!(reread);
+        loop {
+            tokio::select! {
+                () = reread.as_mut() => break,
+                () = state.crashes.next_change() => write_blocked(state, control).await,
+            }
+        }
     }
 }
 
