--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -5,13 +5,15 @@
 //! upstreams.
 //!
 //! `cargo test --test soak` runs all seeds that have failed before and one more. To run others:
-//! `OLEANDER_SOAK_SEEDS=100..150 cargo test --test soak -- --ignored guarantees`, or `reverted` for
-//! runs that also roll out bad versions. `OLEANDER_SOAK_HOSTS` sets the number of hosts.
+//! `OLEANDER_SOAK_SEEDS=100..150 cargo test --test soak -- --ignored guarantees`, `reverted` for
+//! runs that also roll out bad versions, or `limits` for runs in which an upstream names a limit and a
+//! request crashes upstreams. `OLEANDER_SOAK_HOSTS` sets the number of hosts.
 
 mod caller;
 mod checks;
 mod cluster;
 mod gateway;
+mod needs;
 mod prober;
 mod proxy;
 mod random;
@@ -39,15 +41,18 @@
 /// Maximum number of callers that stay with one host.
 const MAX_PINNED_CALLERS: usize = 8;
 
-/// Whether a run also rolls out bad versions.
+/// What happens in a run beside the faults.
 #[derive(Clone, Copy, PartialEq, Eq)]
-enum RolloutMode {
-    None,
+enum RunMode {
+    Plain,
+    /// Bad versions are rolled out.
     BadVersions,
+    /// An upstream names a limit, and a request crashes upstreams.
+    Needs,
 }
 
 /// Runs one seed and returns the violations of guarantees.
-async fn run_seed(seed: u64, mode: RolloutMode) -> Vec<String> {
+async fn run_seed(seed: u64, mode: RunMode) -> Vec<String> {
     let folder = tempfile::tempdir().unwrap().keep();
     eprintln!("seed {seed}: logs of the processes in {}", folder.display());
     let cluster = Arc::new(SoakCluster::start(&folder, seed).await);
@@ -55,8 +60,16 @@
     let (running, stop) = tokio::sync::watch::channel(false);
     let callers = spawn_callers(&cluster, &log, seed, &stop);
     let prober = tokio::spawn(prober::probe_all(Arc::clone(&cluster), stop.clone()));
-    let rollouts = (mode == RolloutMode::BadVersions)
+    let rollouts = (mode == RunMode::BadVersions)
         .then(|| tokio::spawn(rollouts::roll_out_bad_versions(Arc::clone(&cluster))));
+    let has_needs = mode == RunMode::Needs;
+    let limit = has_needs.then(|| needs::name_limit(&cluster, &SeededRandom::new(seed)));
+    let crashing = has_needs.then(|| {
+        let restarts = tokio::spawn(needs::restart_crashed(Arc::clone(&cluster)));
+        let random = SeededRandom::new(seed + 1);
+        let sender = needs::send_crashing_requests(Arc::clone(&cluster), random, stop.clone());
+        (restarts, tokio::spawn(sender))
+    });
     let faults = run_faults(&cluster, seed, Instant::now() + FAULT_PERIOD).await;
     let calm_from = Instant::now();
     let mut bad_rollouts = Vec::new();
@@ -81,6 +94,11 @@
     violations.extend(checks::check_leaving(&records, &cluster.runs));
     violations.extend(checks::check_pauses(&records, &cluster));
     violations.extend(checks::check_recovery(&records, recovery_start));
+    violations.extend(limit.and_then(|limit| needs::check_limit(&limit, &records, &cluster)));
+    if let Some((restarts, sender)) = crashing {
+        restarts.abort();
+        violations.extend(needs::check_crashes(&sender.await.unwrap(), &cluster));
+    }
     eprintln!("seed {seed}: {} requests, {} violations", records.len(), violations.len());
     if violations.is_empty() {
         let _ = std::fs::remove_dir_all(&folder);
@@ -136,7 +154,7 @@
     violations
 }
 
-async fn run_seeds(seeds: impl IntoIterator<Item = u64>, mode: RolloutMode) {
+async fn run_seeds(seeds: impl IntoIterator<Item = u64>, mode: RunMode) {
     let mut failed = Vec::new();
     for seed in seeds {
         let violations = run_seed(seed, mode).await;
@@ -177,27 +195,40 @@
 /// Runs the seeds that have failed before, and one more.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn guarantees_hold_under_overlapping_faults() {
-    run_seeds(REGRESSION_SEEDS.into_iter().chain([1]), RolloutMode::None).await;
+    run_seeds(REGRESSION_SEEDS.into_iter().chain([1]), RunMode::Plain).await;
 }
 
 /// Rolls out bad versions under the faults of one seed.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn reverted_versions_get_no_requests_under_overlapping_faults() {
-    run_seeds([1], RolloutMode::BadVersions).await;
+    run_seeds([1], RunMode::BadVersions).await;
+}
+
+/// Names a limit and crashes upstreams under the faults of a few seeds.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn limits_and_crashes_are_kept_within_bounds_under_overlapping_faults() {
+    run_seeds(1..4, RunMode::Needs).await;
+}
+
+/// Runs the seeds in `OLEANDER_SOAK_SEEDS`, names limits and crashes upstreams.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+#[ignore = "takes about 20 s per seed; see the top of this file"]
+async fn limits_and_crashes_are_kept_within_bounds_for_given_seeds() {
+    run_seeds(given_seeds(), RunMode::Needs).await;
 }
 
 /// Runs the seeds in `OLEANDER_SOAK_SEEDS`.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 #[ignore = "takes about 15 s per seed; see the top of this file"]
 async fn guarantees_hold_for_given_seeds() {
-    run_seeds(given_seeds(), RolloutMode::None).await;
+    run_seeds(given_seeds(), RunMode::Plain).await;
 }
 
 /// Runs the seeds in `OLEANDER_SOAK_SEEDS` and rolls out bad versions.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 #[ignore = "takes about 35 s per seed; see the top of this file"]
 async fn reverted_versions_get_no_requests_for_given_seeds() {
-    run_seeds(given_seeds(), RolloutMode::BadVersions).await;
+    run_seeds(given_seeds(), RunMode::BadVersions).await;
 }
 
 fn given_seeds() -> std::ops::Range<u64> {
--- a/tests/soak/proxy.rs
+++ b/tests/soak/proxy.rs
@@ -33,6 +33,8 @@
     /// Connections with a lower number are reset.
     reset_below: u64,
     accepted: u64,
+    /// Whether connections are refused.
+    is_closed: bool,
 }
 
 /// A proxy with faults for one address.
@@ -49,20 +51,15 @@
     pub async fn start(target: SocketAddr) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let address = listener.local_addr().unwrap();
-        let open =
-            ProxyState { mode: LinkMode::Open, stalled_below: 0, reset_below: 0, accepted: 0 };
+        let open = ProxyState {
+            mode: LinkMode::Open,
+            stalled_below: 0,
+            reset_below: 0,
+            accepted: 0,
+            is_closed: false,
+        };
         let state = watch::Sender::new(open);
-        let shared = state.clone();
-        tokio::spawn(async move {
-            while let Ok((caller, _)) = listener.accept().await {
-                let mut number = 0;
-                shared.send_modify(|state| {
-                    number = state.accepted;
-                    state.accepted += 1;
-                });
-                tokio::spawn(relay(caller, target, number, shared.subscribe()));
-            }
-        });
+        tokio::spawn(listen(listener, target, state.clone()));
         Self { address, state, changes: Mutex::default() }
     }
 
@@ -76,6 +73,14 @@
         self.state.send_modify(change);
     }
 
+    /// Sets whether connections are refused; those that are open are reset.
+    pub fn set_closed(&self, is_closed: bool) {
+        self.change(|state| {
+            state.is_closed = is_closed;
+            state.reset_below = state.accepted;
+        });
+    }
+
     /// Whether forwarding was changed, or connections were broken, in a span of time.
     pub fn was_changed(&self, from: Instant, to: Instant) -> bool {
         self.changes.lock().unwrap().iter().any(|at| (from..=to).contains(at))
@@ -92,6 +97,32 @@
     }
 }
 
+async fn listen(listener: TcpListener, target: SocketAddr, shared: watch::Sender<ProxyState>) {
+    let address = listener.local_addr().unwrap();
+    let (mut listener, mut state) = (Some(listener), shared.subscribe());
+    // The sender outlives all connections.
+    while state.wait_for(|state| !state.is_closed).await.is_ok() {
+        let open = match listener.take() {
+            Some(open) => open,
+            None => TcpListener::bind(address).await.unwrap(),
+        };
+        loop {
+            tokio::select! {
+                accepted = open.accept() => {
+                    let Ok((caller, _)) = accepted else { return };
+                    let mut number = 0;
+                    shared.send_modify(|state| {
+                        number = state.accepted;
+                        state.accepted += 1;
+                    });
+                    tokio::spawn(relay(caller, target, number, shared.subscribe()));
+                }
+                _ = state.wait_for(|state| state.is_closed) => break,
+            }
+        }
+    }
+}
+
 async fn relay(
     caller: TcpStream,
     target: SocketAddr,
--- a/tests/soak/upstream.rs
+++ b/tests/soak/upstream.rs
@@ -1,5 +1,6 @@
 //! Stand-in upstreams whose answers contain the request id, and the log of what they ran.
 
+use crate::needs::CRASH_TARGET;
 use crate::random::SeededRandom;
 use bytes::Bytes;
 use futures_util::stream;
@@ -16,6 +17,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 use tokio::net::TcpListener;
+use tokio::sync::Notify;
 use tokio::task::JoinSet;
 
 /// Number of events of a complete stream.
@@ -30,6 +32,8 @@
 pub const SOUND_VERSION: &str = "v1";
 /// Failures of the other versions, in thousandths of requests.
 const BAD_SHARE: u64 = 750;
+/// Time after which a request crashes the upstream that runs it.
+const CRASH_DELAY: Duration = Duration::from_millis(40);
 /// Processing time of a request before its answer starts.
 const PROCESSING_TIME: Duration = Duration::from_millis(15);
 
@@ -81,6 +85,7 @@
     arrivals: Mutex<Vec<RecordedArrival>>,
     /// Requests whose answer an upstream broke off or replaced.
     broken: Mutex<HashSet<String>>,
+    crashes: Mutex<Vec<Instant>>,
 }
 
 impl RunLog {
@@ -107,6 +112,11 @@
         self.broken.lock().unwrap().contains(id)
     }
 
+    /// Times at which upstreams crashed on a request.
+    pub fn crashes(&self) -> Vec<Instant> {
+        self.crashes.lock().unwrap().clone()
+    }
+
     fn record_arrival(&self, arrival: RecordedArrival) {
         self.arrivals.lock().unwrap().push(arrival);
     }
@@ -146,6 +156,9 @@
     /// When each start but the first took the place of the one before.
     restarts: Mutex<Vec<Instant>>,
     silent_until: Arc<Mutex<Instant>>,
+    /// The requests a second that it takes from all hosts, if it names a limit.
+    limit: Mutex<Option<f64>>,
+    crashed: Notify,
     random: SeededRandom,
 }
 
@@ -170,6 +183,8 @@
             connections: Mutex::default(),
             restarts: Mutex::default(),
             silent_until: Arc::new(Mutex::new(Instant::now())),
+            limit: Mutex::default(),
+            crashed: Notify::new(),
             random: SeededRandom::new(seed),
         });
         let served = Arc::clone(&upstream);
@@ -197,6 +212,16 @@
         *self.faults.lock().unwrap() = faults;
     }
 
+    /// Names a limit in all answers.
+    pub fn set_limit(&self, per_second: f64) {
+        *self.limit.lock().unwrap() = Some(per_second);
+    }
+
+    /// Resolves when a request crashes it.
+    pub async fn next_crash(&self) {
+        self.crashed.notified().await;
+    }
+
     /// Makes all answers say that the upstream is leaving.
     pub fn begin_leaving(&self) {
         self.start.lock().unwrap().1 = true;
@@ -252,6 +277,7 @@
             version: self.version,
             is_bad,
         };
+        let is_crashing = request.uri().path() == CRASH_TARGET;
         let is_stream = request.uri().path().starts_with("/plan/")
             || request.uri().path().starts_with("/note/");
         drop(request.into_body().collect().await);
@@ -265,16 +291,22 @@
         let at = Instant::now();
         self.log.record_arrival(RecordedArrival { upstream, id: arrival_id, at, pause });
         if let Some(pause) = pause {
-            let mut headers = HeaderMap::new();
+            let mut headers = self.limit_header();
             headers.insert("not-run", "1".parse().unwrap());
             headers.insert("retry-after", pause.as_secs_f64().to_string().parse().unwrap());
             return Ok(plain(StatusCode::SERVICE_UNAVAILABLE, headers, ""));
         }
         if occurs(faults.refused) {
-            let mut headers = HeaderMap::new();
+            let mut headers = self.limit_header();
             headers.insert("not-run", "1".parse().unwrap());
             return Ok(plain(StatusCode::SERVICE_UNAVAILABLE, headers, ""));
         }
+        if is_crashing {
+            tokio::time::sleep(CRASH_DELAY).await;
+            self.log.crashes.lock().unwrap().push(Instant::now());
+            self.crashed.notify_one();
+            return Err(std::io::Error::other("crashed"));
+        }
         self.log.record(&id, run);
         if occurs(faults.delayed) {
             tokio::time::sleep(Duration::from_millis(900)).await;
@@ -308,8 +340,16 @@
         Ok(plain(StatusCode::OK, headers, &answer_of(&id)))
     }
 
-    fn headers(&self, id: &str, faults: &UpstreamFaults) -> HeaderMap {
+    fn limit_header(&self) -> HeaderMap {
         let mut headers = HeaderMap::new();
+        if let Some(limit) = *self.limit.lock().unwrap() {
+            headers.insert("server-limit", limit.to_string().parse().unwrap());
+        }
+        headers
+    }
+
+    fn headers(&self, id: &str, faults: &UpstreamFaults) -> HeaderMap {
+        let mut headers = self.limit_header();
         headers.insert("attempt-id", id.parse().unwrap());
         headers.insert("runner-load", "1,0,32".parse().unwrap());
         headers.insert("confidence", self.random.below(101).to_string().parse().unwrap());
