Never find a request allowed that its limit does not allow

A host could stop for good: it chose an upstream whose limit seemed to allow a request, was not given it, and chose again, without end. A billionth of a token was missing, and the time until it is there was rounded to none, which read as now.

Whether a token is there is now asked for by the same comparison that takes it, and a choice is made again at most once for each upstream. what_is_ready_can_be_taken fails before, at 5,801 ms.

--- a/crates/core/src/limit_division.rs
+++ b/crates/core/src/limit_division.rs
@@ -223,10 +223,7 @@
         match self.limits.get(&key).filter(|limit| limit.rate.is_some()) {
             None => LimitWait::Unlimited,
             Some(limit) if !limit.has_seat => LimitWait::NoSeat,
-            Some(limit) => {
-                let wait = limit.bucket.wait(now);
-                if wait.is_zero() { LimitWait::Ready } else { LimitWait::After(wait) }
-            }
+            Some(limit) => limit.bucket.wait(now).map_or(LimitWait::Ready, LimitWait::After),
         }
     }
 
--- a/crates/core/src/token_bucket.rs
+++ b/crates/core/src/token_bucket.rs
@@ -67,11 +67,11 @@
         Err(Duration::try_from_secs_f64(seconds).unwrap_or(NO_RATE_WAIT))
     }
 
-    /// The time until a token is available.
+    /// The time until a token is available; `None` if one is now.
     #[must_use]
-    pub fn wait(&self, now: Timestamp) -> Duration {
+    pub fn wait(&self, now: Timestamp) -> Option<Duration> {
         let mut later = *self;
-        later.try_take(now).err().unwrap_or_default()
+        later.try_take(now).err()
     }
 
     fn refill(&mut self, now: Timestamp) {
--- a/crates/core/tests/limit_division.rs
+++ b/crates/core/tests/limit_division.rs
@@ -426,3 +426,27 @@
     assert_eq!(division.limit(key()), rate(2.0));
     assert_eq!(division.record_answer(key(), None, at(1_400)), LimitChange::Ended);
 }
+
+/// Guards against a host that finds a request allowed which it then may not take, over and over: a
+/// part of a token was missing, and the time until it is there was rounded to none.
+#[test]
+fn what_is_ready_can_be_taken() {
+    let hosts = ["host-1", "host-2", "host-3"].map(|host| HostHash::new(&host.parse().unwrap()));
+    let at = Timestamp::from_millis;
+    let mut view = HostView::new(hosts[0], Heartbeat::default());
+    view.register(hosts, at(0));
+    let (mut division, mut random) = (LimitDivision::new(), 1);
+    division.record_answer(key(), Some(RequestRate::new(2.5)), at(5_000));
+    let mut taken = 0;
+    for now in 5_000..400_000 {
+        random = mix(random);
+        if random % 7 == 0 {
+            division.divide(&view, at(now));
+        }
+        if division.wait(key(), at(now)) == LimitWait::Ready {
+            assert!(division.try_take(key(), at(now)), "at {now} ms");
+            taken += 1;
+        }
+    }
+    assert!(taken > 100, "{taken}");
+}
--- a/crates/gateway/src/upstream_pool.rs
+++ b/crates/gateway/src/upstream_pool.rs
@@ -276,13 +276,11 @@
     #[must_use]
     pub fn choose(&self, input: &ChoiceInput<'_>) -> Option<UpstreamPermit> {
         self.record_prefill(input);
-        loop {
+        // Another request may take the last one of an upstream meanwhile.
+        (0..=input.entries.len()).find_map(|_| {
             let permit = self.choose_open(input)?;
-            // Another request may have taken the last one meanwhile.
-            if self.limits.try_take(&permit.upstream.entry, input.now) {
-                return Some(permit);
-            }
-        }
+            self.limits.try_take(&permit.upstream.entry, input.now).then_some(permit)
+        })
     }
 
     fn choose_open(&self, input: &ChoiceInput<'_>) -> Option<UpstreamPermit> {
