Tell callers the soonest end when all upstreams pause

Since the limits were divided, callers of a service whose upstreams had all asked for a pause were told to come back after ten seconds, whatever the pauses: the sum of no limits is zero, and was taken for one. With no upstream left to ask, the sum is none.

--- a/crates/gateway/src/shared_limits.rs
+++ b/crates/gateway/src/shared_limits.rs
@@ -153,17 +153,16 @@
         (0..entries.len()).filter(is_limited).collect()
     }
 
-    /// The sum of the limits of upstreams; `None` if one of them has no limit.
+    /// The sum of the limits of upstreams; `None` if one of them has no limit, or there are none.
     #[must_use]
     pub fn total<'a>(
         &self,
-        mut entries: impl Iterator<Item = &'a Arc<UpstreamEntry>>,
+        entries: impl Iterator<Item = &'a Arc<UpstreamEntry>>,
     ) -> Option<RequestRate> {
         let division = lock(&self.division);
-        let sum = entries.try_fold(0.0, |sum, entry| {
-            division.limit(key(entry)).map(|rate| sum + rate.per_second())
-        });
-        sum.map(RequestRate::new)
+        let limits = entries.map(|entry| division.limit(key(entry)).map(RequestRate::per_second));
+        let limits: Vec<f64> = limits.collect::<Option<_>>()?;
+        (!limits.is_empty()).then(|| RequestRate::new(limits.iter().sum()))
     }
 }
 
