--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -1,6 +1,7 @@
 //! One attempt of a request at one upstream, up to the response headers.
 
 use crate::fault::AttemptFault;
+use crate::state::GatewayState;
 use crate::upstream_connection::{AnswerBody, UpstreamConnection};
 use crate::upstream_handle::UpstreamPermit;
 use crate::wire_format::{AnswerHead, UpstreamHead, WireFormat};
@@ -9,7 +10,6 @@
 use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, Uri};
 use http_body_util::Full;
 use oleander_core::attempt_retry::FaultKind;
-use oleander_ports::clock::ClockPort;
 use std::time::Duration;
 
 /// Hop-by-hop headers.
@@ -109,14 +109,14 @@
 ///
 /// [`AttemptFault`], which states whether the request may have run.
 pub async fn send_attempt(
-    wire: &WireFormat,
-    clock: &dyn ClockPort,
+    state: &GatewayState,
     mut permit: UpstreamPermit,
     request: &OutgoingRequest,
     head: &UpstreamHead,
     timeout: Duration,
 ) -> Result<UpstreamAnswer, AttemptFault> {
-    let work = exchange(wire, clock, &permit, request, head);
+    let (wire, clock) = (&state.wire, &state.clock);
+    let work = exchange(state, &permit, request, head);
     let (connection, response) =
         tokio::time::timeout(timeout, work).await.unwrap_or_else(|_| {
             Err(AttemptFault::new(
@@ -149,12 +149,12 @@
 }
 
 async fn exchange(
-    wire: &WireFormat,
-    clock: &dyn ClockPort,
+    state: &GatewayState,
     permit: &UpstreamPermit,
     request: &OutgoingRequest,
     head: &UpstreamHead,
 ) -> Result<(UpstreamConnection, Response<AnswerBody>), AttemptFault> {
+    let (wire, clock) = (&state.wire, &state.clock);
     let idle = if request.may_reuse { permit.upstream.take_idle(clock.now()) } else { None };
     let mut lost = None;
     if let Some(mut connection) = idle {
@@ -171,19 +171,20 @@
             }
         }
     }
-    let sent = send_on_new(permit, clock, new_request(wire, request, head)?).await;
+    let sent = send_on_new(state, permit, new_request(wire, request, head)?).await;
     // If nothing was sent now, the upstream may have ended while it ran the request that was lost.
     sent.map_err(|fault| if fault.may_have_run() { fault } else { lost.unwrap_or(fault) })
 }
 
 /// Sends a request on a new connection.
 async fn send_on_new(
+    state: &GatewayState,
     permit: &UpstreamPermit,
-    clock: &dyn ClockPort,
     request: Request<Full<Bytes>>,
 ) -> Result<(UpstreamConnection, Response<AnswerBody>), AttemptFault> {
-    let mut connection = UpstreamConnection::open(permit.upstream.entry.address).await?;
-    if !permit.upstream.is_open(clock.now()) {
+    let address = permit.upstream.entry.address;
+    let mut connection = UpstreamConnection::open(&state.dialer, address).await?;
+    if !permit.upstream.is_open(state.clock.now()) {
         let reason = "the upstream asked for no more requests while the connection was opened";
         return Err(AttemptFault::new(FaultKind::Connect, reason));
     }
--- a/crates/gateway/src/crash_guard.rs
+++ b/crates/gateway/src/crash_guard.rs
@@ -1,6 +1,7 @@
 //! Blocks requests that crash upstreams, by themselves or by a part in their prompts, as all hosts
 //! report them.
 
+use crate::socket_dialer::SocketDialer;
 use crate::upstream_entry::UpstreamEntry;
 use crate::wire_format::CallerHead;
 use oleander_core::host_view::HostHash;
@@ -15,7 +16,6 @@
 use std::io::ErrorKind;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
-use tokio::net::TcpStream;
 use tokio::sync::Notify;
 
 /// Time over which hosts spread the first trial of a part that was blocked.
@@ -101,7 +101,7 @@
         self: &Arc<Self>,
         entry: &UpstreamEntry,
         lost: &LostRequest<'_>,
-        clock: &Arc<dyn ClockPort>,
+        (dialer, clock): (&SocketDialer, &Arc<dyn ClockPort>),
     ) {
         let (run, now) = (run_hash(entry), clock.now());
         let are_parts_first =
@@ -111,10 +111,11 @@
         });
         if are_parts_first || is_request_first {
             let (guard, clock, address) = (Arc::clone(self), Arc::clone(clock), entry.address);
+            let dialer = dialer.clone();
             tokio::spawn(async move {
                 for delay in CHECK_DELAYS {
                     tokio::time::sleep(delay).await;
-                    let connect = tokio::time::timeout(CHECK_TIMEOUT, TcpStream::connect(address));
+                    let connect = tokio::time::timeout(CHECK_TIMEOUT, dialer.dial(address));
                     let refused =
                         |error: &std::io::Error| error.kind() == ErrorKind::ConnectionRefused;
                     if connect.await.is_ok_and(|connected| connected.as_ref().is_err_and(refused)) {
--- a/crates/gateway/src/gateway_process.rs
+++ b/crates/gateway/src/gateway_process.rs
@@ -17,6 +17,7 @@
 use crate::session_versions::SessionVersions;
 use crate::settings::{GatewaySettings, SharedSettings};
 use crate::snapshot_publisher::{ExpiryDue, SharedSnapshot, SnapshotPublisher};
+use crate::socket_dialer::SocketDialer;
 use crate::state::GatewayState;
 use crate::stop_state::{BALANCER_LAG, SHUTDOWN_MARGIN, StopState};
 use crate::store_calls::StoreCalls;
@@ -72,11 +73,26 @@
         settings: GatewaySettings,
         wire: WireFormat,
         control: Arc<dyn ControlPort>,
+    ) -> anyhow::Result<Self> {
+        let dialer = settings.outgoing.map(SocketDialer::from_address).unwrap_or_default();
+        Self::start_with_dialer(settings, wire, control, dialer).await
+    }
+
+    /// Binds the listeners of a gateway that opens connections to upstreams by `dialer`.
+    ///
+    /// # Errors
+    ///
+    /// When an address cannot be bound.
+    pub async fn start_with_dialer(
+        settings: GatewaySettings,
+        wire: WireFormat,
+        control: Arc<dyn ControlPort>,
+        dialer: SocketDialer,
     ) -> anyhow::Result<Self> {
         let incarnation = incarnation();
         let seed = hash_parts(&[settings.host.as_str(), &incarnation.to_string()]);
         let mut registry = Registry::with_prefix("oleander_gateway");
-        let state = new_state(settings, wire, incarnation, seed, &mut registry);
+        let state = new_state(settings, wire, dialer, (incarnation, seed), &mut registry);
         let (address, ready) = (state.settings.load().callers, state.settings.load().ready);
         let listener = TcpListener::bind(address).await;
         let listener = listener.with_context(|| format!("cannot listen on {address}"))?;
@@ -178,8 +194,8 @@
 fn new_state(
     settings: GatewaySettings,
     wire: WireFormat,
-    incarnation: u64,
-    seed: u64,
+    dialer: SocketDialer,
+    (incarnation, seed): (u64, u64),
     registry: &mut Registry,
 ) -> Arc<GatewayState> {
     let host = settings.host.clone();
@@ -191,6 +207,7 @@
         snapshot,
         pool: UpstreamPool::new(Arc::clone(&settings), Arc::clone(&clock)),
         wire,
+        dialer,
         clock,
         latencies: LatencyTracker::new(),
         answer_times: AnswerTimes::new(),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -49,6 +49,7 @@
 pub mod shared_limits;
 pub mod shared_state;
 pub mod snapshot_publisher;
+pub mod socket_dialer;
 pub mod state;
 pub mod stop_state;
 pub mod store_calls;
--- a/crates/gateway/src/request_run.rs
+++ b/crates/gateway/src/request_run.rs
@@ -286,7 +286,7 @@
                 );
                 let (request, sent_at) = (self.hash(), self.sent_at);
                 let lost = LostRequest { parts: &self.request.parts, request, sent_at };
-                self.state.crashes.record_loss(entry, &lost, clock);
+                self.state.crashes.record_loss(entry, &lost, (&self.state.dialer, clock));
             }
             _ => {}
         }
@@ -454,7 +454,7 @@
         let faster_limit = self.request.route.latency_target.mul_f64(FASTER_SHARE);
         let (state, outgoing) = (&self.state, &self.request.outgoing);
         let time_left = self.time_left();
-        let work = send_attempt(&state.wire, &*state.clock, permit, outgoing, head, time_left);
+        let work = send_attempt(state, permit, outgoing, head, time_left);
         tokio::pin!(work);
         loop {
             let until = self.request.deadline.min(state.clock.now() + timeout);
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -5,7 +5,7 @@
 use oleander_core::ids::{DomainName, HostId, RegionName};
 use serde::Deserialize;
 use std::collections::BTreeMap;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -34,6 +34,9 @@
     /// Address for gossip datagrams of other hosts; no gossip if omitted.
     #[serde(default)]
     pub peers: Option<SocketAddr>,
+    /// Local address of connections to upstreams; chosen by the system if omitted.
+    #[serde(default)]
+    pub outgoing: Option<IpAddr>,
     /// Address of the platform's store.
     pub store: SocketAddr,
     /// Memory that the process may use, in bytes.
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -10,6 +10,7 @@
 use crate::session_versions::SessionVersions;
 use crate::settings::SharedSettings;
 use crate::snapshot_publisher::SharedSnapshot;
+use crate::socket_dialer::SocketDialer;
 use crate::stop_state::StopState;
 use crate::upstream_pool::UpstreamPool;
 use crate::wire_format::WireFormat;
@@ -29,6 +30,8 @@
     pub pool: UpstreamPool,
     /// Codec for headers beyond plain HTTP.
     pub wire: WireFormat,
+    /// Opens connections to upstreams.
+    pub dialer: SocketDialer,
     /// Source of the current time.
     pub clock: Arc<dyn ClockPort>,
     /// Typical latencies.
--- a/crates/gateway/src/upstream_connection.rs
+++ b/crates/gateway/src/upstream_connection.rs
@@ -2,6 +2,7 @@
 //! that nobody waits for.
 
 use crate::fault::AttemptFault;
+use crate::socket_dialer::SocketDialer;
 use bytes::Bytes;
 use http::{Request, Response};
 use http_body_util::Full;
@@ -83,9 +84,9 @@
     /// # Errors
     ///
     /// [`FaultKind::Connect`]: nothing was sent.
-    pub async fn open(address: SocketAddr) -> Result<Self, AttemptFault> {
+    pub async fn open(dialer: &SocketDialer, address: SocketAddr) -> Result<Self, AttemptFault> {
         let unsent = |reason: String| AttemptFault::new(FaultKind::Connect, reason);
-        let opened = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
+        let opened = tokio::time::timeout(CONNECT_TIMEOUT, dialer.dial(address)).await;
         let socket = match opened {
             Ok(Ok(socket)) => socket,
             Ok(Err(error)) => return Err(unsent(format!("cannot connect: {error}"))),
--- a/crates/gateway/tests/load.rs
+++ b/crates/gateway/tests/load.rs
@@ -33,6 +33,7 @@
         ready: free,
         metrics: None,
         peers: None,
+        outgoing: None,
         store: free,
         memory_bytes: 100_000_000,
         bounds,
--- a/crates/gateway/tests/topic_calls.rs
+++ b/crates/gateway/tests/topic_calls.rs
@@ -123,6 +123,7 @@
         ready: free,
         metrics: None,
         peers: None,
+        outgoing: None,
         store: free,
         memory_bytes: 50_000_000,
         bounds: GatewayBounds::default(),
