Let another host carry requests to upstreams that this one does not reach

Cause: each request found out for itself. Nothing on a host added up that connections to all upstreams of a service fail for it alone, and there was no other way to them.

Change: core::reach_view believes a service to be out of reach when new connections to several of its upstreams failed and none was opened since; trial connections find that out within half a second of the first late one, and show when the path is back. Hosts tell each other, sealed, which services they reach. A request of a host without a path is handed to one that has it, over a connection that proves the key of the store and is no repeated opening. The receiving host decides everything about the request; the carrying one makes one attempt by a connection of its own and never hands it on, so that nothing goes round. A host that seeks carriers asks eight others in each round, and is answered once. An attempt that timed out before a byte was sent has not run, and says so.

--- a/crates/core/src/attempt_retry.rs
+++ b/crates/core/src/attempt_retry.rs
@@ -5,6 +5,10 @@
 pub enum FaultKind {
     /// The connection could not be established; nothing was sent.
     Connect,
+    /// This host has no path to the upstream now; nothing was sent.
+    Unreached,
+    /// The host that carried the request was lost; the request may have run.
+    CarrierLost,
     /// The connection broke before the response headers.
     Lost,
     /// The connection was silent for longer than the timeout.
@@ -27,6 +31,8 @@
     pub const fn name(self) -> &'static str {
         match self {
             Self::Connect => "connect",
+            Self::Unreached => "unreached",
+            Self::CarrierLost => "carrier_lost",
             Self::Lost => "lost",
             Self::Silent => "silent",
             Self::NotRun => "not_run",
@@ -46,7 +52,7 @@
     /// Whether the fault counts against the upstream. A refusal by a full upstream does not.
     #[must_use]
     pub const fn counts_against_upstream(self) -> bool {
-        !matches!(self, Self::NotRun | Self::Rejected)
+        !matches!(self, Self::NotRun | Self::Rejected | Self::Unreached | Self::CarrierLost)
     }
 }
 
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -41,6 +41,7 @@
 pub mod quality;
 pub mod quality_estimate;
 pub mod rate_share;
+pub mod reach_view;
 pub mod reason;
 pub mod request_hash;
 pub mod request_quarantine;
--- a/crates/gateway/src/admitted.rs
+++ b/crates/gateway/src/admitted.rs
@@ -98,13 +98,13 @@
 }
 
 /// Bytes of a request that are buffered in memory.
-struct BufferReservation {
+pub(crate) struct BufferReservation {
     state: Arc<GatewayState>,
     bytes: i64,
 }
 
 impl BufferReservation {
-    fn reserve(state: &Arc<GatewayState>, bytes: i64) -> Result<Self, Refusal> {
+    pub(crate) fn reserve(state: &Arc<GatewayState>, bytes: i64) -> Result<Self, Refusal> {
         let mut reservation = Self { state: Arc::clone(state), bytes: 0 };
         reservation.grow_to(bytes)?;
         Ok(reservation)
@@ -317,7 +317,7 @@
     }
 }
 
-async fn read_body(
+pub(crate) async fn read_body(
     body: &mut Incoming,
     limit: usize,
     reservation: &mut BufferReservation,
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -1,15 +1,24 @@
 //! One attempt of a request at one upstream, up to the response headers.
 
+use crate::carrier_client::send_carried;
 use crate::fault::AttemptFault;
 use crate::state::GatewayState;
 use crate::upstream_connection::{AnswerBody, UpstreamConnection};
+use crate::upstream_entry::UpstreamEntry;
 use crate::upstream_handle::UpstreamPermit;
 use crate::wire_format::{AnswerHead, UpstreamHead, WireFormat};
 use bytes::Bytes;
 use http::header::{CONNECTION, CONTENT_ENCODING, CONTENT_LENGTH, HeaderName};
+use http::response::Parts;
 use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, Uri};
 use http_body_util::Full;
 use oleander_core::attempt_retry::FaultKind;
+use oleander_core::ids::ServiceName;
+use oleander_core::reach_view::ServicePath;
+use oleander_core::units::Timestamp;
+use std::future::Future;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 /// Hop-by-hop headers.
@@ -27,6 +36,15 @@
 /// Margin kept below the idle timeout that an upstream announces, so that a request does not race
 /// with the close.
 const IDLE_MARGIN: Duration = Duration::from_millis(1_000);
+/// Connect timeout. A lost SYN is retransmitted after a second, so another upstream is faster; the
+/// farthest region answers within 70 ms.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+/// Connect timeout while the service is out of reach and no other host carries requests there.
+const LOST_CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
+/// Time to connect, and time without the beginning of an answer, after which it is found out whether
+/// the service is out of reach.
+const SUSPECT_CONNECT: Duration = Duration::from_millis(150);
+const SUSPECT_SILENCE: Duration = Duration::from_millis(600);
 
 /// A request as forwarded to any upstream.
 #[derive(Clone, Debug)]
@@ -43,6 +61,25 @@
     pub may_reuse: bool,
 }
 
+/// How far an attempt got.
+#[derive(Debug, Default)]
+pub struct SendProgress(AtomicBool);
+
+impl SendProgress {
+    /// Records that from now on bytes of the request may have been sent.
+    pub fn begin(&self) {
+        self.0.store(true, Ordering::Relaxed);
+    }
+
+    /// The fault of an attempt that took too long.
+    #[must_use]
+    pub fn timeout_fault(&self, text: &str) -> AttemptFault {
+        let is_sent = self.0.load(Ordering::Relaxed);
+        let kind = if is_sent { FaultKind::Silent } else { FaultKind::Connect };
+        AttemptFault::new(kind, text)
+    }
+}
+
 /// An upstream's response whose headers were received and match the request.
 pub struct UpstreamAnswer {
     /// Response status.
@@ -61,12 +98,17 @@
 
 impl UpstreamAnswer {
     /// Returns the connection to the idle pool once the body has been read to the end.
-    pub async fn release_connection(self, now: oleander_core::units::Timestamp) {
+    pub async fn release_connection(self, state: Arc<GatewayState>) {
         let Self { headers, mut connection, permit, body, .. } = self;
         drop(body);
         let idle_time = idle_timeout(&headers);
-        if idle_time != Some(Duration::ZERO) && connection.is_reusable().await {
-            permit.upstream.keep_idle(connection, idle_time, now);
+        if idle_time == Some(Duration::ZERO) || !connection.is_reusable().await {
+            return;
+        }
+        let now = state.clock.now();
+        match connection.carried.take() {
+            Some(carried) => state.links.keep(carried.carrier.address, connection, now),
+            None => permit.upstream.keep_idle(connection, idle_time, now),
         }
     }
 }
@@ -109,57 +151,87 @@
 ///
 /// [`AttemptFault`], which states whether the request may have run.
 pub async fn send_attempt(
-    state: &GatewayState,
+    state: &Arc<GatewayState>,
     mut permit: UpstreamPermit,
     request: &OutgoingRequest,
     head: &UpstreamHead,
     timeout: Duration,
+    progress: &SendProgress,
 ) -> Result<UpstreamAnswer, AttemptFault> {
-    let (wire, clock) = (&state.wire, &state.clock);
-    let work = exchange(state, &permit, request, head);
+    let path = state.reach.path(&permit.upstream.entry.service, state.clock.now());
+    let work = async {
+        match path {
+            ServicePath::Carried => send_carried(state, &permit, request, head, progress).await,
+            ServicePath::Direct | ServicePath::Lost => {
+                exchange(state, &permit, request, head, progress).await
+            }
+        }
+    };
     let (connection, response) =
         tokio::time::timeout(timeout, work).await.unwrap_or_else(|_| {
-            Err(AttemptFault::new(
-                FaultKind::Silent,
-                format!("no response headers within {timeout:?}"),
-            ))
+            Err(progress.timeout_fault(&format!("no response headers within {timeout:?}")))
         })?;
     let (parts, body) = response.into_parts();
-    let answer = (wire.read_answer)(&parts.headers);
+    let (answer, checked) =
+        record_answer(state, &mut permit, &parts, request, connection.opened_at);
+    checked?;
+    let (status, headers) = (parts.status, parts.headers);
+    Ok(UpstreamAnswer { status, headers, head: answer, body, connection, permit })
+}
+
+/// Records what the headers of a response tell of the upstream; with whether they are of an answer to
+/// the request.
+pub(crate) fn record_answer(
+    state: &GatewayState,
+    permit: &mut UpstreamPermit,
+    parts: &Parts,
+    request: &OutgoingRequest,
+    opened_at: Timestamp,
+) -> (AnswerHead, Result<(), AttemptFault>) {
+    let now = state.clock.now();
+    let answer = (state.wire.read_answer)(&parts.headers);
     permit.record_head(answer.load);
+    let is_other = parts.status == StatusCode::MISDIRECTED_REQUEST;
     // An answer with this status is of another upstream, which has taken over the address.
-    if parts.status != StatusCode::MISDIRECTED_REQUEST {
-        let opened_at = connection.opened_at;
-        permit.upstream.record_standing(parts.status, &answer, opened_at, clock.now());
+    if !is_other {
+        permit.upstream.record_standing(parts.status, &answer, opened_at, now);
     }
-    let expected = expected_request_id(wire, request);
+    let expected = expected_request_id(&state.wire, request);
     let checked = check_answer(&parts.status, &parts.headers, &answer, expected.as_ref());
-    if parts.status != StatusCode::MISDIRECTED_REQUEST
-        && (answer.not_run || answer.request == expected)
-    {
-        permit.upstream.record_limit(&answer, checked.is_ok(), clock.now());
+    if !is_other && (answer.not_run || answer.request == expected) {
+        permit.upstream.record_limit(&answer, checked.is_ok(), now);
     }
-    checked?;
-    let (status, headers) = (parts.status, parts.headers);
-    Ok(UpstreamAnswer { status, headers, head: answer, body, connection, permit })
+    (answer, checked)
 }
 
 fn expected_request_id(wire: &WireFormat, request: &OutgoingRequest) -> Option<HeaderValue> {
     (wire.read_caller)(&request.headers).request
 }
 
-async fn exchange(
+/// Sends a request on a connection of this host and waits for response headers.
+///
+/// # Errors
+///
+/// [`AttemptFault`], which states whether the request may have run.
+pub(crate) async fn exchange(
     state: &GatewayState,
     permit: &UpstreamPermit,
     request: &OutgoingRequest,
     head: &UpstreamHead,
+    progress: &SendProgress,
 ) -> Result<(UpstreamConnection, Response<AnswerBody>), AttemptFault> {
-    let (wire, clock) = (&state.wire, &state.clock);
+    let (wire, clock, service) = (&state.wire, &state.clock, &permit.upstream.entry.service);
     let idle = if request.may_reuse { permit.upstream.take_idle(clock.now()) } else { None };
     let mut lost = None;
     if let Some(mut connection) = idle {
-        match connection.send(new_request(wire, request, head)?).await {
-            Ok(response) => return Ok((connection, response)),
+        let out = new_request(wire, request, head)?;
+        progress.begin();
+        let sent = connection.send(out);
+        match watch_silence(state, service, sent).await {
+            Ok(response) => {
+                state.reach.record_answer(service, clock.now());
+                return Ok((connection, response));
+            }
             // The pooled connection may have been closed meanwhile. Sending again is safe, since
             // only retryable requests use pooled connections. The first one may have arrived.
             Err(fault) if fault.may_have_run() && !permit.upstream.try_send_again(clock.now()) => {
@@ -171,28 +243,75 @@
             }
         }
     }
-    let sent = send_on_new(state, permit, new_request(wire, request, head)?).await;
+    let sent = send_on_new(state, permit, new_request(wire, request, head)?, progress).await;
     // If nothing was sent now, the upstream may have ended while it ran the request that was lost.
     sent.map_err(|fault| if fault.may_have_run() { fault } else { lost.unwrap_or(fault) })
 }
 
+/// Has other upstreams tried if the answer to a request that was sent does not begin for long, and
+/// none answered this host meanwhile.
+async fn watch_silence<T>(
+    state: &GatewayState,
+    service: &ServiceName,
+    sent: impl Future<Output = T>,
+) -> T {
+    let since = state.clock.now();
+    tokio::pin!(sent);
+    match tokio::time::timeout(SUSPECT_SILENCE, sent.as_mut()).await {
+        Ok(result) => result,
+        Err(_) => {
+            state.reach.suspect_silence(service, since);
+            sent.await
+        }
+    }
+}
+
 /// Sends a request on a new connection.
 async fn send_on_new(
     state: &GatewayState,
     permit: &UpstreamPermit,
     request: Request<Full<Bytes>>,
+    progress: &SendProgress,
 ) -> Result<(UpstreamConnection, Response<AnswerBody>), AttemptFault> {
-    let address = permit.upstream.entry.address;
-    let mut connection = UpstreamConnection::open(&state.dialer, address).await?;
+    let entry = &permit.upstream.entry;
+    let mut connection = open_connection(state, entry).await?;
     if !permit.upstream.is_open(state.clock.now()) {
         let reason = "the upstream asked for no more requests while the connection was opened";
         return Err(AttemptFault::new(FaultKind::Connect, reason));
     }
-    let response = connection.send(request).await?;
+    progress.begin();
+    let response = watch_silence(state, &entry.service, connection.send(request)).await?;
+    state.reach.record_answer(&entry.service, state.clock.now());
     Ok((connection, response))
 }
 
-fn new_request(
+/// Opens a connection to an upstream. If that takes long, others are tried meanwhile.
+async fn open_connection(
+    state: &GatewayState,
+    entry: &UpstreamEntry,
+) -> Result<UpstreamConnection, AttemptFault> {
+    let is_lost = state.reach.lost_for(&entry.service, state.clock.now()).is_some();
+    let timeout = if is_lost { LOST_CONNECT_TIMEOUT } else { CONNECT_TIMEOUT };
+    let open = UpstreamConnection::open(&state.dialer, entry.address, timeout);
+    tokio::pin!(open);
+    let opened = match tokio::time::timeout(SUSPECT_CONNECT, open.as_mut()).await {
+        Ok(opened) => opened,
+        Err(_) => {
+            state.reach.suspect(&entry.service);
+            open.await
+        }
+    };
+    let now = state.clock.now();
+    state.reach.record_connection(&state.snapshot.load(), entry, opened.is_ok(), now);
+    opened.map_err(|fault| {
+        // Out of reach of this host, which says nothing of the upstream.
+        let is_lost = state.reach.lost_for(&entry.service, now).is_some();
+        let kind = if is_lost { FaultKind::Unreached } else { fault.kind };
+        AttemptFault { kind, ..fault }
+    })
+}
+
+pub(crate) fn new_request(
     wire: &WireFormat,
     request: &OutgoingRequest,
     head: &UpstreamHead,
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -103,8 +103,7 @@
         response.headers_mut().insert(CONTENT_LENGTH, length);
     }
     if run.request.outgoing.may_reuse {
-        let now = run.state.clock.now();
-        tokio::spawn(answer.release_connection(now));
+        tokio::spawn(answer.release_connection(Arc::clone(&run.state)));
     }
     Ok(response)
 }
--- a/crates/gateway/src/fault.rs
+++ b/crates/gateway/src/fault.rs
@@ -22,7 +22,7 @@
     /// Whether the request may have run at the upstream.
     #[must_use]
     pub const fn may_have_run(&self) -> bool {
-        !matches!(self.kind, FaultKind::Connect | FaultKind::NotRun)
+        !matches!(self.kind, FaultKind::Connect | FaultKind::Unreached | FaultKind::NotRun)
     }
 
     /// Weight in outlier ejection, as a number of ordinary failures. An upstream that is
@@ -34,7 +34,10 @@
             FaultKind::Connect | FaultKind::Silent => 3,
             FaultKind::Lost | FaultKind::Cut | FaultKind::Wrong => 2,
             FaultKind::Failed => 1,
-            FaultKind::NotRun | FaultKind::Rejected => 0,
+            FaultKind::NotRun
+            | FaultKind::Rejected
+            | FaultKind::Unreached
+            | FaultKind::CarrierLost => 0,
         }
     }
 }
--- a/crates/gateway/src/gateway_process.rs
+++ b/crates/gateway/src/gateway_process.rs
@@ -2,6 +2,8 @@
 
 use crate::answer_times::AnswerTimes;
 use crate::caller_server::CallerServer;
+use crate::carrier_client::CarrierLinks;
+use crate::carrier_server::{CarrierLoad, serve_hosts};
 use crate::control_cache::ControlSnapshot;
 use crate::control_port::{ControlPort, Topic};
 use crate::crash_guard::CrashGuard;
@@ -10,6 +12,7 @@
 use crate::host_count::count_hosts;
 use crate::latency_tracker::{LatencyTracker, PrefillTracker};
 use crate::metrics::GatewayMetrics;
+use crate::path_trials::run_trials;
 use crate::peer_table::PeerTable;
 use crate::rollout_counters::RolloutCounters;
 use crate::rollout_driver::RolloutDriver;
@@ -23,6 +26,7 @@
 use crate::store_calls::StoreCalls;
 use crate::topic_watch::follow_topic;
 use crate::upstream_pool::UpstreamPool;
+use crate::upstream_reach::UpstreamReach;
 use crate::wire_format::WireFormat;
 use anyhow::Context;
 use arc_swap::ArcSwap;
@@ -61,6 +65,7 @@
     control: Arc<dyn ControlPort>,
     publisher: ActorRef<SnapshotPublisher>,
     gossip: Option<UdpSocket>,
+    hosts: Option<TcpListener>,
 }
 
 impl GatewayProcess {
@@ -102,13 +107,13 @@
         let publisher =
             SnapshotPublisher::new(Arc::clone(&state.snapshot), Arc::clone(&state.clock));
         let changed = Arc::clone(&state);
-        let hook =
-            Box::new(move |snapshot: &ControlSnapshot| changed.pool.update(&snapshot.upstreams));
+        let hook = Box::new(move |snapshot: &ControlSnapshot| changed.update_upstreams(snapshot));
         let hold_time = state.settings.load().bounds.hold_time();
         let publisher = publisher.with_change_hook(hook).with_hold_time(hold_time);
         let publisher = SnapshotPublisher::spawn(publisher);
         let gossip = bind_gossip(&state.settings.load()).await?;
-        Ok(Self { state, callers, ready, metrics, control, publisher, gossip })
+        let hosts = bind_hosts(&state).await?;
+        Ok(Self { state, callers, ready, metrics, control, publisher, gossip, hosts })
     }
 
     /// State shared by all requests.
@@ -137,7 +142,7 @@
 
     /// Serves until `stop` resolves, then shuts down gracefully.
     pub async fn serve(self, stop: impl Future<Output = ()>) -> GatewayStop {
-        let Self { state, callers, ready, metrics, control, publisher, gossip } = self;
+        let Self { state, callers, ready, metrics, control, publisher, gossip, hosts } = self;
         let (calls, peers) = (Arc::new(StoreCalls::default()), Arc::new(PeerTable::new()));
         let mut tasks = tokio::task::JoinSet::new();
         for topic in Topic::ALL {
@@ -156,6 +161,10 @@
             let node = GossipNode::new(Arc::clone(&state), peers, calls);
             tasks.spawn(run_gossip(Arc::clone(&state), socket, node));
         }
+        if let Some(listener) = hosts {
+            tasks.spawn(serve_hosts(Arc::clone(&state), listener));
+        }
+        tasks.spawn(run_trials(Arc::clone(&state)));
         tasks.spawn(RolloutDriver::new(Arc::clone(&state), control).run());
         tasks.spawn(ready.serve(std::future::pending()));
         if let Some(metrics) = metrics {
@@ -180,7 +189,10 @@
         .grace_period()
         .saturating_sub(BALANCER_LAG)
         .saturating_sub(SHUTDOWN_MARGIN);
-    match callers.close(timeout).await {
+    // What this host carries for others is finished as well.
+    let carried = tokio::time::timeout(timeout, state.carrier_load.none_carried());
+    let (left, _) = tokio::join!(callers.close(timeout), carried);
+    match left + usize::from(state.carrier_load.carried()) {
         0 => GatewayStop::Finished,
         left => GatewayStop::Cut(left),
     }
@@ -205,6 +217,9 @@
     let snapshot: SharedSnapshot = Arc::new(ArcSwap::default());
     Arc::new(GatewayState {
         snapshot,
+        reach: UpstreamReach::new(&settings.load()),
+        links: CarrierLinks::default(),
+        carrier_load: CarrierLoad::default(),
         pool: UpstreamPool::new(Arc::clone(&settings), Arc::clone(&clock)),
         wire,
         dialer,
@@ -230,6 +245,7 @@
         if publisher.tell(ExpiryDue).await.is_err() {
             return;
         }
+        state.metrics.set_lost_services(state.reach.lost_count());
         state.crashes.expire(state.clock.now());
         state.pool.limits().divide(state.clock.now());
         state.sessions.evict(state.settings.load().bounds.session_retention(), state.clock.now());
@@ -275,3 +291,12 @@
     let socket = UdpSocket::bind(address).await;
     socket.with_context(|| format!("cannot listen on {address}")).map(Some)
 }
+
+/// Listens for connections of other hosts, at the address for their datagrams.
+async fn bind_hosts(state: &GatewayState) -> anyhow::Result<Option<TcpListener>> {
+    let Some(address) = state.settings.load().peers else { return Ok(None) };
+    let listener = TcpListener::bind(address).await;
+    let listener = listener.with_context(|| format!("cannot listen on {address}"))?;
+    state.carrier_load.set_address(address);
+    Ok(Some(listener))
+}
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -13,14 +13,16 @@
 use crate::peer_table::{PeerTable, RegionHash};
 use crate::state::GatewayState;
 use crate::store_calls::{LagDetector, StoreCalls};
-use oleander_core::host_view::HostReport;
+use oleander_core::host_view::{HostHash, HostReport};
 use oleander_core::limit_division::ReportedLimit;
 use oleander_core::part_quarantine::PartReport;
+use oleander_core::reach_view::ReachReport;
 use oleander_core::request_quarantine::RequestReport;
 use oleander_core::store_era::{StoreEra, StoreRevision};
 use oleander_core::units::Timestamp;
 use oleander_ports::clock::{ClockPort, SystemClock};
 use serde::{Deserialize, Serialize};
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -31,6 +33,8 @@
 /// Hosts of the own region that receive each datagram. A load reaches thirty hosts after three to
 /// four rounds. With datagrams of at most 1,150 bytes this is 9.2 kB per second.
 const REGION_FAN_OUT: usize = 2;
+/// Hosts that receive each datagram of one that seeks hosts which carry its requests. Each answers.
+const SEEK_FAN_OUT: usize = 8;
 /// Number of rounds after which a datagram also goes to a host of any region. Not every round,
 /// since traffic between regions is paid for.
 const ANY_REGION_STRIDE: u64 = 2;
@@ -39,6 +43,8 @@
 const ISOLATION_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Number of loads whose place the origin and the tag of a datagram take.
 const SEAL_LOADS: usize = 8;
+/// Number of loads whose place the sender's address and place take.
+const REACH_LOADS: usize = 4;
 /// Maximum size of a received datagram, in bytes. One with the most crashes, hosts, limits and leaving
 /// upstreams has 1,460.
 const MAX_DATAGRAM_BYTES: usize = 2_048;
@@ -64,6 +70,8 @@
     pub parts: PartReport,
     /// What is used only if the datagram is authentic.
     pub sealed: Option<SealedReport>,
+    /// Which services the sender reaches. Used if the datagram is authentic.
+    pub reach: Option<ReachReport>,
 }
 
 /// The part of a datagram that says who sent it.
@@ -103,7 +111,11 @@
                 let sealed;
                 (message.parts, sealed) = postcard::take_from_bytes(rest)?;
                 if !sealed.is_empty() {
-                    message.sealed = postcard::from_bytes(sealed)?;
+                    let reach;
+                    (message.sealed, reach) = postcard::take_from_bytes(sealed)?;
+                    if !reach.is_empty() {
+                        message.reach = postcard::from_bytes(reach)?;
+                    }
                 }
             }
         }
@@ -129,15 +141,16 @@
         Self { state, peers, calls, lag: LagDetector::default(), heard_at, rounds: 0 }
     }
 
-    /// Applies a datagram.
-    pub fn receive(&mut self, bytes: &[u8], sender: SocketAddr) {
+    /// Applies a datagram; returns the one that answers it, if its sender seeks hosts that carry its
+    /// requests.
+    pub fn receive(&mut self, bytes: &[u8], sender: SocketAddr) -> Option<(SocketAddr, Vec<u8>)> {
         let own = self.state.settings.load().peers;
         let content = own.and_then(|own| self.state.seal.verify(bytes, own));
         let message = match GossipMessage::decode(content.unwrap_or(bytes)) {
             Ok(message) => message,
             Err(error) => {
                 log::debug!(target: "beacon", error:%; "malformed gossip datagram ignored");
-                return;
+                return None;
             }
         };
         let now = self.state.clock.now();
@@ -154,33 +167,52 @@
         let sealed = message.sealed.as_ref().filter(|_| content.is_some());
         let is_fresh =
             |sealed: &&SealedReport| self.state.seal.accept(&sealed.origin, SystemClock.now());
+        let mut seeks = false;
         if let Some(sealed) = sealed.filter(is_fresh) {
             self.state.crashes.merge(&message.parts, &sealed.requests, now);
             let limits = self.state.pool.limits();
             limits.merge(&sealed.origin.host, &sealed.hosts, &sealed.limits, now);
+            if let Some(reach) = &message.reach {
+                self.state.reach.merge(HostHash::new(&sealed.origin.host), reach, now);
+                seeks = reach.seeks;
+            }
         }
         self.peers.add(sender, message.region);
         self.heard_at = now;
+        seeks.then(|| self.datagram(&self.content(false), sender))
     }
 
     /// Performs a round, which is due each [`GOSSIP_INTERVAL`]; returns the datagrams to send.
     pub fn next_round(&mut self) -> Vec<(SocketAddr, Vec<u8>)> {
         self.rounds += 1;
         self.check_calls();
-        let message = self.message();
-        // Plain data is always encoded.
-        let content = postcard::to_allocvec(&message).unwrap_or_default();
-        let random = &self.state.random;
+        let (content, random) = (self.content(true), &self.state.random);
+        let region = RegionHash::new(&self.state.settings.load().region);
         let same_region =
-            (0..REGION_FAN_OUT).map(|_| self.peers.in_region(message.region, random.next_unit()));
+            (0..REGION_FAN_OUT).map(|_| self.peers.in_region(region, random.next_unit()));
         let include_any_region = self.rounds.is_multiple_of(ANY_REGION_STRIDE);
-        let any = include_any_region.then(|| self.peers.any(random.next_unit()));
-        let datagram = |to: SocketAddr| {
-            let mut bytes = content.clone();
-            self.state.seal.append_tag(&mut bytes, to);
-            (to, bytes)
-        };
-        same_region.chain(any).flatten().map(datagram).collect()
+        let seeks = if self.state.reach.has_lost() { SEEK_FAN_OUT } else { 0 };
+        let any = (0..seeks.max(usize::from(include_any_region)))
+            .map(|_| self.peers.any(random.next_unit()));
+        let receivers: BTreeSet<SocketAddr> = same_region.chain(any).flatten().collect();
+        receivers.into_iter().map(|to| self.datagram(&content, to)).collect()
+    }
+
+    /// The content of a datagram, which is sent to several hosts. `may_seek` is false in one that answers
+    /// another, so that two hosts that both seek do not answer each other without end.
+    fn content(&self, may_seek: bool) -> Vec<u8> {
+        let mut message = self.message();
+        if let Some(reach) = &mut message.reach {
+            reach.seeks &= may_seek;
+        }
+        // Plain data is always encoded.
+        postcard::to_allocvec(&message).unwrap_or_default()
+    }
+
+    fn datagram(&self, content: &[u8], to: SocketAddr) -> (SocketAddr, Vec<u8>) {
+        let mut bytes = content.to_vec();
+        self.state.seal.append_tag(&mut bytes, to);
+        (to, bytes)
     }
 
     /// Has the calls to the store begun again that are lost, as far as other hosts tell.
@@ -214,9 +246,15 @@
         let (parts, requests) = state.crashes.report(now);
         let mut loads = state.pool.load_reports(now);
         let (hosts, limits) = state.pool.limits().report(now);
-        // A load takes nine bytes, a reported crash up to fourteen, a host eight, a limit twelve and
-        // an end of an upstream under a request up to thirty.
+        let is_stopping = state.stop.since(now).is_some();
+        let address = state.carrier_load.address().filter(|_| !is_stopping);
+        let reach = state.reach.report(address, state.carrier_load.carried(), now);
+        // A load takes nine bytes, a reported crash up to fourteen, a host eight, a limit twelve, a
+        // reached service six, the place of the sender thirty and an end of an upstream under a
+        // request up to thirty.
         let others = SEAL_LOADS
+            + REACH_LOADS
+            + reach.services.len()
             + parts.len() * 2
             + hosts.others.len()
             + limits.len() * 3 / 2
@@ -236,6 +274,7 @@
                 limits,
                 requests,
             }),
+            reach: Some(reach),
         }
     }
 }
@@ -248,23 +287,30 @@
     loop {
         tokio::select! {
             received = socket.recv_from(&mut buffer) => match received {
-                Ok((length, sender)) => node.receive(&buffer[..length], sender),
+                Ok((length, sender)) => {
+                    if let Some((seeker, bytes)) = node.receive(&buffer[..length], sender) {
+                        send(&socket, &bytes, seeker).await;
+                    }
+                }
                 Err(error) => log::debug!(
                     target: "beacon", error:%;
                     "cannot receive gossip datagram"
                 ),
             },
+            // Others are asked at once who reaches a service that was lost.
+            () = state.reach.next_change() => send_at = tokio::time::Instant::now(),
             () = tokio::time::sleep_until(send_at) => {
                 send_at += GOSSIP_INTERVAL;
                 for (peer, bytes) in node.next_round() {
-                    if let Err(error) = socket.send_to(&bytes, peer).await {
-                        log::debug!(
-                            target: "beacon", error:%, peer:%;
-                            "cannot send gossip datagram"
-                        );
-                    }
+                    send(&socket, &bytes, peer).await;
                 }
             }
         }
     }
 }
+
+async fn send(socket: &UdpSocket, bytes: &[u8], peer: SocketAddr) {
+    if let Err(error) = socket.send_to(bytes, peer).await {
+        log::debug!(target: "beacon", error:%, peer:%; "cannot send gossip datagram");
+    }
+}
--- a/crates/gateway/src/gossip_seal.rs
+++ b/crates/gateway/src/gossip_seal.rs
@@ -4,8 +4,9 @@
 
 use oleander_core::ids::{HostId, Incarnation};
 use oleander_core::units::Timestamp;
+use oleander_peers::PeerKey;
 use oleander_peers::datagram::{MAX_CLOCK_SKEW, address_bytes};
-use oleander_peers::keys::{MacKey, TAG_BYTES, Tag};
+use oleander_peers::keys::{KeyRing, MacKey, TAG_BYTES, Tag};
 use oleander_peers::replay::ReplayGuard;
 use rand::RngExt;
 use serde::{Deserialize, Serialize};
@@ -19,6 +20,9 @@
 const KEY_BYTES: usize = 32;
 /// Purpose of the derived key.
 const KEY_PURPOSE: &[u8] = b"gossip";
+/// Protocol and id of the key of connections between hosts.
+const LINK_PROTOCOL: &str = "carrier";
+const LINK_KEY_ID: &str = "hosts";
 
 /// The key that hosts share. Debug output hides it.
 #[derive(Clone, PartialEq, Eq)]
@@ -100,6 +104,15 @@
         lock(&self.key).as_ref().map(|(key, _)| key.clone())
     }
 
+    /// The keys of connections between hosts, once known.
+    #[must_use]
+    pub fn link_keys(&self) -> Option<KeyRing> {
+        let key = self.key()?;
+        let secret: String = key.as_bytes().iter().map(|byte| format!("{byte:02x}")).collect();
+        let key = PeerKey::new(LINK_KEY_ID.parse().ok()?, secret.into());
+        KeyRing::new(&[key], LINK_PROTOCOL)
+    }
+
     /// The origin of the next datagram, sent at `now` in time since the Unix epoch.
     #[must_use]
     pub fn next_origin(&self, now: Timestamp) -> GossipOrigin {
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -27,6 +27,9 @@
     requests: Family<OutcomeLabel, Counter>,
     faults: Family<FaultLabel, Counter>,
     attempts: Counter,
+    carried: Family<OutcomeLabel, Counter>,
+    handed_over: Counter,
+    lost_services: Gauge,
     escalations: Counter,
     resumptions: Counter,
     ejections: Counter,
@@ -48,6 +51,9 @@
             requests: Family::default(),
             faults: Family::default(),
             attempts: Counter::default(),
+            carried: Family::default(),
+            handed_over: Counter::default(),
+            lost_services: Gauge::default(),
             escalations: Counter::default(),
             resumptions: Counter::default(),
             ejections: Counter::default(),
@@ -65,6 +71,11 @@
         registry.register("requests", "Requests by outcome", self.requests.clone());
         registry.register("faults", "Failed attempts by kind", self.faults.clone());
         registry.register("attempts", "Attempts at upstreams", self.attempts.clone());
+        registry.register("carried", "Attempts for other hosts by outcome", self.carried.clone());
+        let help = "Attempts that other hosts carried";
+        registry.register("handed_over", help, self.handed_over.clone());
+        let help = "Services out of reach of this host";
+        registry.register("lost_services", help, self.lost_services.clone());
         registry.register("escalations", "Weak answers given up", self.escalations.clone());
         registry.register("resumptions", "Streams resumed elsewhere", self.resumptions.clone());
         registry.register("ejections", "Upstreams left out for a while", self.ejections.clone());
@@ -92,6 +103,21 @@
         self.request_seconds.observe(span.as_secs_f64());
     }
 
+    /// Records an attempt for another host.
+    pub fn record_carried(&self, outcome: &'static str) {
+        self.carried.get_or_create(&OutcomeLabel { outcome }).inc();
+    }
+
+    /// Records an attempt that another host carried.
+    pub fn record_handed_over(&self) {
+        self.handed_over.inc();
+    }
+
+    /// Sets the number of services out of reach.
+    pub fn set_lost_services(&self, count: usize) {
+        self.lost_services.set(i64::try_from(count).unwrap_or(i64::MAX));
+    }
+
     /// Records an attempt at an upstream.
     pub fn record_attempt(&self) {
         self.attempts.inc();
--- a/crates/gateway/src/request_run.rs
+++ b/crates/gateway/src/request_run.rs
@@ -1,7 +1,7 @@
 //! The attempts of one request: picks the next upstream and model, and decides when to stop.
 
 use crate::admitted::{AdmittedRequest, blocked_refusal};
-use crate::attempt::{UpstreamAnswer, send_attempt};
+use crate::attempt::{SendProgress, UpstreamAnswer, send_attempt};
 use crate::cascade::{CascadeModel, CascadeRequest, CascadeStep, plan_steps};
 use crate::choice_price::{ChoicePrices, PLAIN_ANSWER_VALUE, PricedRequest, answer_value, prices};
 use crate::control_cache::ControlSnapshot;
@@ -23,6 +23,7 @@
 use oleander_core::attempt_retry::FaultKind;
 use oleander_core::ids::UpstreamName;
 use oleander_core::part_quarantine::SERVED_TIME;
+use oleander_core::reach_view::ServicePath;
 use oleander_core::request_hash::RequestHash;
 use oleander_core::request_quarantine::RequestPermission;
 use oleander_core::units::Timestamp;
@@ -32,6 +33,11 @@
 
 /// Maximum sends per request, including those that upstreams refused.
 const MAX_SENDS: u32 = 6;
+/// Maximum attempts that find no path to their upstream.
+const MAX_UNREACHED: u32 = 3;
+/// Time without a response after which a pending attempt is abandoned if the service has gone out of
+/// this host's reach, so that another host carries the next one.
+const LOST_PATIENCE: Duration = Duration::from_millis(600);
 /// Minimum time left for a send: a round trip to the next failure domain.
 const MIN_TIME_LEFT: Duration = Duration::from_millis(5);
 /// Share of the route's latency target after which a pending attempt may be abandoned for another
@@ -79,6 +85,8 @@
     sends: u32,
     /// Attempts that may have run at an upstream.
     runs: u32,
+    /// Attempts that found no path to their upstream.
+    unreached: u32,
     tried: HashSet<UpstreamName>,
     /// The last upstream that refused the request.
     last_refused: Option<UpstreamName>,
@@ -113,6 +121,7 @@
             step: 0,
             sends: 0,
             runs: 0,
+            unreached: 0,
             tried: HashSet::new(),
             last_refused: None,
             keeps_silent: false,
@@ -226,11 +235,16 @@
             // There may be no third attempt, so skip to the last model, which answers everything.
             self.step = self.steps.len().saturating_sub(1);
         }
-        if self.sends >= MAX_SENDS || self.time_left() < MIN_TIME_LEFT {
+        self.unreached += u32::from(fault.kind == FaultKind::Unreached);
+        if self.sends >= MAX_SENDS
+            || self.unreached >= MAX_UNREACHED
+            || self.time_left() < MIN_TIME_LEFT
+        {
             return false;
         }
         // A request that never left this host adds no load upstream, so it costs no budget.
-        fault.kind == FaultKind::Connect || self.state.pool.try_retry(&self.request.service)
+        matches!(fault.kind, FaultKind::Connect | FaultKind::Unreached)
+            || self.state.pool.try_retry(&self.request.service)
     }
 
     /// Whether a stream that breaks now may resume on another upstream.
@@ -454,19 +468,34 @@
         let faster_limit = self.request.route.latency_target.mul_f64(FASTER_SHARE);
         let (state, outgoing) = (&self.state, &self.request.outgoing);
         let time_left = self.time_left();
-        let work = send_attempt(state, permit, outgoing, head, time_left);
+        let progress = SendProgress::default();
+        let path = state.reach.path(&self.request.service, state.clock.now());
+        let work = send_attempt(state, permit, outgoing, head, time_left, &progress);
         tokio::pin!(work);
         loop {
-            let until = self.request.deadline.min(state.clock.now() + timeout);
-            match state.within_time(until, work.as_mut()).await {
+            let now = state.clock.now();
+            let is_lost = path == ServicePath::Direct
+                && state.reach.path(&self.request.service, now) == ServicePath::Carried
+                && self.may_abandon();
+            let end = if is_lost { self.sent_at + LOST_PATIENCE } else { now + timeout };
+            let waited = tokio::select! {
+                waited = state.within_time(self.request.deadline.min(end), work.as_mut()) => waited,
+                () = state.reach.next_change(), if !is_lost => continue,
+            };
+            match waited {
                 Some(result) => return result,
                 None if self.time_left() < MIN_TIME_LEFT => {
-                    let text = "no response headers before this process exits";
-                    return Err(AttemptFault::new(FaultKind::Silent, text));
+                    return Err(
+                        progress.timeout_fault("no response headers before this process exits")
+                    );
+                }
+                None if is_lost => {
+                    let text = "no response headers, and the service is out of reach";
+                    return Err(progress.timeout_fault(text));
                 }
                 None if self.may_abandon() && self.has_faster(faster_limit) => {
                     let text = format!("no response headers within {timeout:?}");
-                    return Err(AttemptFault::new(FaultKind::Silent, text));
+                    return Err(progress.timeout_fault(&text));
                 }
                 None => {}
             }
@@ -537,9 +566,11 @@
         let confidence = answer.head.confidence.map(|value| format!(" confidence {value:.2}"));
         let load = answer.head.load.map(|load| format!(" running {}", load.running));
         let limit = answer.head.limits.first().map(|limit| format!(" limit {limit}"));
+        let carrier = answer.connection.carried.as_ref();
+        let carrier = carrier.map(|carried| format!(" by {}", carried.carrier.address));
         let (confidence, load) = (confidence.unwrap_or_default(), load.unwrap_or_default());
-        let limit = limit.unwrap_or_default();
-        let result = format!("{}{confidence}{load}{limit}", answer.status.as_u16());
+        let (limit, carrier) = (limit.unwrap_or_default(), carrier.unwrap_or_default());
+        let result = format!("{}{confidence}{load}{limit}{carrier}", answer.status.as_u16());
         self.record.add_attempt(entry.name.as_str(), model.map(|model| &**model), &result);
     }
 
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -1,6 +1,9 @@
 //! State shared by all requests of a gateway.
 
 use crate::answer_times::AnswerTimes;
+use crate::carrier_client::CarrierLinks;
+use crate::carrier_server::CarrierLoad;
+use crate::control_cache::ControlSnapshot;
 use crate::crash_guard::CrashGuard;
 use crate::gossip_seal::GossipSeal;
 use crate::latency_tracker::{LatencyTracker, PrefillTracker};
@@ -13,6 +16,7 @@
 use crate::socket_dialer::SocketDialer;
 use crate::stop_state::StopState;
 use crate::upstream_pool::UpstreamPool;
+use crate::upstream_reach::UpstreamReach;
 use crate::wire_format::WireFormat;
 use oleander_core::units::Timestamp;
 use oleander_ports::clock::ClockPort;
@@ -30,6 +34,12 @@
     pub pool: UpstreamPool,
     /// Codec for headers beyond plain HTTP.
     pub wire: WireFormat,
+    /// Which services are out of this host's reach.
+    pub reach: UpstreamReach,
+    /// Connections to hosts that carry requests.
+    pub links: CarrierLinks,
+    /// How much this host carries for others.
+    pub carrier_load: CarrierLoad,
     /// Opens connections to upstreams.
     pub dialer: SocketDialer,
     /// Source of the current time.
@@ -57,6 +67,12 @@
 }
 
 impl GatewayState {
+    /// Takes over a new list of upstreams.
+    pub fn update_upstreams(&self, snapshot: &ControlSnapshot) {
+        self.pool.update(&snapshot.upstreams);
+        self.reach.retain_services(&snapshot.upstreams.keys().collect());
+    }
+
     /// Time left until `deadline`, or until this process has to have answered all requests.
     #[must_use]
     pub fn time_left(&self, deadline: Timestamp) -> Duration {
--- a/crates/gateway/src/stream_relay.rs
+++ b/crates/gateway/src/stream_relay.rs
@@ -219,8 +219,7 @@
         self.run.record.set_outcome("answered", 200, "");
         if let Some(answer) = self.answer.take() {
             self.run.record_stream_end(&answer.permit.upstream.entry);
-            let now = self.run.state.clock.now();
-            tokio::spawn(answer.release_connection(now));
+            tokio::spawn(answer.release_connection(Arc::clone(&self.run.state)));
         }
     }
 
--- a/crates/gateway/src/upstream_connection.rs
+++ b/crates/gateway/src/upstream_connection.rs
@@ -1,6 +1,7 @@
 //! A connection to an upstream. It closes when its owner drops it, so that the upstream stops work
 //! that nobody waits for.
 
+use crate::carrier_client::CarriedRequest;
 use crate::fault::AttemptFault;
 use crate::socket_dialer::SocketDialer;
 use bytes::Bytes;
@@ -21,9 +22,6 @@
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 
-/// Connect timeout. A lost SYN is retransmitted after a second, so another upstream is faster; the
-/// farthest region answers within 70 ms.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 /// Ends connections to upstreams that went silent; a sound upstream may be silent for a second or
 /// two.
 pub const UPSTREAM_KEEPALIVE: SocketKeepalive = SocketKeepalive {
@@ -43,6 +41,8 @@
     /// Time since the Unix epoch when it was open at the latest; the upstream's process had started
     /// before.
     pub opened_at: Timestamp,
+    /// The host that carries the request, if the connection is to one.
+    pub carried: Option<CarriedRequest>,
     sender: SendRequest<Full<Bytes>>,
     driver: AbortHandle,
     meter: ReadMeter,
@@ -84,16 +84,30 @@
     /// # Errors
     ///
     /// [`FaultKind::Connect`]: nothing was sent.
-    pub async fn open(dialer: &SocketDialer, address: SocketAddr) -> Result<Self, AttemptFault> {
+    pub async fn open(
+        dialer: &SocketDialer,
+        address: SocketAddr,
+        timeout: Duration,
+    ) -> Result<Self, AttemptFault> {
         let unsent = |reason: String| AttemptFault::new(FaultKind::Connect, reason);
-        let opened = tokio::time::timeout(CONNECT_TIMEOUT, dialer.dial(address)).await;
+        let opened = tokio::time::timeout(timeout, dialer.dial(address)).await;
         let socket = match opened {
             Ok(Ok(socket)) => socket,
             Ok(Err(error)) => return Err(unsent(format!("cannot connect: {error}"))),
-            Err(_) => return Err(unsent(format!("no connection within {CONNECT_TIMEOUT:?}"))),
+            Err(_) => return Err(unsent(format!("no connection within {timeout:?}"))),
         };
-        let opened_at = SystemClock.now();
         set_options(&socket, &UPSTREAM_KEEPALIVE);
+        Self::over(socket).await
+    }
+
+    /// Speaks HTTP over a connection that was opened.
+    ///
+    /// # Errors
+    ///
+    /// [`FaultKind::Connect`]: nothing was sent.
+    pub async fn over(socket: TcpStream) -> Result<Self, AttemptFault> {
+        let unsent = |reason: String| AttemptFault::new(FaultKind::Connect, reason);
+        let opened_at = SystemClock.now();
         let meter = ReadMeter::new(MAX_EXCESS_BYTES);
         let handshake = http1::Builder::new()
             .max_buf_size(MAX_ANSWER_HEAD_BYTES)
@@ -104,7 +118,7 @@
             // The error reaches the request that waits for a response on this connection.
             let _ = connection.await;
         });
-        Ok(Self { opened_at, sender, driver: driver.abort_handle(), meter })
+        Ok(Self { opened_at, carried: None, sender, driver: driver.abort_handle(), meter })
     }
 
     /// Sends a request and waits for response headers.
--- a/crates/gateway/src/upstream_pool.rs
+++ b/crates/gateway/src/upstream_pool.rs
@@ -377,6 +377,19 @@
         Some(UpstreamPermit::new(Arc::clone(&handles[index]), input.prefill, clock))
     }
 
+    /// Counts a request of another host as in flight at an upstream.
+    #[must_use]
+    pub fn permit(&self, entry: &Arc<UpstreamEntry>) -> UpstreamPermit {
+        UpstreamPermit::new(self.handle(entry), Duration::ZERO, Arc::clone(&self.clock))
+    }
+
+    /// Whether an upstream has not asked this host for no more requests.
+    #[must_use]
+    pub fn is_open(&self, entry: &UpstreamEntry, now: Timestamp) -> bool {
+        let permission = self.standings.permission(entry, now);
+        matches!(permission, SendPermission::Open | SendPermission::Reported)
+    }
+
     /// Whether an untried upstream is expected to finish prefilling the prompt within `limit`.
     #[must_use]
     pub fn has_faster(&self, input: &ChoiceInput<'_>, limit: Duration) -> bool {
--- a/crates/gateway/tests/canary_load.rs
+++ b/crates/gateway/tests/canary_load.rs
@@ -107,6 +107,7 @@
             ready: free,
             metrics: None,
             peers: None,
+            outgoing: None,
             store: free,
             memory_bytes: 100_000_000,
             bounds: GatewayBounds::default(),
--- a/crates/gateway/tests/store_silence.rs
+++ b/crates/gateway/tests/store_silence.rs
@@ -8,6 +8,8 @@
 use oleander_core::store_era::{StoreEra, StoreRevision};
 use oleander_core::units::Timestamp;
 use oleander_gateway::answer_times::AnswerTimes;
+use oleander_gateway::carrier_client::CarrierLinks;
+use oleander_gateway::carrier_server::CarrierLoad;
 use oleander_gateway::control_port::{
     ControlPort, HostAgreement, HostRecord, Topic, TopicChange, TopicRow, TopicUpdate, TopicValue,
     WriteOutcome,
@@ -26,12 +28,14 @@
 use oleander_gateway::session_versions::SessionVersions;
 use oleander_gateway::settings::{GatewayBounds, GatewaySettings};
 use oleander_gateway::snapshot_publisher::SnapshotPublisher;
+use oleander_gateway::socket_dialer::SocketDialer;
 use oleander_gateway::state::GatewayState;
 use oleander_gateway::stop_state::StopState;
 use oleander_gateway::store_calls::StoreCalls;
 use oleander_gateway::topic_watch::follow_topic;
 use oleander_gateway::upstream_entry::{UpstreamEntry, UpstreamState};
 use oleander_gateway::upstream_pool::UpstreamPool;
+use oleander_gateway::upstream_reach::UpstreamReach;
 use oleander_gateway::wire_format::{AnswerHead, CallerHead, WireFormat};
 use oleander_ports::clock::RuntimeClock;
 use oleander_ports::{PlatformError, PortFuture};
@@ -217,6 +221,7 @@
         ready: free,
         metrics: None,
         peers: None,
+        outgoing: None,
         store: free,
         memory_bytes: 50_000_000,
         bounds: GatewayBounds::default(),
@@ -232,6 +237,10 @@
             write_upstream: |_, _| {},
             read_answer: |_| AnswerHead::default(),
         },
+        dialer: SocketDialer::default(),
+        reach: UpstreamReach::new(&settings.load()),
+        links: CarrierLinks::default(),
+        carrier_load: CarrierLoad::default(),
         clock,
         latencies: LatencyTracker::new(),
         answer_times: AnswerTimes::new(),
@@ -300,7 +309,10 @@
     let mut send_at = Instant::now() + GOSSIP_INTERVAL.mul_f64(random.next_unit());
     loop {
         tokio::select! {
-            Some((bytes, sender)) = mailbox.recv() => node.receive(&bytes, sender),
+            Some((bytes, sender)) = mailbox.recv() => {
+                // No host loses a service here.
+                assert_eq!(node.receive(&bytes, sender), None);
+            }
             () = tokio::time::sleep_until(send_at) => {
                 send_at += GOSSIP_INTERVAL;
                 for (target, bytes) in node.next_round() {
