--- a/crates/core/src/reach_view.rs
+++ b/crates/core/src/reach_view.rs
@@ -128,6 +128,17 @@
     Lost,
 }
 
+/// How a new connection ended, or that it was opened.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ConnectionOutcome<'a> {
+    /// The upstream.
+    pub upstream: &'a UpstreamName,
+    /// Whether it was opened.
+    pub is_open: bool,
+    /// When opening it began.
+    pub began: Timestamp,
+}
+
 /// How evidence changed the belief.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ReachChange {
@@ -141,6 +152,8 @@
 struct ServiceReach {
     /// When an upstream last answered this host, or a connection to one was opened.
     reached_at: Option<Timestamp>,
+    /// When a connection was last opened.
+    opened_at: Option<Timestamp>,
     /// Upstreams to which the last connections failed since one was opened.
     failures: BTreeMap<UpstreamName, Timestamp>,
     lost_at: Option<Timestamp>,
@@ -185,21 +198,23 @@
 ///
 /// ```
 /// use oleander_core::host_view::HostHash;
-/// use oleander_core::reach_view::{HostPlace, ReachView, ServicePath};
+/// use oleander_core::reach_view::{ConnectionOutcome, HostPlace, ReachView, ServicePath};
 /// use oleander_core::units::Timestamp;
 ///
 /// let place = HostPlace::new(&"puget-a".parse().unwrap(), &"puget".parse().unwrap());
 /// let (service, now) = ("desk".parse().unwrap(), Timestamp::from_millis(1_000));
 /// let upstreams = ["i-1", "i-2"].map(|name| name.parse().unwrap());
+/// let outcome =
+///     |index: usize, is_open| ConnectionOutcome { upstream: &upstreams[index], is_open, began: now };
 ///
 /// let (mut other, mut view) = (ReachView::new(place), ReachView::new(place));
-/// other.record_connection(&service, &upstreams[0], 2, true, now);
+/// other.record_connection(&service, 2, &outcome(0, true), now);
 /// let report = other.report(Some("10.0.0.2:7340".parse().unwrap()), 0, now);
 /// view.merge(HostHash::new(&"host-2".parse().unwrap()), &report, now);
 ///
 /// assert_eq!(view.path(&service, now), ServicePath::Direct);
-/// for upstream in &upstreams {
-///     view.record_connection(&service, upstream, 2, false, now);
+/// for index in 0..2 {
+///     view.record_connection(&service, 2, &outcome(index, false), now);
 /// }
 /// assert_eq!(view.path(&service, now), ServicePath::Carried);
 /// ```
@@ -224,19 +239,19 @@
         self.services.retain(|service, _| listed.contains(service));
     }
 
-    /// Records whether a new connection to one of a service's `listed` upstreams was opened.
+    /// Records the outcome of a new connection to one of a service's `listed` upstreams. A failure does
+    /// not count if another connection was opened after this one began.
     pub fn record_connection(
         &mut self,
         service: &ServiceName,
-        upstream: &UpstreamName,
         listed: usize,
-        is_open: bool,
+        outcome: &ConnectionOutcome<'_>,
         now: Timestamp,
     ) -> Option<ReachChange> {
         let has_carrier = self.has_carrier(service, now);
         let reach = self.service(service);
-        if is_open {
-            reach.reached_at = Some(now);
+        if outcome.is_open {
+            (reach.reached_at, reach.opened_at) = (Some(now), Some(now));
             reach.failures.clear();
             // Without another way there is nothing to wait for.
             if reach.lost_at.is_some() && !has_carrier {
@@ -245,8 +260,11 @@
             }
             return None;
         }
+        if reach.opened_at.is_some_and(|at| at >= outcome.began) {
+            return None;
+        }
         reach.failures.retain(|_, at| now.since(*at) < FAILURE_AGE);
-        reach.failures.insert(upstream.clone(), now);
+        reach.failures.insert(outcome.upstream.clone(), now);
         if reach.lost_at.is_some() || reach.failures.len() < listed.clamp(1, MIN_FAILED) {
             return None;
         }
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -290,7 +290,8 @@
     state: &GatewayState,
     entry: &UpstreamEntry,
 ) -> Result<UpstreamConnection, AttemptFault> {
-    let is_lost = state.reach.lost_for(&entry.service, state.clock.now()).is_some();
+    let began = state.clock.now();
+    let is_lost = state.reach.lost_for(&entry.service, began).is_some();
     let timeout = if is_lost { LOST_CONNECT_TIMEOUT } else { CONNECT_TIMEOUT };
     let open = UpstreamConnection::open(&state.dialer, entry.address, timeout);
     tokio::pin!(open);
@@ -302,7 +303,8 @@
         }
     };
     let now = state.clock.now();
-    state.reach.record_connection(&state.snapshot.load(), entry, opened.is_ok(), now);
+    let outcome = (began, opened.is_ok());
+    state.reach.record_connection(&state.snapshot.load(), entry, outcome, now);
     opened.map_err(|fault| {
         // Out of reach of this host, which says nothing of the upstream.
         let is_lost = state.reach.lost_for(&entry.service, now).is_some();
--- a/crates/gateway/src/path_trials.rs
+++ b/crates/gateway/src/path_trials.rs
@@ -46,9 +46,10 @@
 }
 
 async fn run_trial(state: &GatewayState, entry: &UpstreamEntry) -> bool {
+    let began = state.clock.now();
     let is_open = stays_open(&state.dialer, entry).await;
     let snapshot = state.snapshot.load();
-    state.reach.record_connection(&snapshot, entry, is_open, state.clock.now());
+    state.reach.record_connection(&snapshot, entry, (began, is_open), state.clock.now());
     is_open
 }
 
--- a/crates/gateway/src/upstream_reach.rs
+++ b/crates/gateway/src/upstream_reach.rs
@@ -6,7 +6,7 @@
 use oleander_core::host_view::HostHash;
 use oleander_core::ids::ServiceName;
 use oleander_core::reach_view::{
-    CarrierHost, HostPlace, ReachChange, ReachReport, ReachView, ServicePath,
+    CarrierHost, ConnectionOutcome, HostPlace, ReachChange, ReachReport, ReachView, ServicePath,
 };
 use oleander_core::units::Timestamp;
 use std::collections::{BTreeMap, BTreeSet};
@@ -44,19 +44,20 @@
         }
     }
 
-    /// Records whether a new connection to an upstream was opened. One that was not makes the service
+    /// Records whether a new connection to an upstream, begun at `began`, was opened. One that was not makes the service
     /// a suspect.
     pub fn record_connection(
         &self,
         snapshot: &ControlSnapshot,
         entry: &UpstreamEntry,
-        is_open: bool,
+        (began, is_open): (Timestamp, bool),
         now: Timestamp,
     ) {
         let service = &entry.service;
         let listed = snapshot.upstreams.get(service).map_or(1, Vec::len);
         let mut view = lock(&self.view);
-        let change = view.record_connection(service, &entry.name, listed, is_open, now);
+        let outcome = ConnectionOutcome { upstream: &entry.name, is_open, began };
+        let change = view.record_connection(service, listed, &outcome, now);
         drop(view);
         self.record_change(service, change, now);
         if !is_open {
