Divide the places of upstreams that fall over when they turn too many requests away

Callers saw, of upstreams that state Server-Brittle: they fall over under a load above their room, one after the other, since each one's load comes to the next.

Cause: hosts did not read the header, and what an upstream turns away is a sum over all hosts that no one adds up.

Change: core::place_division gives each host places at a brittle upstream, out of its slots, in the order of hosts by which limits are divided (core::seat_order, now shared by both).

--- a/crates/core/src/limit_division.rs
+++ b/crates/core/src/limit_division.rs
@@ -8,9 +8,10 @@
 //! Hosts tell each other which limits were named in the latest answers, and which no longer are, so
 //! that a host without a seat learns when a limit ends.
 
-use crate::host_view::{HostHash, HostView};
+use crate::host_view::HostView;
 use crate::request_rate::RequestRate;
-use crate::stable_hash::{hash_parts, mix};
+use crate::seat_order::seat_of;
+use crate::stable_hash::hash_parts;
 use crate::token_bucket::TokenBucket;
 use crate::units::Timestamp;
 use serde::{Deserialize, Serialize};
@@ -51,6 +52,12 @@
     pub fn new(upstream: &str, started_ms: u64) -> Self {
         Self(hash_parts(&["limit", upstream, &started_ms.to_string()]) as u32)
     }
+
+    /// The key as a number.
+    #[must_use]
+    pub const fn get(self) -> u32 {
+        self.0
+    }
 }
 
 /// What an upstream said last of its limit, as told to other hosts.
@@ -196,7 +203,7 @@
             let Some(rate) = limit.rate else { continue };
             let rate = rate.per_second().max(MIN_RATE);
             let seats = seat_count(rate, live.len());
-            let seat = seat_of(view.me(), *key, &live);
+            let seat = seat_of(view.me(), key.get(), &live);
             let (share, burst) = if !view.knows_others() {
                 (rate / live.len().max(ASSUMED_HOSTS) as f64, 1.0)
             } else if !view.is_settled(now) {
@@ -300,10 +307,3 @@
 fn seat_count(rate: f64, live: usize) -> usize {
     ((rate + EXTRA_SEATS) as usize).clamp(1, live.max(1))
 }
-
-/// The place of a host in the order of the live hosts at an upstream.
-fn seat_of(me: HostHash, key: LimitKey, live: &[HostHash]) -> usize {
-    let rank = |host: HostHash| (mix(u64::from(host.get()) << 32 | u64::from(key.0)), host);
-    let mine = rank(me);
-    live.iter().filter(|host| rank(**host) < mine).count()
-}
--- a/crates/core/tests/reach_view.rs
+++ b/crates/core/tests/reach_view.rs
@@ -302,7 +302,7 @@
             }
             self.learn_outcomes(host, now);
             self.run_trials(host, now);
-            if (now + host as u64 * STEP_MS) % GOSSIP_MS == 0 {
+            if (now + host as u64 * STEP_MS).is_multiple_of(GOSSIP_MS) {
                 self.gossip(host, now);
             }
             self.measure(host, was_lost, now);
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -200,6 +200,8 @@
     let checked = check_answer(&parts.status, &parts.headers, &answer, expected.as_ref());
     if !is_other && (answer.not_run || answer.request == expected) {
         permit.upstream.record_limit(&answer, checked.is_ok(), now);
+        let is_rejection = answer.not_run && parts.status == StatusCode::SERVICE_UNAVAILABLE;
+        permit.upstream.record_places(&answer, (checked.is_ok(), is_rejection), now);
     }
     (answer, checked)
 }
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -16,6 +16,7 @@
 use oleander_core::host_view::{HostHash, HostReport};
 use oleander_core::limit_division::ReportedLimit;
 use oleander_core::part_quarantine::PartReport;
+use oleander_core::place_division::ReportedPlaces;
 use oleander_core::reach_view::ReachReport;
 use oleander_core::request_quarantine::RequestReport;
 use oleander_core::store_era::{StoreEra, StoreRevision};
@@ -72,6 +73,8 @@
     pub sealed: Option<SealedReport>,
     /// Which services the sender reaches. Used if the datagram is authentic.
     pub reach: Option<ReachReport>,
+    /// Which upstreams are brittle. Used if the datagram is authentic.
+    pub places: Vec<ReportedPlaces>,
 }
 
 /// The part of a datagram that says who sent it.
@@ -114,7 +117,7 @@
                     let reach;
                     (message.sealed, reach) = postcard::take_from_bytes(sealed)?;
                     if !reach.is_empty() {
-                        message.reach = postcard::from_bytes(reach)?;
+                        (message.reach, message.places) = postcard::from_bytes(reach)?;
                     }
                 }
             }
@@ -172,6 +175,7 @@
             self.state.crashes.merge(&message.parts, &sealed.requests, now);
             let limits = self.state.pool.limits();
             limits.merge(&sealed.origin.host, &sealed.hosts, &sealed.limits, now);
+            limits.merge_places(&message.places, now);
             if let Some(reach) = &message.reach {
                 self.state.reach.merge(HostHash::new(&sealed.origin.host), reach, now);
                 seeks = reach.seeks;
@@ -249,12 +253,14 @@
         let is_stopping = state.stop.since(now).is_some();
         let address = state.carrier_load.address().filter(|_| !is_stopping);
         let reach = state.reach.report(address, state.carrier_load.carried(), now);
+        let places = state.pool.limits().report_places(now);
         // A load takes nine bytes, a reported crash up to fourteen, a host eight, a limit twelve, a
-        // reached service six, the place of the sender thirty and an end of an upstream under a
+        // reached service six, a brittle upstream up to twelve, the place of the sender thirty and an end of an upstream under a
         // request up to thirty.
         let others = SEAL_LOADS
             + REACH_LOADS
             + reach.services.len()
+            + places.len() * 4 / 3
             + parts.len() * 2
             + hosts.others.len()
             + limits.len() * 3 / 2
@@ -275,6 +281,7 @@
                 requests,
             }),
             reach: Some(reach),
+            places,
         }
     }
 }
--- a/crates/gateway/src/shared_limits.rs
+++ b/crates/gateway/src/shared_limits.rs
@@ -8,7 +8,9 @@
 use oleander_core::limit_division::{
     LimitChange, LimitDivision, LimitKey, LimitWait, ReportedLimit,
 };
+use oleander_core::place_division::{PlaceChange, PlaceDivision, PlaceRequest, ReportedPlaces};
 use oleander_core::request_rate::RequestRate;
+use oleander_core::seat_order::HostSeats;
 use oleander_core::units::Timestamp;
 use oleander_ports::clock::{ClockPort, SystemClock};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -22,6 +24,7 @@
 pub struct SharedLimits {
     hosts: Mutex<HostView>,
     division: Mutex<LimitDivision>,
+    places: Mutex<PlaceDivision>,
 }
 
 impl SharedLimits {
@@ -31,7 +34,7 @@
         let number = SystemClock.now().as_millis() / HEARTBEAT_MS;
         let heartbeat = Heartbeat::new(number as u16);
         let hosts = Mutex::new(HostView::new(HostHash::new(host), heartbeat));
-        Self { hosts, division: Mutex::default() }
+        Self { hosts, division: Mutex::default(), places: Mutex::default() }
     }
 
     /// Adds the hosts that the store lists.
@@ -65,6 +68,7 @@
     pub fn divide(&self, now: Timestamp) {
         let hosts = lock(&self.hosts);
         lock(&self.division).divide(&hosts, now);
+        lock(&self.places).expire(now);
     }
 
     /// Whether this host is the first live one in the order of a key.
@@ -113,6 +117,71 @@
         self.divide(now);
     }
 
+    /// Records whether an upstream's answer says that it is brittle, and whether it turned the request
+    /// away for want of room.
+    pub fn record_places(
+        &self,
+        entry: &UpstreamEntry,
+        head: &AnswerHead,
+        (is_complete, is_rejection): (bool, bool),
+        now: Timestamp,
+    ) {
+        let upstream = entry.name.as_str();
+        let (max_rejected, errors) = RequestRate::lowest(&head.brittle);
+        for error in &errors {
+            log::warn!(target: "belief", upstream, error:%; "unusable number of rejections");
+        }
+        if max_rejected.is_none() && !((is_complete || is_rejection) && errors.is_empty()) {
+            return;
+        }
+        let mut places = lock(&self.places);
+        let change = places.record_answer(key(entry), max_rejected, now);
+        if is_rejection && places.is_brittle(key(entry)) {
+            places.record_rejection(key(entry), now);
+            log::debug!(target: "belief", upstream; "brittle upstream turned a request away");
+        }
+        drop(places);
+        match change {
+            PlaceChange::Named => log::info!(target: "belief", upstream; "upstream is brittle"),
+            PlaceChange::Ended => {
+                log::info!(target: "belief", upstream; "upstream is no longer brittle");
+            }
+            PlaceChange::Same => {}
+        }
+    }
+
+    /// The hosts among which places are divided; `None` if no upstream is brittle.
+    #[must_use]
+    pub fn seats(&self, now: Timestamp) -> Option<HostSeats> {
+        let is_empty = lock(&self.places).is_empty();
+        (!is_empty).then(|| HostSeats::new(&lock(&self.hosts), now))
+    }
+
+    /// Whether this host has a free place at an upstream.
+    #[must_use]
+    pub fn has_place(
+        &self,
+        entry: &UpstreamEntry,
+        request: &PlaceRequest,
+        seats: &HostSeats,
+        now: Timestamp,
+    ) -> bool {
+        lock(&self.places).may_send(key(entry), request, seats, now)
+    }
+
+    /// What other hosts should know of brittle upstreams.
+    #[must_use]
+    pub fn report_places(&self, now: Timestamp) -> Vec<ReportedPlaces> {
+        lock(&self.places).report(now)
+    }
+
+    /// Takes over what another host tells of brittle upstreams.
+    pub fn merge_places(&self, reports: &[ReportedPlaces], now: Timestamp) {
+        if !reports.is_empty() {
+            lock(&self.places).merge(reports, now);
+        }
+    }
+
     /// When this host may send a request to an upstream.
     #[must_use]
     pub fn wait(&self, entry: &UpstreamEntry, now: Timestamp) -> LimitWait {
--- a/crates/gateway/src/upstream_handle.rs
+++ b/crates/gateway/src/upstream_handle.rs
@@ -90,6 +90,17 @@
         self.limits.record_answer(&self.entry, head, is_complete, now);
     }
 
+    /// Records whether an answer says that the upstream is brittle, and whether it turned the request
+    /// away for want of room.
+    pub(crate) fn record_places(&self, head: &AnswerHead, outcome: (bool, bool), now: Timestamp) {
+        self.limits.record_places(&self.entry, head, outcome, now);
+    }
+
+    /// Number of requests in flight at the upstream.
+    pub(crate) fn in_flight(&self) -> u32 {
+        self.lock().in_flight
+    }
+
     /// Takes the permission to send the request once more.
     pub(crate) fn try_send_again(&self, now: Timestamp) -> bool {
         self.limits.try_take(&self.entry, now)
--- a/crates/gateway/src/upstream_pool.rs
+++ b/crates/gateway/src/upstream_pool.rs
@@ -13,6 +13,7 @@
 use oleander_core::ejection::OutlierEjection;
 use oleander_core::ids::{ServiceName, UpstreamName};
 use oleander_core::limit_division::LimitWait;
+use oleander_core::place_division::PlaceRequest;
 use oleander_core::request_rate::RequestRate;
 use oleander_core::retry_budget::RetryBudget;
 use oleander_core::retry_turns::RetryTurns;
@@ -293,6 +294,7 @@
             .collect();
         let usable = self.standings.open_only(usable, input.now);
         let usable = self.limits.open_only(usable, input.now);
+        let usable = self.with_places(usable, input);
         let preferred: Vec<&Arc<UpstreamEntry>> =
             usable.iter().copied().filter(|entry| input.rule.prefers(&entry.version)).collect();
         let loaded = self.canary_upstreams(&preferred, input);
@@ -301,6 +303,23 @@
         chosen.or_else(|| self.choose_among(&usable, input))
     }
 
+    /// The upstreams at which this host has a free place, if they are brittle.
+    fn with_places<'a>(
+        &self,
+        mut entries: Vec<&'a Arc<UpstreamEntry>>,
+        input: &ChoiceInput<'_>,
+    ) -> Vec<&'a Arc<UpstreamEntry>> {
+        if let Some(seats) = self.limits.seats(input.now) {
+            let upstreams = input.entries.len();
+            entries.retain(|entry| {
+                let in_flight = self.handle(entry).in_flight();
+                let request = PlaceRequest { slots: entry.slots, in_flight, upstreams };
+                self.limits.has_place(entry, &request, &seats, input.now)
+            });
+        }
+        entries
+    }
+
     /// The upstreams that a canary's request goes to: the first ones, in an order that all hosts
     /// share, that can take it. None if the request is not of a canary.
     fn canary_upstreams<'a>(
@@ -398,6 +417,7 @@
         });
         let open = self.standings.open_only(permitted.collect(), input.now);
         let open = self.limits.open_only(open, input.now);
+        let open = self.with_places(open, input);
         open.into_iter().map(|entry| self.view(&self.handle(entry), input.now)).any(|view| {
             let wait = view.backlog.as_duration() + view.delay.as_duration() + input.prefill;
             view.is_available() && has_free_slots(&view) && wait <= limit
--- a/crates/gateway/src/wire_format.rs
+++ b/crates/gateway/src/wire_format.rs
@@ -102,6 +102,9 @@
     /// How many requests a second the upstream takes from all hosts together, as stated; several
     /// when repeated.
     pub limits: Vec<Arc<str>>,
+    /// How many requests a second the upstream can turn away for want of room, as stated; it falls over
+    /// when there are more. Several when repeated.
+    pub brittle: Vec<Arc<str>>,
 }
 
 /// Codec for a deployment's headers.
