Count one late answer of each silence of an upstream against its version

Callers saw: a sound version taken back, since its upstream was silent for 1.3 s once, as a sound one may be.

Cause: each request that the silence delayed counted as a bad answer or a timeout of the version.

Change: core::silence_excuse lets one answer or timeout of a silence count, and takes the time of the silence out of the others; not for silences of more than 2.5 s, nor for a second one within 20 s, so that slow versions are found as before. Trial connections to a service of one or two upstreams must fail for 1.5 s before it counts as out of reach, since such a silence may be all there is.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -53,6 +53,7 @@
 pub mod rollout;
 pub mod seat_order;
 pub mod session;
+pub mod silence_excuse;
 pub mod slow_start;
 pub mod stable_hash;
 pub mod store_era;
--- a/crates/core/src/reach_view.rs
+++ b/crates/core/src/reach_view.rs
@@ -21,6 +21,9 @@
 
 /// Number of upstreams to which connections must have failed; fewer if a service has fewer.
 const MIN_FAILED: usize = 3;
+/// Time for which connections must have failed to all upstreams of a service that has fewer: one may be
+/// silent for a second and go on.
+const SMALL_SERVICE_TIME: Duration = Duration::from_millis(1_500);
 /// Time after which a failed connection no longer counts.
 const FAILURE_AGE: Duration = Duration::from_secs(3);
 /// Time for which trial connections must succeed before requests are sent directly again.
@@ -156,6 +159,8 @@
     opened_at: Option<Timestamp>,
     /// Upstreams to which the last connections failed since one was opened.
     failures: BTreeMap<UpstreamName, Timestamp>,
+    /// When the first of them failed.
+    failing_since: Option<Timestamp>,
     lost_at: Option<Timestamp>,
     /// Since when trial connections succeed.
     open_since: Option<Timestamp>,
@@ -177,7 +182,7 @@
 
     fn end_loss(&mut self, now: Timestamp) {
         (self.lost_at, self.open_since, self.returned_at) = (None, None, Some(now));
-        self.failures.clear();
+        (self.failing_since, self.failures) = (None, BTreeMap::new());
     }
 }
 
@@ -203,18 +208,18 @@
 ///
 /// let place = HostPlace::new(&"puget-a".parse().unwrap(), &"puget".parse().unwrap());
 /// let (service, now) = ("desk".parse().unwrap(), Timestamp::from_millis(1_000));
-/// let upstreams = ["i-1", "i-2"].map(|name| name.parse().unwrap());
+/// let upstreams = ["i-1", "i-2", "i-3"].map(|name| name.parse().unwrap());
 /// let outcome =
 ///     |index: usize, is_open| ConnectionOutcome { upstream: &upstreams[index], is_open, began: now };
 ///
 /// let (mut other, mut view) = (ReachView::new(place), ReachView::new(place));
-/// other.record_connection(&service, 2, &outcome(0, true), now);
+/// other.record_connection(&service, 3, &outcome(0, true), now);
 /// let report = other.report(Some("10.0.0.2:7340".parse().unwrap()), 0, now);
 /// view.merge(HostHash::new(&"host-2".parse().unwrap()), &report, now);
 ///
 /// assert_eq!(view.path(&service, now), ServicePath::Direct);
-/// for index in 0..2 {
-///     view.record_connection(&service, 2, &outcome(index, false), now);
+/// for index in 0..3 {
+///     view.record_connection(&service, 3, &outcome(index, false), now);
 /// }
 /// assert_eq!(view.path(&service, now), ServicePath::Carried);
 /// ```
@@ -252,7 +257,7 @@
         let reach = self.service(service);
         if outcome.is_open {
             (reach.reached_at, reach.opened_at) = (Some(now), Some(now));
-            reach.failures.clear();
+            (reach.failing_since, reach.failures) = (None, BTreeMap::new());
             // Without another way there is nothing to wait for.
             if reach.lost_at.is_some() && !has_carrier {
                 reach.end_loss(now);
@@ -264,8 +269,14 @@
             return None;
         }
         reach.failures.retain(|_, at| now.since(*at) < FAILURE_AGE);
+        if reach.failures.is_empty() {
+            reach.failing_since = None;
+        }
         reach.failures.insert(outcome.upstream.clone(), now);
-        if reach.lost_at.is_some() || reach.failures.len() < listed.clamp(1, MIN_FAILED) {
+        let failing_since = *reach.failing_since.get_or_insert(now);
+        let failed = reach.failures.len();
+        let is_small = failed >= listed && now.since(failing_since) >= SMALL_SERVICE_TIME;
+        if reach.lost_at.is_some() || !(failed >= MIN_FAILED || is_small) {
             return None;
         }
         reach.begin_loss(now);
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -307,6 +307,9 @@
     let now = state.clock.now();
     let outcome = (began, opened.is_ok());
     state.reach.record_connection(&state.snapshot.load(), entry, outcome, now);
+    if opened.is_err() {
+        state.reach.suspect(&entry.service);
+    }
     opened.map_err(|fault| {
         // Out of reach of this host, which says nothing of the upstream.
         let is_lost = state.reach.lost_for(&entry.service, now).is_some();
--- a/crates/gateway/src/request_run.rs
+++ b/crates/gateway/src/request_run.rs
@@ -273,8 +273,11 @@
     pub fn record_fault(&mut self, entry: &UpstreamEntry, fault: &AttemptFault) {
         let now = self.state.clock.now();
         self.state.metrics.record_fault(fault.kind);
+        let counts = fault.kind != FaultKind::Silent || self.state.pool.counts_timeout(entry, now);
         if fault.may_have_run() {
-            self.count_fault(entry);
+            if counts {
+                self.count_fault(entry);
+            }
             // A silent upstream may only be busy, and the session has begun on its version.
             if fault.kind != FaultKind::Silent {
                 self.avoid_new_version(entry);
@@ -611,13 +614,15 @@
         answer: &UpstreamAnswer,
         latency: Duration,
     ) -> AnswerStart {
+        let now = self.state.clock.now();
+        let excused = answer.permit.upstream.excused_time(self.sent_at, now);
         AnswerStart {
             service: self.request.service.clone(),
             route: Arc::clone(&self.request.route.name),
             model: model.cloned(),
             version: Arc::clone(&entry.version),
             running: answer.head.load.map_or(0, |load| load.running),
-            head_time: latency.saturating_sub(self.state.pool.network_time(entry)),
+            head_time: latency.saturating_sub(self.state.pool.network_time(entry) + excused),
         }
     }
 
--- a/crates/gateway/src/stream_relay.rs
+++ b/crates/gateway/src/stream_relay.rs
@@ -70,6 +70,9 @@
             let passed = self.splitter.passed();
             if let Some(events) = self.splitter.take_complete() {
                 self.run.record_events(self.splitter.passed() - passed);
+                if let Some(answer) = &self.answer {
+                    answer.permit.upstream.record_events(self.run.state.clock.now());
+                }
                 return Ok(Some(events));
             }
             match self.next_chunk().await? {
--- a/crates/gateway/src/upstream_handle.rs
+++ b/crates/gateway/src/upstream_handle.rs
@@ -7,6 +7,7 @@
 use crate::upstream_standings::SharedStandings;
 use crate::wire_format::{AnswerHead, AnswerLoad};
 use http::StatusCode;
+use oleander_core::silence_excuse::SilenceExcuse;
 use oleander_core::units::{Millis, Timestamp};
 use oleander_core::upstream_choice::{ReportedLoad, UpstreamView, report_weight};
 use oleander_core::upstream_standing::SendPermission;
@@ -49,6 +50,7 @@
     /// milliseconds.
     pending_prefill_ms: u64,
     load: Option<ObservedLoad>,
+    silence: SilenceExcuse,
     idle: Vec<IdleConnection>,
 }
 
@@ -96,6 +98,22 @@
         self.limits.record_places(&self.entry, head, outcome, now);
     }
 
+    /// Records an answer to a request that was sent at `sent_at`; returns how much of its time is owed to
+    /// a silence of the upstream that has counted already.
+    pub(crate) fn excused_time(&self, sent_at: Timestamp, now: Timestamp) -> Duration {
+        self.lock().silence.record_answer(sent_at, now)
+    }
+
+    /// Records that events of a stream arrived.
+    pub(crate) fn record_events(&self, now: Timestamp) {
+        self.lock().silence.record_events(now);
+    }
+
+    /// Records that a request was given up since the upstream was silent; returns whether that counts.
+    pub(crate) fn counts_timeout(&self, now: Timestamp) -> bool {
+        self.lock().silence.record_timeout(now)
+    }
+
     /// Number of requests in flight at the upstream.
     pub(crate) fn in_flight(&self) -> u32 {
         self.lock().in_flight
--- a/crates/gateway/src/upstream_pool.rs
+++ b/crates/gateway/src/upstream_pool.rs
@@ -402,6 +402,13 @@
         UpstreamPermit::new(self.handle(entry), Duration::ZERO, Arc::clone(&self.clock))
     }
 
+    /// Records that a request was given up since its upstream was silent; returns whether that counts
+    /// against its version.
+    pub fn counts_timeout(&self, entry: &UpstreamEntry, now: Timestamp) -> bool {
+        let handle = lock(&self.handles).get(&entry.name).cloned();
+        handle.is_none_or(|handle| handle.counts_timeout(now))
+    }
+
     /// Whether an upstream has not asked this host for no more requests.
     #[must_use]
     pub fn is_open(&self, entry: &UpstreamEntry, now: Timestamp) -> bool {
--- a/crates/gateway/src/upstream_reach.rs
+++ b/crates/gateway/src/upstream_reach.rs
@@ -60,15 +60,15 @@
         let change = view.record_connection(service, listed, &outcome, now);
         drop(view);
         self.record_change(service, change, now);
-        if !is_open {
-            self.suspect(service);
-        }
     }
 
     /// Records whether any trial connection of a round was opened.
     pub fn record_trials(&self, service: &ServiceName, is_any_open: bool, now: Timestamp) {
         let change = lock(&self.view).record_trials(service, is_any_open, now);
         self.record_change(service, change, now);
+        if !is_any_open {
+            self.suspect(service);
+        }
     }
 
     fn record_change(&self, service: &ServiceName, change: Option<ReachChange>, now: Timestamp) {
@@ -119,13 +119,15 @@
     /// Services whose upstreams are to be tried now.
     #[must_use]
     pub fn take_due_trials(&self, now: Timestamp) -> BTreeSet<ServiceName> {
-        let mut due = std::mem::take(&mut *lock(&self.suspects));
+        let mut suspects = lock(&self.suspects);
+        let mut due = suspects.clone();
         due.extend(lock(&self.view).lost_services().cloned());
         let mut last_trials = lock(&self.last_trials);
         let is_due = |service: &ServiceName| {
             last_trials.get(service).is_none_or(|at| now.since(*at) >= TRIAL_INTERVAL)
         };
         due.retain(is_due);
+        suspects.retain(|service| !due.contains(service));
         last_trials.extend(due.iter().map(|service| (service.clone(), now)));
         due
     }
@@ -136,6 +138,12 @@
         self.lost_count() > 0
     }
 
+    /// Whether the upstreams of any service are to be tried, now or soon.
+    #[must_use]
+    pub fn has_trials(&self) -> bool {
+        !lock(&self.suspects).is_empty() || self.has_lost()
+    }
+
     /// Number of services out of reach.
     #[must_use]
     pub fn lost_count(&self) -> usize {
