Close what the paths between hosts left open

- A carrier that is lost does not count against the version of the upstream.
- A loss and a refused connection are no crash of an upstream if the host has lost its path to all.
- Connections between hosts end after four seconds of silence at both ends.
- A host whose port for other hosts is taken starts and says so, rather than not at all.
- A stop accepts connections that are open already before it finds that none is.
- The user timeout and the probes of each kind of connection end it at the same time; a test says so.

--- a/crates/gateway/src/caller_server.rs
+++ b/crates/gateway/src/caller_server.rs
@@ -101,10 +101,12 @@
     pub async fn close(&self, timeout: Duration) -> usize {
         self.phase.send_replace(ServerPhase::Closing);
         tokio::select! {
+            // New connections are still served, since the balancer may not know of the stop yet. Those
+            // that were opened already are accepted before it is found that none is open.
+            biased;
+            () = self.accept() => {}
             () = self.none_open() => {}
             () = tokio::time::sleep(timeout) => {}
-            // New connections are still served, since the balancer may not know of the stop yet.
-            () = self.accept() => {}
         }
         let left = self.open.load(Ordering::Relaxed);
         self.phase.send_replace(ServerPhase::Cut);
--- a/crates/gateway/src/carrier_server.rs
+++ b/crates/gateway/src/carrier_server.rs
@@ -7,11 +7,10 @@
 use crate::attempt::{
     OutgoingRequest, SendProgress, UpstreamAnswer, exchange, record_answer, remove_hop_headers,
 };
-use crate::caller_server::CALLER_KEEPALIVE;
 use crate::carrier_wire::{CarriedHead, CarrierFault, accept_link};
 use crate::refusal::Refusal;
 use crate::state::GatewayState;
-use crate::upstream_connection::set_options;
+use crate::upstream_connection::{UPSTREAM_KEEPALIVE, set_options};
 use crate::upstream_entry::UpstreamEntry;
 use bytes::Bytes;
 use futures_util::stream;
@@ -122,7 +121,7 @@
             load.links.fetch_sub(1, Ordering::Relaxed);
         },
     };
-    set_options(&socket, &CALLER_KEEPALIVE);
+    set_options(&socket, &UPSTREAM_KEEPALIVE);
     if let Err(error) = prove(&state, &mut socket, address).await {
         log::debug!(target: "connection", error:%; "connection is of no host");
         return;
--- a/crates/gateway/src/crash_guard.rs
+++ b/crates/gateway/src/crash_guard.rs
@@ -1,7 +1,7 @@
 //! Blocks requests that crash upstreams, by themselves or by a part in their prompts, as all hosts
 //! report them.
 
-use crate::socket_dialer::SocketDialer;
+use crate::state::GatewayState;
 use crate::upstream_entry::UpstreamEntry;
 use crate::wire_format::CallerHead;
 use oleander_core::host_view::HostHash;
@@ -11,7 +11,6 @@
 use oleander_core::request_quarantine::{RequestPermission, RequestQuarantine, RequestReport};
 use oleander_core::stable_hash::unit_point;
 use oleander_core::units::Timestamp;
-use oleander_ports::clock::ClockPort;
 use std::collections::BTreeSet;
 use std::io::ErrorKind;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -23,6 +22,8 @@
 /// Delays after the loss of a request at which its upstream is checked: a process that ends may
 /// accept connections for a moment more.
 const CHECK_DELAYS: [Duration; 2] = [Duration::from_millis(20), Duration::from_millis(250)];
+/// Time in which it is found out whether other upstreams of the service refuse connections as well.
+const REACH_CHECK_TIME: Duration = Duration::from_millis(150);
 /// Timeout of the connection by which an upstream is checked.
 const CHECK_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -101,25 +102,31 @@
         self: &Arc<Self>,
         entry: &UpstreamEntry,
         lost: &LostRequest<'_>,
-        (dialer, clock): (&SocketDialer, &Arc<dyn ClockPort>),
+        state: &Arc<GatewayState>,
     ) {
-        let (run, now) = (run_hash(entry), clock.now());
+        let (run, now) = (run_hash(entry), state.clock.now());
         let are_parts_first =
             self.update_parts(|quarantine| quarantine.record_loss(run, lost.parts, now));
         let is_request_first = self.update_requests(|quarantine| {
             quarantine.record_loss(run, lost.request, lost.sent_at, now)
         });
         if are_parts_first || is_request_first {
-            let (guard, clock, address) = (Arc::clone(self), Arc::clone(clock), entry.address);
-            let dialer = dialer.clone();
+            let (guard, state) = (Arc::clone(self), Arc::clone(state));
+            let (service, address) = (entry.service.clone(), entry.address);
             tokio::spawn(async move {
                 for delay in CHECK_DELAYS {
                     tokio::time::sleep(delay).await;
-                    let connect = tokio::time::timeout(CHECK_TIMEOUT, dialer.dial(address));
+                    let connect = tokio::time::timeout(CHECK_TIMEOUT, state.dialer.dial(address));
                     let refused =
                         |error: &std::io::Error| error.kind() == ErrorKind::ConnectionRefused;
                     if connect.await.is_ok_and(|connected| connected.as_ref().is_err_and(refused)) {
-                        guard.record_run_end(run, clock.now());
+                        // This host alone may have lost the path to all upstreams.
+                        state.reach.suspect(&service);
+                        tokio::time::sleep(REACH_CHECK_TIME).await;
+                        let now = state.clock.now();
+                        if state.reach.lost_for(&service, now).is_none() {
+                            guard.record_run_end(run, now);
+                        }
                         return;
                     }
                 }
--- a/crates/gateway/src/gateway_process.rs
+++ b/crates/gateway/src/gateway_process.rs
@@ -112,7 +112,7 @@
         let publisher = publisher.with_change_hook(hook).with_hold_time(hold_time);
         let publisher = SnapshotPublisher::spawn(publisher);
         let gossip = bind_gossip(&state.settings.load()).await?;
-        let hosts = bind_hosts(&state).await?;
+        let hosts = bind_hosts(&state).await;
         Ok(Self { state, callers, ready, metrics, control, publisher, gossip, hosts })
     }
 
@@ -293,10 +293,19 @@
 }
 
 /// Listens for connections of other hosts, at the address for their datagrams.
-async fn bind_hosts(state: &GatewayState) -> anyhow::Result<Option<TcpListener>> {
-    let Some(address) = state.settings.load().peers else { return Ok(None) };
-    let listener = TcpListener::bind(address).await;
-    let listener = listener.with_context(|| format!("cannot listen on {address}"))?;
-    state.carrier_load.set_address(address);
-    Ok(Some(listener))
+async fn bind_hosts(state: &GatewayState) -> Option<TcpListener> {
+    let address = state.settings.load().peers?;
+    match TcpListener::bind(address).await {
+        Ok(listener) => {
+            state.carrier_load.set_address(address);
+            Some(listener)
+        }
+        Err(error) => {
+            log::warn!(
+                target: "process", error:%, address:%;
+                "cannot listen for other hosts, their requests are not carried"
+            );
+            None
+        }
+    }
 }
--- a/crates/gateway/src/request_run.rs
+++ b/crates/gateway/src/request_run.rs
@@ -275,11 +275,11 @@
         self.state.metrics.record_fault(fault.kind);
         let counts = fault.kind != FaultKind::Silent || self.state.pool.counts_timeout(entry, now);
         if fault.may_have_run() {
-            if counts {
+            if counts && fault.kind.counts_against_upstream() {
                 self.count_fault(entry);
             }
             // A silent upstream may only be busy, and the session has begun on its version.
-            if fault.kind != FaultKind::Silent {
+            if !matches!(fault.kind, FaultKind::Silent | FaultKind::CarrierLost) {
                 self.avoid_new_version(entry);
             }
         }
@@ -303,7 +303,7 @@
                 );
                 let (request, sent_at) = (self.hash(), self.sent_at);
                 let lost = LostRequest { parts: &self.request.parts, request, sent_at };
-                self.state.crashes.record_loss(entry, &lost, (&self.state.dialer, clock));
+                self.state.crashes.record_loss(entry, &lost, &self.state);
             }
             _ => {}
         }
--- a/crates/gateway/tests/keepalive.rs
+++ b/crates/gateway/tests/keepalive.rs
@@ -30,3 +30,18 @@
         assert_eq!(options.tcp_user_timeout().unwrap(), Some(keepalive.silence));
     });
 }
+
+/// Guards against connections that end later or sooner than intended, since a user timeout also decides
+/// when probes give up, whatever their number: both must end a silent connection at the same time, and
+/// not while a sound peer is silent for a second or two.
+#[yare::parameterized(
+    callers = { CALLER_KEEPALIVE, 15 },
+    upstreams_and_hosts = { UPSTREAM_KEEPALIVE, 4 },
+    store = { CLIENT_KEEPALIVE, 2 },
+)]
+fn probes_and_user_timeout_end_a_connection_together(keepalive: SocketKeepalive, seconds: u64) {
+    let probed = keepalive.idle_seconds + keepalive.interval_seconds * u64::from(keepalive.probes);
+    assert!(keepalive.silence >= Duration::from_secs(seconds));
+    assert!(keepalive.silence <= Duration::from_secs(probed));
+    assert!(probed - keepalive.silence.as_secs() <= keepalive.interval_seconds);
+}
