Count a connection as opened only if it stays open, and soak cut hosts and brittle upstreams

Something on the way may accept a host's connections and reset them at once: requests then seemed to reach their upstream again and again, and the host never believed that it was cut off. A connection counts as opened after 30 ms without an error, as trial connections did already.

The soak cuts one host, or all but one, off from all upstreams or those of one service, with open connections reset or living on, and lets upstreams be brittle and fall over. Connections of a host come from its own address (setting outgoing), by which the stand-in proxies tell them apart.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -45,6 +45,8 @@
 /// the service is out of reach.
 const SUSPECT_CONNECT: Duration = Duration::from_millis(150);
 const SUSPECT_SILENCE: Duration = Duration::from_millis(600);
+/// Time for which a new connection must stay open to count as opened.
+pub(crate) const OPEN_TIME: Duration = Duration::from_millis(30);
 
 /// A request as forwarded to any upstream.
 #[derive(Clone, Debug)]
@@ -277,22 +279,41 @@
     progress: &SendProgress,
 ) -> Result<(UpstreamConnection, Response<AnswerBody>), AttemptFault> {
     let entry = &permit.upstream.entry;
-    let mut connection = open_connection(state, entry).await?;
+    let (mut connection, began) = open_connection(state, entry).await?;
     if !permit.upstream.is_open(state.clock.now()) {
         let reason = "the upstream asked for no more requests while the connection was opened";
         return Err(AttemptFault::new(FaultKind::Connect, reason));
     }
     progress.begin();
-    let response = watch_silence(state, &entry.service, connection.send(request)).await?;
+    let response = {
+        let sent = watch_silence(state, &entry.service, connection.send(request));
+        tokio::pin!(sent);
+        // Something on the way may accept connections and reset them at once.
+        let early = tokio::time::timeout(OPEN_TIME, sent.as_mut()).await;
+        record_connection(state, entry, (began, !matches!(early, Ok(Err(_)))));
+        match early {
+            Ok(response) => response,
+            Err(_) => sent.await,
+        }
+    }?;
     state.reach.record_answer(&entry.service, state.clock.now());
     Ok((connection, response))
 }
 
-/// Opens a connection to an upstream. If that takes long, others are tried meanwhile.
+/// Records whether a connection was opened, and has others tried if not.
+fn record_connection(state: &GatewayState, entry: &UpstreamEntry, outcome: (Timestamp, bool)) {
+    let (snapshot, now) = (state.snapshot.load(), state.clock.now());
+    state.reach.record_connection(&snapshot, entry, outcome, now);
+    if !outcome.1 {
+        state.reach.suspect(&entry.service);
+    }
+}
+
+/// Opens a connection to an upstream; with when that began. If it takes long, others are tried meanwhile.
 async fn open_connection(
     state: &GatewayState,
     entry: &UpstreamEntry,
-) -> Result<UpstreamConnection, AttemptFault> {
+) -> Result<(UpstreamConnection, Timestamp), AttemptFault> {
     let began = state.clock.now();
     let is_lost = state.reach.lost_for(&entry.service, began).is_some();
     let timeout = if is_lost { LOST_CONNECT_TIMEOUT } else { CONNECT_TIMEOUT };
@@ -305,18 +326,16 @@
             open.await
         }
     };
-    let now = state.clock.now();
-    let outcome = (began, opened.is_ok());
-    state.reach.record_connection(&state.snapshot.load(), entry, outcome, now);
     if opened.is_err() {
-        state.reach.suspect(&entry.service);
+        record_connection(state, entry, (began, false));
     }
-    opened.map_err(|fault| {
+    let opened = opened.map_err(|fault| {
         // Out of reach of this host, which says nothing of the upstream.
-        let is_lost = state.reach.lost_for(&entry.service, now).is_some();
+        let is_lost = state.reach.lost_for(&entry.service, state.clock.now()).is_some();
         let kind = if is_lost { FaultKind::Unreached } else { fault.kind };
         AttemptFault { kind, ..fault }
-    })
+    });
+    Ok((opened?, began))
 }
 
 pub(crate) fn new_request(
--- a/crates/gateway/src/path_trials.rs
+++ b/crates/gateway/src/path_trials.rs
@@ -1,5 +1,6 @@
 //! Trial connections to upstreams of services that seem to be out of this host's reach.
 
+use crate::attempt::OPEN_TIME;
 use crate::socket_dialer::SocketDialer;
 use crate::state::GatewayState;
 use crate::upstream_entry::UpstreamEntry;
@@ -13,9 +14,6 @@
 const MAX_TRIALS: usize = 3;
 /// Timeout of a trial: several round trips to the farthest region.
 const TRIAL_TIMEOUT: Duration = Duration::from_millis(250);
-/// Time for which a trial connection must stay open, since something on the way may accept it and
-/// reset it at once.
-const OPEN_TIME: Duration = Duration::from_millis(30);
 /// Minimum time between checks for services to try.
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
--- a/tests/soak/gateway.rs
+++ b/tests/soak/gateway.rs
@@ -60,6 +60,7 @@
         let text = json!({
             "host": name, "region": "here", "domain": "here-a", "domains": {"here-a": "here"},
             "callers": callers, "ready": ready, "peers": peers, "store": store.address,
+            "outgoing": callers.ip(),
             "memory_bytes": 80_000_000, "bounds": {"stop_ms": GRACE_PERIOD.as_millis() as u64},
         });
         std::fs::write(&settings, text.to_string()).unwrap();
--- a/tests/soak/proxy.rs
+++ b/tests/soak/proxy.rs
@@ -1,6 +1,7 @@
 //! Loopback proxy for one address that can delay, block, stall or reset its connections.
 
-use std::net::SocketAddr;
+use std::collections::BTreeSet;
+use std::net::{IpAddr, SocketAddr};
 use std::sync::Mutex;
 use std::time::{Duration, Instant};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -25,7 +26,7 @@
 }
 
 /// State that all connections of a proxy share.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 struct ProxyState {
     mode: LinkMode,
     /// Connections with a lower number forward nothing more, but are not reset.
@@ -35,6 +36,10 @@
     accepted: u64,
     /// Whether connections are refused.
     is_closed: bool,
+    /// Hosts whose new connections are reset.
+    cut: BTreeSet<IpAddr>,
+    /// Hosts whose open connections are reset as well.
+    reset: BTreeSet<IpAddr>,
 }
 
 /// A proxy with faults for one address.
@@ -57,6 +62,8 @@
             reset_below: 0,
             accepted: 0,
             is_closed: false,
+            cut: BTreeSet::new(),
+            reset: BTreeSet::new(),
         };
         let state = watch::Sender::new(open);
         tokio::spawn(listen(listener, target, state.clone()));
@@ -81,6 +88,22 @@
         });
     }
 
+    /// Sets whether new connections of a host are reset, and whether its open ones are as well.
+    pub fn set_cut(&self, host: IpAddr, is_cut: bool, resets_open: bool) {
+        self.change(|state| {
+            if is_cut {
+                state.cut.insert(host);
+            } else {
+                state.cut.remove(&host);
+            }
+            if is_cut && resets_open {
+                state.reset.insert(host);
+            } else {
+                state.reset.remove(&host);
+            }
+        });
+    }
+
     /// Whether forwarding was changed, or connections were broken, in a span of time.
     pub fn was_changed(&self, from: Instant, to: Instant) -> bool {
         self.changes.lock().unwrap().iter().any(|at| (from..=to).contains(at))
@@ -109,13 +132,17 @@
         loop {
             tokio::select! {
                 accepted = open.accept() => {
-                    let Ok((caller, _)) = accepted else { return };
+                    let Ok((caller, from)) = accepted else { return };
+                    if shared.borrow().cut.contains(&from.ip()) {
+                        let _ = caller.set_zero_linger();
+                        continue;
+                    }
                     let mut number = 0;
                     shared.send_modify(|state| {
                         number = state.accepted;
                         state.accepted += 1;
                     });
-                    tokio::spawn(relay(caller, target, number, shared.subscribe()));
+                    tokio::spawn(relay(caller, target, (number, from.ip()), shared.subscribe()));
                 }
                 _ = state.wait_for(|state| state.is_closed) => break,
             }
@@ -126,7 +153,7 @@
 async fn relay(
     caller: TcpStream,
     target: SocketAddr,
-    number: u64,
+    (number, host): (u64, IpAddr),
     state: watch::Receiver<ProxyState>,
 ) {
     let _ = caller.set_zero_linger();
@@ -138,7 +165,7 @@
         () = pump(from_caller, to_upstream, Direction::Request, number, state.clone()) => {}
         () = pump(from_upstream, to_caller, Direction::Answer, number, state) => {}
         // Ends only at a reset, since the sender outlives all connections.
-        _ = resets.wait_for(|state| number < state.reset_below) => {}
+        _ = resets.wait_for(|state| number < state.reset_below || state.reset.contains(&host)) => {}
     }
 }
 
--- a/tests/soak/schedule.rs
+++ b/tests/soak/schedule.rs
@@ -42,6 +42,9 @@
     SignalSeries,
     KillWhileStopping,
     RollingRestart,
+    HostCutOff,
+    MostHostsCutOff,
+    UpstreamBrittle,
 }
 
 const KINDS: [FaultKind; 16] = {
@@ -80,16 +83,22 @@
     FaultKind::RollingRestart,
 ];
 
+/// Kinds of a fourth schedule, likewise.
+const FOURTH_KINDS: [FaultKind; 3] =
+    [FaultKind::HostCutOff, FaultKind::MostHostsCutOff, FaultKind::UpstreamBrittle];
+
 /// Starts random faults until `end`, waits until all are over, and returns their descriptions.
 pub async fn run_faults(cluster: &Arc<SoakCluster>, seed: u64, end: Instant) -> Vec<String> {
-    let [first, second, third] = [seed, !seed, seed.rotate_left(32)].map(SeededRandom::new);
-    let (first, second, third) = tokio::join!(
+    let [first, second, third, fourth] =
+        [seed, !seed, seed.rotate_left(32), !seed.rotate_left(32)].map(SeededRandom::new);
+    let (first, second, third, fourth) = tokio::join!(
         run_schedule(cluster, &first, &KINDS, end),
         run_schedule(cluster, &second, &SECOND_KINDS, end),
-        run_schedule(cluster, &third, &THIRD_KINDS, end)
+        run_schedule(cluster, &third, &THIRD_KINDS, end),
+        run_schedule(cluster, &fourth, &FOURTH_KINDS, end)
     );
     clear_faults(cluster);
-    [first, second, third].concat()
+    [first, second, third, fourth].concat()
 }
 
 async fn run_schedule(
@@ -196,6 +205,15 @@
             };
             tokio::join!(cluster.hosts[first].restart(), second);
         }
+        FaultKind::HostCutOff => cut_off(cluster, random, 1, span).await,
+        FaultKind::MostHostsCutOff => {
+            cut_off(cluster, random, cluster.hosts.len() - 1, span).await;
+        }
+        FaultKind::UpstreamBrittle => {
+            proxied.upstream.set_brittle(true);
+            tokio::time::sleep(span * 2).await;
+            proxied.upstream.set_brittle(false);
+        }
         FaultKind::ConfigurationChange => {
             cluster.change_configuration();
         }
@@ -207,11 +225,35 @@
     }
 }
 
+/// Cuts hosts off from all upstreams, or from those of one service.
+async fn cut_off(cluster: &SoakCluster, random: &SeededRandom, count: usize, span: Duration) {
+    let first = random.below(cluster.hosts.len() as u64) as usize;
+    let service = *random.pick(&[None, Some("desk"), Some("writer")]);
+    let resets_open = random.below(2) == 0;
+    let hosts: Vec<_> = cluster.hosts.iter().cycle().skip(first).take(count).collect();
+    let set = |is_cut| {
+        for proxied in &cluster.upstreams {
+            if service.is_none_or(|service| service == proxied.upstream.service) {
+                for host in &hosts {
+                    proxied.proxy.set_cut(host.callers.ip(), is_cut, resets_open);
+                }
+            }
+        }
+    };
+    set(true);
+    tokio::time::sleep(span * 2).await;
+    set(false);
+}
+
 fn clear_faults(cluster: &SoakCluster) {
     cluster.store.set_mode(StoreMode::Normal);
     for proxied in &cluster.upstreams {
         proxied.proxy.set_mode(LinkMode::Open);
         proxied.upstream.set_faults(UpstreamFaults::default());
+        proxied.upstream.set_brittle(false);
+        for host in cluster.hosts.iter() {
+            proxied.proxy.set_cut(host.callers.ip(), false, false);
+        }
     }
     for host in cluster.hosts.iter() {
         host.store.set_mode(LinkMode::Open);
--- a/tests/soak/upstream.rs
+++ b/tests/soak/upstream.rs
@@ -34,6 +34,8 @@
 const BAD_SHARE: u64 = 750;
 /// Time after which a request crashes the upstream that runs it.
 const CRASH_DELAY: Duration = Duration::from_millis(40);
+/// Rejections a second that a brittle upstream bears.
+const MAX_REJECTED: usize = 3;
 /// Processing time of a request before its answer starts.
 const PROCESSING_TIME: Duration = Duration::from_millis(15);
 
@@ -158,6 +160,8 @@
     silent_until: Arc<Mutex<Instant>>,
     /// The requests a second that it takes from all hosts, if it names a limit.
     limit: Mutex<Option<f64>>,
+    /// Whether it is brittle, and when it turned requests away since.
+    brittle: Mutex<Option<Vec<Instant>>>,
     crashed: Notify,
     random: SeededRandom,
 }
@@ -184,6 +188,7 @@
             restarts: Mutex::default(),
             silent_until: Arc::new(Mutex::new(Instant::now())),
             limit: Mutex::default(),
+            brittle: Mutex::default(),
             crashed: Notify::new(),
             random: SeededRandom::new(seed),
         });
@@ -217,6 +222,25 @@
         *self.limit.lock().unwrap() = Some(per_second);
     }
 
+    /// Sets whether it says that it is brittle, and falls over when it turns too many requests away.
+    pub fn set_brittle(&self, is_brittle: bool) {
+        *self.brittle.lock().unwrap() = is_brittle.then(Vec::new);
+    }
+
+    /// Records that it turned a request away; falls over if those of the last second are too many.
+    fn record_rejection(&self) {
+        let now = Instant::now();
+        let falls = self.brittle.lock().unwrap().as_mut().is_some_and(|rejections| {
+            rejections.retain(|at| now.duration_since(*at) < Duration::from_secs(1));
+            rejections.push(now);
+            rejections.len() > MAX_REJECTED
+        });
+        if falls {
+            self.set_brittle(true);
+            self.restart();
+        }
+    }
+
     /// Resolves when a request crashes it.
     pub async fn next_crash(&self) {
         self.crashed.notified().await;
@@ -297,6 +321,7 @@
             return Ok(plain(StatusCode::SERVICE_UNAVAILABLE, headers, ""));
         }
         if occurs(faults.refused) {
+            self.record_rejection();
             let mut headers = self.limit_header();
             headers.insert("not-run", "1".parse().unwrap());
             return Ok(plain(StatusCode::SERVICE_UNAVAILABLE, headers, ""));
@@ -345,6 +370,9 @@
         if let Some(limit) = *self.limit.lock().unwrap() {
             headers.insert("server-limit", limit.to_string().parse().unwrap());
         }
+        if self.brittle.lock().unwrap().is_some() {
+            headers.insert("server-brittle", MAX_REJECTED.to_string().parse().unwrap());
+        }
         headers
     }
 
