--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -254,9 +254,9 @@
         let address = state.carrier_load.address().filter(|_| !is_stopping);
         let reach = state.reach.report(address, state.carrier_load.carried(), now);
         let places = state.pool.limits().report_places(now);
-        // A load takes nine bytes, a reported crash up to fourteen, a host eight, a limit twelve, a
-        // reached service six, a brittle upstream up to twelve, the place of the sender thirty and an end of an upstream under a
-        // request up to thirty.
+        // A load takes nine bytes, a reported crash up to fourteen, a host eight, a limit or a brittle
+        // upstream twelve, a reached service six, the place of the sender thirty and an end of an
+        // upstream under a request up to thirty.
         let others = SEAL_LOADS
             + REACH_LOADS
             + reach.services.len()
