Log the attempt that was pending when a request ended

Callers saw, as reported: requests sent on after they had left. The line now ends with the pending attempt, sent or unsent. No decision depends on it.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -73,11 +73,16 @@
         self.0.store(true, Ordering::Relaxed);
     }
 
+    /// Whether bytes of the request may have been sent.
+    #[must_use]
+    pub fn is_sent(&self) -> bool {
+        self.0.load(Ordering::Relaxed)
+    }
+
     /// The fault of an attempt that took too long.
     #[must_use]
     pub fn timeout_fault(&self, text: &str) -> AttemptFault {
-        let is_sent = self.0.load(Ordering::Relaxed);
-        let kind = if is_sent { FaultKind::Silent } else { FaultKind::Connect };
+        let kind = if self.is_sent() { FaultKind::Silent } else { FaultKind::Connect };
         AttemptFault::new(kind, text)
     }
 }
--- a/crates/gateway/src/request_record.rs
+++ b/crates/gateway/src/request_record.rs
@@ -1,5 +1,6 @@
 //! The access log: one line per request, written when the request ends for any reason.
 
+use crate::attempt::SendProgress;
 use crate::connection_end::{ConnectionEnd, EndCause};
 use crate::event_pace::EventPace;
 use crate::state::GatewayState;
@@ -10,6 +11,13 @@
 /// Outcome of a request that was dropped while its connection was open.
 const DROPPED: &str = "dropped";
 
+/// An attempt that has no answer yet.
+struct PendingAttempt {
+    upstream: Arc<str>,
+    model: Option<Arc<str>>,
+    progress: Arc<SendProgress>,
+}
+
 /// The log entry of a request, written on drop.
 pub struct RequestRecord {
     state: Arc<GatewayState>,
@@ -21,6 +29,7 @@
     session: Arc<str>,
     config: u64,
     attempts: String,
+    pending: Option<PendingAttempt>,
     outcome: Option<(&'static str, u16)>,
     reason: String,
     events: EventPace,
@@ -40,6 +49,7 @@
             session: Arc::from(""),
             config: 0,
             attempts: String::new(),
+            pending: None,
             outcome: None,
             reason: String::new(),
             events: EventPace::default(),
@@ -58,8 +68,21 @@
         self.session = Arc::clone(session);
     }
 
+    /// Records that an attempt begins; it is in the entry if the request ends before its answer does
+    /// begin.
+    pub fn begin_attempt(
+        &mut self,
+        upstream: &str,
+        model: Option<&str>,
+        progress: Arc<SendProgress>,
+    ) {
+        let (upstream, model) = (Arc::from(upstream), model.map(Arc::from));
+        self.pending = Some(PendingAttempt { upstream, model, progress });
+    }
+
     /// Adds an attempt with its result.
     pub fn add_attempt(&mut self, upstream: &str, model: Option<&str>, result: &str) {
+        self.pending = None;
         let separator = if self.attempts.is_empty() { "" } else { "; " };
         let at = self.state.clock.now().since(self.started).as_millis();
         let model = model.unwrap_or("-");
@@ -81,6 +104,10 @@
 
 impl Drop for RequestRecord {
     fn drop(&mut self) {
+        if let Some(pending) = self.pending.take() {
+            let result = if pending.progress.is_sent() { "sent" } else { "unsent" };
+            self.add_attempt(&pending.upstream, pending.model.as_deref(), result);
+        }
         let cause = self.connection.cause();
         let (outcome, status) =
             self.outcome.unwrap_or_else(|| (cause.map_or(DROPPED, EndCause::outcome), 0));
--- a/crates/gateway/src/request_run.rs
+++ b/crates/gateway/src/request_run.rs
@@ -431,7 +431,10 @@
         let head = self.upstream_head(&entry, model.clone(), resume_after);
         let sent_at = self.state.clock.now();
         self.sent_at = sent_at;
-        let result = self.send_with_timeout(permit, &head, model.as_ref()).await;
+        let progress = Arc::new(SendProgress::default());
+        let name = entry.name.as_str();
+        self.record.begin_attempt(name, model.as_deref(), Arc::clone(&progress));
+        let result = self.send_with_timeout(permit, &head, model.as_ref(), &progress).await;
         let latency = self.state.clock.now().since(sent_at);
         match &result {
             Ok(answer) => self.record_head(&entry, model.as_ref(), answer, latency),
@@ -466,14 +469,14 @@
         permit: UpstreamPermit,
         head: &UpstreamHead,
         model: Option<&Arc<str>>,
+        progress: &SendProgress,
     ) -> Result<UpstreamAnswer, AttemptFault> {
         let timeout = self.attempt_timeout(model);
         let faster_limit = self.request.route.latency_target.mul_f64(FASTER_SHARE);
         let (state, outgoing) = (&self.state, &self.request.outgoing);
         let time_left = self.time_left();
-        let progress = SendProgress::default();
         let path = state.reach.path(&self.request.service, state.clock.now());
-        let work = send_attempt(state, permit, outgoing, head, time_left, &progress);
+        let work = send_attempt(state, permit, outgoing, head, time_left, progress);
         tokio::pin!(work);
         loop {
             let now = state.clock.now();
