Read what has arrived from a caller before each attempt

Callers saw, as reported: requests sent on after they had left (GONE). Cause: a host that was paused or busy reads a request and sends it to an upstream before it reads that the caller has closed, though the close had long arrived. A socket that was just accepted is read once without asking the kernel whether it has ended, and the answer's attempt runs before the next turn of the event loop. With a kept connection at hand the request left at once; a connect happened to take long enough. Class: a decision on what was known before it was asked for. Change: before each attempt (first, retry, next model, resumed stream) and before a carried one, the event loop takes one turn, so that the end of the connection is read first.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -152,6 +152,15 @@
     });
 }
 
+/// Drops the request that calls this if its caller has left, as far as the kernel knows. The
+/// connection may not have read its end yet, since a host that was paused or busy reads a request
+/// without waiting for what came after it.
+pub(crate) async fn notice_departure() {
+    // The runtime polls for what has arrived before it wakes a task that yields, and a connection reads
+    // before it continues its request. A task of its own, since anything may wake this one sooner.
+    let _ = tokio::spawn(tokio::task::yield_now()).await;
+}
+
 /// Sends a request to an upstream and waits at most `timeout` for response headers.
 ///
 /// # Errors
--- a/crates/gateway/src/carrier_server.rs
+++ b/crates/gateway/src/carrier_server.rs
@@ -5,7 +5,8 @@
 
 use crate::admitted::BufferReservation;
 use crate::attempt::{
-    OutgoingRequest, SendProgress, UpstreamAnswer, exchange, record_answer, remove_hop_headers,
+    OutgoingRequest, SendProgress, UpstreamAnswer, exchange, notice_departure, record_answer,
+    remove_hop_headers,
 };
 use crate::carrier_wire::{CarriedHead, CarrierFault, accept_link};
 use crate::refusal::Refusal;
@@ -198,6 +199,7 @@
     let head = CarriedHead::take(&mut parts.headers).ok_or_else(|| refused("no carried head"))?;
     let entry = find_upstream(state, &head)?;
     let (body, _reservation) = read_carried(state, body).await?;
+    notice_departure().await;
     let outgoing = OutgoingRequest {
         method: parts.method,
         target: parts.uri,
--- a/crates/gateway/src/request_run.rs
+++ b/crates/gateway/src/request_run.rs
@@ -1,7 +1,7 @@
 //! The attempts of one request: picks the next upstream and model, and decides when to stop.
 
 use crate::admitted::{AdmittedRequest, blocked_refusal};
-use crate::attempt::{SendProgress, UpstreamAnswer, send_attempt};
+use crate::attempt::{SendProgress, UpstreamAnswer, notice_departure, send_attempt};
 use crate::cascade::{CascadeModel, CascadeRequest, CascadeStep, plan_steps};
 use crate::choice_price::{ChoicePrices, PLAIN_ANSWER_VALUE, PricedRequest, answer_value, prices};
 use crate::control_cache::ControlSnapshot;
@@ -161,6 +161,7 @@
     ) -> Result<UpstreamAnswer, RunError> {
         let mut last_fault = None;
         loop {
+            notice_departure().await;
             if self.time_left() < MIN_TIME_LEFT {
                 return Err(RunError::TimedOut);
             }
