Reset a connection whose request may not have been delivered when its caller leaves

Callers saw, as reported: requests sent on after they had left (GONE). Cause: a request is written into a connection whose path is cut; its caller leaves; the host closes the connection. A close lets the kernel go on sending what it holds, so the upstream got the whole request when the path was back, seconds later, and ran it. Class: bytes outlive their owner. Change: a connection dropped before the answer to its request has begun is reset, which discards what is held. After the answer has begun the peer has the request, and the close stays a normal one, since its end is repeated if it is lost and a reset is not. Cost: a reset that is lost leaves a request that was delivered running until its upstream writes.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -65,5 +65,6 @@
 pub mod upstream_pool;
 pub mod upstream_reach;
 pub mod upstream_records;
+pub mod upstream_socket;
 pub mod upstream_standings;
 pub mod wire_format;
--- a/crates/gateway/src/upstream_connection.rs
+++ b/crates/gateway/src/upstream_connection.rs
@@ -4,6 +4,7 @@
 use crate::carrier_client::CarriedRequest;
 use crate::fault::AttemptFault;
 use crate::socket_dialer::SocketDialer;
+use crate::upstream_socket::DeliveryState;
 use bytes::Bytes;
 use http::{Request, Response};
 use http_body_util::Full;
@@ -46,6 +47,7 @@
     sender: SendRequest<Full<Bytes>>,
     driver: AbortHandle,
     meter: ReadMeter,
+    delivery: DeliveryState,
 }
 
 /// The body of an answer. Its connection fails when it receives too much that is no content.
@@ -109,6 +111,8 @@
         let unsent = |reason: String| AttemptFault::new(FaultKind::Connect, reason);
         let opened_at = SystemClock.now();
         let meter = ReadMeter::new(MAX_EXCESS_BYTES);
+        let delivery = DeliveryState::default();
+        let socket = delivery.clone().watch(socket);
         let handshake = http1::Builder::new()
             .max_buf_size(MAX_ANSWER_HEAD_BYTES)
             .handshake(TokioIo::new(meter.clone().watch(socket)));
@@ -118,7 +122,14 @@
             // The error reaches the request that waits for a response on this connection.
             let _ = connection.await;
         });
-        Ok(Self { opened_at, carried: None, sender, driver: driver.abort_handle(), meter })
+        Ok(Self {
+            opened_at,
+            carried: None,
+            sender,
+            driver: driver.abort_handle(),
+            meter,
+            delivery,
+        })
     }
 
     /// Sends a request and waits for response headers.
@@ -132,11 +143,13 @@
         request: Request<Full<Bytes>>,
     ) -> Result<Response<AnswerBody>, AttemptFault> {
         self.meter.reset();
+        self.delivery.begin_request();
         let response = self.sender.try_send_request(request).await.map_err(|mut error| {
             let unsent = error.take_message().is_some();
             let kind = if unsent { FaultKind::Connect } else { FaultKind::Lost };
             AttemptFault::new(kind, error.into_error().to_string())
         })?;
+        self.delivery.record_answer();
         let meter = self.meter.clone();
         Ok(response.map(|inner| AnswerBody { inner, meter }))
     }
--- /dev/null
+++ b/crates/gateway/src/upstream_socket.rs
@@ -0,0 +1,93 @@
+//! A socket that is reset instead of closed while its request may not have been delivered.
+
+use std::io;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::task::{Context, Poll};
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+
+/// Whether the peer has answered the latest request on a connection, and so has received it.
+#[derive(Clone, Debug, Default)]
+pub struct DeliveryState {
+    is_unanswered: Arc<AtomicBool>,
+}
+
+impl DeliveryState {
+    /// Records that a request is sent.
+    pub fn begin_request(&self) {
+        self.is_unanswered.store(true, Ordering::Relaxed);
+    }
+
+    /// Records that its answer has begun.
+    pub fn record_answer(&self) {
+        self.is_unanswered.store(false, Ordering::Relaxed);
+    }
+
+    /// Resets a socket that is dropped before the answer has begun.
+    #[must_use]
+    pub const fn watch(self, socket: TcpStream) -> UpstreamSocket {
+        UpstreamSocket { socket, delivery: self }
+    }
+}
+
+/// A socket that is reset when it is dropped with an unanswered request.
+///
+/// After a close the kernel goes on sending what it holds, so a request whose path is lost would be
+/// delivered when the path is back, though nobody waits for it. An answered request is closed
+/// normally, since the end of a connection is repeated if it gets lost and a reset is not.
+#[derive(Debug)]
+pub struct UpstreamSocket {
+    socket: TcpStream,
+    delivery: DeliveryState,
+}
+
+impl Drop for UpstreamSocket {
+    fn drop(&mut self) {
+        if self.delivery.is_unanswered.load(Ordering::Relaxed) {
+            // Fails if the connection has ended already.
+            let _ = self.socket.set_zero_linger();
+        }
+    }
+}
+
+impl AsyncRead for UpstreamSocket {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.socket).poll_read(context, buffer)
+    }
+}
+
+impl AsyncWrite for UpstreamSocket {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.socket).poll_write(context, bytes)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.socket).poll_flush(context)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.socket).poll_shutdown(context)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.socket.is_write_vectored()
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffers: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.socket).poll_write_vectored(context, buffers)
+    }
+}
