Soak: replace hosts by another build and back while they serve

The soak now starts hosts with the binary of an earlier landing and replaces them one by one by this one, back and forth, under load, all faults and a configuration after each replacement; all checks stay as they are.

--- a/tests/soak/cluster.rs
+++ b/tests/soak/cluster.rs
@@ -66,8 +66,8 @@
 }
 
 impl SoakCluster {
-    /// Starts everything and waits until each host serves.
-    pub async fn start(folder: &Path, seed: u64) -> Self {
+    /// Starts everything, with hosts that run `binary`, and waits until each host serves.
+    pub async fn start(folder: &Path, seed: u64, binary: &Path) -> Self {
         let (store, address) = FakeStore::start().await;
         store.state_eras();
         let runs = Arc::new(RunLog::default());
@@ -83,7 +83,7 @@
         store.put("op", "config", &configuration(1));
         let mut hosts = Vec::new();
         for number in 0..host_count() {
-            hosts.push(GatewayHost::start(number, address, folder).await);
+            hosts.push(GatewayHost::start(number, address, folder, binary).await);
         }
         let (version, next_number) = (AtomicU64::new(1), AtomicU64::new(UPSTREAMS));
         let (hosts, restore_lock) = (Arc::new(hosts), tokio::sync::Mutex::default());
--- a/tests/soak/gateway.rs
+++ b/tests/soak/gateway.rs
@@ -2,7 +2,7 @@
 
 use crate::proxy::FaultProxy;
 use rustix::process::{Pid, Signal, kill_process};
-use serde_json::json;
+use serde_json::{Value, json};
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
@@ -10,7 +10,8 @@
 use std::time::{Duration, Instant};
 use tokio::net::TcpListener;
 
-const BINARY: &str = env!("CARGO_BIN_EXE_oleander-gateway");
+/// The binary of this build.
+pub const BINARY: &str = env!("CARGO_BIN_EXE_oleander-gateway");
 /// Time from SIGTERM within which a process must exit, as in its settings.
 pub const GRACE_PERIOD: Duration = Duration::from_millis(6_000);
 /// Time from SIGTERM within which new requests may last until the end of the grace period.
@@ -42,7 +43,11 @@
     /// Proxy between the host and the store.
     pub store: FaultProxy,
     settings: PathBuf,
+    /// Content of the settings file, without what earlier builds refuse.
+    earlier_settings: Value,
     log: PathBuf,
+    /// Binary that the next process runs.
+    binary: Mutex<PathBuf>,
     child: Mutex<Option<Child>>,
     /// Held while the process is being stopped or is paused, so that such faults don't overlap.
     lifecycle_lock: tokio::sync::Mutex<()>,
@@ -51,26 +56,26 @@
 }
 
 impl GatewayHost {
-    /// Starts a host whose store is at `store`.
-    pub async fn start(number: u8, store: SocketAddr, folder: &Path) -> Self {
+    /// Starts a host that runs `binary` and whose store is at `store`.
+    pub async fn start(number: u8, store: SocketAddr, folder: &Path, binary: &Path) -> Self {
         let store = FaultProxy::start(store).await;
         let name = format!("host-{number}");
         let [callers, ready, peers] = free_addresses(number).await;
         let settings = folder.join(format!("{name}.jsonc"));
-        let text = json!({
+        let earlier_settings = json!({
             "host": name, "region": "here", "domain": "here-a", "domains": {"here-a": "here"},
             "callers": callers, "ready": ready, "peers": peers, "store": store.address,
-            "outgoing": callers.ip(),
             "memory_bytes": 80_000_000, "bounds": {"stop_ms": GRACE_PERIOD.as_millis() as u64},
         });
-        std::fs::write(&settings, text.to_string()).unwrap();
         let log = folder.join(format!("{name}.log"));
         let host = Self {
             name,
             callers,
             store,
             settings,
+            earlier_settings,
             log,
+            binary: Mutex::new(binary.to_owned()),
             child: Mutex::default(),
             lifecycle_lock: tokio::sync::Mutex::default(),
             events: Mutex::default(),
@@ -82,7 +87,13 @@
 
     fn spawn(&self) {
         let log = std::fs::File::options().create(true).append(true).open(&self.log).unwrap();
-        let child = Command::new(BINARY)
+        let binary = self.binary.lock().unwrap().clone();
+        let mut settings = self.earlier_settings.clone();
+        if binary == Path::new(BINARY) {
+            settings["outgoing"] = json!(self.callers.ip());
+        }
+        std::fs::write(&self.settings, settings.to_string()).unwrap();
+        let child = Command::new(binary)
             .arg(&self.settings)
             .stdin(Stdio::null())
             .stdout(log.try_clone().unwrap())
@@ -123,6 +134,12 @@
         self.spawn();
     }
 
+    /// Stops the process gracefully and starts one of another build.
+    pub async fn replace(&self, binary: &Path) {
+        *self.binary.lock().unwrap() = binary.to_owned();
+        self.restart().await;
+    }
+
     /// Stops the process while it also gets other signals, and restarts it.
     pub async fn restart_amid_signals(&self, pause: Duration) {
         let signals = async {
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -8,6 +8,9 @@
 //! `OLEANDER_SOAK_SEEDS=100..150 cargo test --test soak -- --ignored guarantees`, `reverted` for
 //! runs that also roll out bad versions, or `limits` for runs in which an upstream names a limit and a
 //! request crashes upstreams. `OLEANDER_SOAK_HOSTS` sets the number of hosts.
+//!
+//! `OLEANDER_SOAK_EARLIER=PATH,… … --ignored replaced` begins with hosts that run the binary of an
+//! earlier build, and replaces them one by one by this build, back, and forth again.
 
 mod caller;
 mod checks;
@@ -19,12 +22,14 @@
 mod random;
 mod rollouts;
 mod schedule;
+mod upgrades;
 mod upstream;
 
 use caller::{CallLog, SoakCaller};
 use cluster::{HOSTS, SoakCluster, StoreMode};
 use random::SeededRandom;
 use schedule::run_faults;
+use std::path::Path;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -49,13 +54,19 @@
     BadVersions,
     /// An upstream names a limit, and a request crashes upstreams.
     Needs,
+    /// Hosts begin with an earlier build, and are replaced by this one and back.
+    Upgrade(&'static Path),
 }
 
 /// Runs one seed and returns the violations of guarantees.
 async fn run_seed(seed: u64, mode: RunMode) -> Vec<String> {
     let folder = tempfile::tempdir().unwrap().keep();
     eprintln!("seed {seed}: logs of the processes in {}", folder.display());
-    let cluster = Arc::new(SoakCluster::start(&folder, seed).await);
+    let earlier = if let RunMode::Upgrade(earlier) = mode { Some(earlier) } else { None };
+    let binary = earlier.unwrap_or(Path::new(gateway::BINARY));
+    let cluster = Arc::new(SoakCluster::start(&folder, seed, binary).await);
+    let replacements = earlier
+        .map(|earlier| tokio::spawn(upgrades::replace_hosts(Arc::clone(&cluster), earlier, seed)));
     let log = Arc::new(CallLog::default());
     let (running, stop) = tokio::sync::watch::channel(false);
     let callers = spawn_callers(&cluster, &log, seed, &stop);
@@ -71,6 +82,9 @@
         (restarts, tokio::spawn(sender))
     });
     let faults = run_faults(&cluster, seed, Instant::now() + FAULT_PERIOD).await;
+    if let Some(replacements) = replacements {
+        replacements.await.unwrap();
+    }
     let calm_from = Instant::now();
     let mut bad_rollouts = Vec::new();
     if let Some(rollouts) = rollouts {
@@ -231,6 +245,16 @@
     run_seeds(given_seeds(), RunMode::BadVersions).await;
 }
 
+/// Runs the seeds in `OLEANDER_SOAK_SEEDS` beside each of the earlier builds in `OLEANDER_SOAK_EARLIER`.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+#[ignore = "takes about 25 s per seed and build, and needs binaries of earlier builds"]
+async fn guarantees_hold_while_hosts_are_replaced_by_another_build() {
+    for earlier in upgrades::earlier_builds() {
+        eprintln!("earlier build {}", earlier.display());
+        run_seeds(given_seeds(), RunMode::Upgrade(earlier)).await;
+    }
+}
+
 fn given_seeds() -> std::ops::Range<u64> {
     let text = std::env::var("OLEANDER_SOAK_SEEDS")
         .expect("OLEANDER_SOAK_SEEDS must be set, for example to 100..150");
