Believe no refusal without an id on a connection that had answers before

Other operators reported a runner that wrote an earlier refusal once more on a kept connection, so that callers were told not run of what ran. Cause here: a refusal may name no request, and one that came as the next request of a kept connection ran was believed. Class: an answer believed by its place. Change: on a connection that had answers before, a refusal without an id is a wrong answer, after which the request may have run; the same on the host that carries a request, since the other one can't know that its connection was kept. A pause that it asks for still counts. Only requests that may be repeated use kept connections, so no order was affected.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -188,8 +188,7 @@
             Err(progress.timeout_fault(&format!("no response headers within {timeout:?}")))
         })?;
     let (parts, body) = response.into_parts();
-    let (answer, checked) =
-        record_answer(state, &mut permit, &parts, request, connection.opened_at);
+    let (answer, checked) = record_answer(state, &mut permit, &parts, request, &connection);
     checked?;
     let (status, headers) = (parts.status, parts.headers);
     Ok(UpstreamAnswer { status, headers, head: answer, body, connection, permit })
@@ -202,7 +201,7 @@
     permit: &mut UpstreamPermit,
     parts: &Parts,
     request: &OutgoingRequest,
-    opened_at: Timestamp,
+    connection: &UpstreamConnection,
 ) -> (AnswerHead, Result<(), AttemptFault>) {
     let now = state.clock.now();
     let answer = (state.wire.read_answer)(&parts.headers);
@@ -210,10 +209,11 @@
     let is_other = parts.status == StatusCode::MISDIRECTED_REQUEST;
     // An answer with this status is of another upstream, which has taken over the address.
     if !is_other {
-        permit.upstream.record_standing(parts.status, &answer, opened_at, now);
+        permit.upstream.record_standing(parts.status, &answer, connection.opened_at, now);
     }
     let expected = expected_request_id(&state.wire, request);
-    let checked = check_answer(&parts.status, &parts.headers, &answer, expected.as_ref());
+    let checked = check_refusal(connection, parts.status, &answer)
+        .and_then(|()| check_answer(&parts.status, &parts.headers, &answer, expected.as_ref()));
     let is_own = answer.request == expected || (answer.not_run && answer.request.is_none());
     if !is_other && is_own {
         permit.upstream.record_limit(&answer, checked.is_ok(), now);
@@ -243,6 +243,7 @@
     let idle = if request.may_reuse { permit.upstream.take_idle(clock.now()) } else { None };
     let mut lost = None;
     if let Some(mut connection) = idle {
+        connection.is_kept = true;
         let out = new_request(wire, request, head)?;
         progress.begin();
         let sent = connection.send(out);
@@ -370,6 +371,21 @@
     Ok(out)
 }
 
+/// Checks that a refusal is not a late copy of an earlier one on a connection that had answers before:
+/// one that names no request says nothing of this request there.
+pub(crate) fn check_refusal(
+    connection: &UpstreamConnection,
+    status: StatusCode,
+    answer: &AnswerHead,
+) -> Result<(), AttemptFault> {
+    let is_refusal = answer.not_run || status == StatusCode::MISDIRECTED_REQUEST;
+    if connection.is_kept && is_refusal && answer.request.is_none() {
+        let text = format!("status {status} on a kept connection names no request");
+        return Err(AttemptFault::new(FaultKind::Wrong, text));
+    }
+    Ok(())
+}
+
 /// Checks that a response belongs to its request and was produced by the upstream.
 fn check_answer(
     status: &StatusCode,
--- a/crates/gateway/src/carrier_server.rs
+++ b/crates/gateway/src/carrier_server.rs
@@ -5,8 +5,8 @@
 
 use crate::admitted::BufferReservation;
 use crate::attempt::{
-    OutgoingRequest, SendProgress, UpstreamAnswer, exchange, notice_departure, record_answer,
-    remove_hop_headers,
+    OutgoingRequest, SendProgress, UpstreamAnswer, check_refusal, exchange, notice_departure,
+    record_answer, remove_hop_headers,
 };
 use crate::carrier_wire::{CarriedHead, CarrierFault, accept_link};
 use crate::refusal::Refusal;
@@ -218,7 +218,10 @@
         .unwrap_or_else(|| Err(progress.timeout_fault("no response headers in time")))
         .map_err(|fault| CarrierFault::of_attempt(&fault))?;
     let (parts, body) = response.into_parts();
-    let (head, _) = record_answer(state, &mut permit, &parts, &outgoing, connection.opened_at);
+    // The other host checks the answer, but does not know whether this connection was kept.
+    let (head, _) = record_answer(state, &mut permit, &parts, &outgoing, &connection);
+    check_refusal(&connection, parts.status, &head)
+        .map_err(|fault| CarrierFault::of_attempt(&fault))?;
     let (status, headers) = (parts.status, parts.headers);
     Ok(UpstreamAnswer { status, headers, head, body, connection, permit })
 }
--- a/crates/gateway/src/upstream_connection.rs
+++ b/crates/gateway/src/upstream_connection.rs
@@ -44,6 +44,8 @@
     pub opened_at: Timestamp,
     /// The host that carries the request, if the connection is to one.
     pub carried: Option<CarriedRequest>,
+    /// Whether an upstream has answered on it before.
+    pub is_kept: bool,
     sender: SendRequest<Full<Bytes>>,
     driver: AbortHandle,
     meter: ReadMeter,
@@ -125,6 +127,7 @@
         Ok(Self {
             opened_at,
             carried: None,
+            is_kept: false,
             sender,
             driver: driver.abort_handle(),
             meter,
