Go on with a stream that broke off by its own events only

Other operators reported the text or head of an error in the middle of a stream, and streams that ended as if they were complete. Cause here: an upstream that goes on with a stream was held to its status alone. An answer of another type, text, or an event without an id was passed on, since a block without data counts as a comment, and its end was taken for the end of the stream. Class: an answer believed by its place. Change: it must have the media type of the first answer, or a silent stream is kept and a broken one ends with an error; after an event with an id, only events with ids and comments are taken, and anything else breaks the answer off, so that a further attempt follows or the stream ends incomplete. First answers are passed on as before. Test only_events_follow_a_stream_that_broke_off (19 cases): 6 failed before, none after; streams and upstream_silence pass.

--- a/crates/gateway/src/event_splitter.rs
+++ b/crates/gateway/src/event_splitter.rs
@@ -35,6 +35,9 @@
     comments: BytesMut,
     /// Bytes received since the last new event.
     pending: usize,
+    /// Whether each event must have an id.
+    needs_ids: bool,
+    has_foreign: bool,
 }
 
 impl EventSplitter {
@@ -44,6 +47,14 @@
         Self { last, ..Self::default() }
     }
 
+    /// Takes only events with ids, and comments, as from an upstream that goes on with a stream of
+    /// another one.
+    #[must_use]
+    pub const fn with_ids(mut self) -> Self {
+        self.needs_ids = true;
+        self
+    }
+
     /// Appends received bytes.
     ///
     /// # Errors
@@ -61,8 +72,14 @@
     /// Takes all complete events that were not passed on before; `None` when there are none.
     pub fn take_complete(&mut self) -> Option<Bytes> {
         let mut passed = BytesMut::new();
-        while let Some(event) = self.next_event() {
+        while !self.has_foreign
+            && let Some(event) = self.next_event()
+        {
             let id = event_id(&event);
+            if self.needs_ids && id.is_none() && !is_comment(&event) {
+                self.has_foreign = true;
+                break;
+            }
             if id.is_none() && !has_data(&event) {
                 self.comments.extend_from_slice(&event);
                 continue;
@@ -87,6 +104,12 @@
         (!self.comments.is_empty()).then(|| self.comments.split().freeze())
     }
 
+    /// Whether something else than the events of the stream was found; nothing after it is taken.
+    #[must_use]
+    pub const fn has_foreign(&self) -> bool {
+        self.has_foreign
+    }
+
     fn next_event(&mut self) -> Option<BytesMut> {
         let end = event_end(&self.buffer, self.searched.saturating_sub(3));
         let Some(end) = end else {
@@ -131,6 +154,15 @@
     None
 }
 
+/// Whether an event has comments and fields for the client's connection only.
+fn is_comment(event: &[u8]) -> bool {
+    let starts = [&b":"[..], b"retry:", b"event:", b"\r"];
+    event
+        .split(|&byte| byte == b'\n')
+        .all(|line| line.is_empty() || starts.iter().any(|start| line.starts_with(start)))
+        && !has_data(event)
+}
+
 fn has_data(event: &[u8]) -> bool {
     event.split(|&byte| byte == b'\n').any(|line| line.starts_with(b"data"))
 }
--- a/crates/gateway/src/stream_relay.rs
+++ b/crates/gateway/src/stream_relay.rs
@@ -7,6 +7,8 @@
 use crate::upstream_entry::UpstreamEntry;
 use bytes::Bytes;
 use futures_util::stream;
+use http::HeaderMap;
+use http::header::CONTENT_TYPE;
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::Frame;
 use oleander_adapters::http_server::{BodyError, ResponseBody};
@@ -30,10 +32,18 @@
     answer: Option<UpstreamAnswer>,
     splitter: EventSplitter,
     event_timeout: Duration,
+    /// Media type of the first answer, which an answer that goes on with the stream must have.
+    media_type: Option<String>,
     /// When the wait for the next event, or for an upstream to send it, began.
     waiting_since: Timestamp,
 }
 
+/// Media type of an answer, without parameters.
+fn media_type(headers: &HeaderMap) -> Option<String> {
+    let text = headers.get(CONTENT_TYPE)?.to_str().ok()?;
+    text.split(';').next().map(|name| name.trim().to_ascii_lowercase())
+}
+
 /// Result of waiting for the next bytes of the upstream.
 enum StreamChunk {
     Bytes(Bytes),
@@ -52,6 +62,7 @@
         let last_event = last_event.and_then(|value| value.to_str().ok()?.parse().ok());
         Self {
             waiting_since: run.state.clock.now(),
+            media_type: media_type(&answer.headers),
             run,
             answer: Some(answer),
             splitter: EventSplitter::after(last_event),
@@ -75,6 +86,11 @@
                 }
                 return Ok(Some(events));
             }
+            if self.splitter.has_foreign() {
+                let text = "expected events of the stream, found something else";
+                self.resume(AttemptFault::new(FaultKind::Wrong, text)).await?;
+                continue;
+            }
             match self.next_chunk().await? {
                 StreamChunk::Bytes(bytes) => {
                     if let Err(error) = self.splitter.push(&bytes) {
@@ -196,7 +212,7 @@
         {
             found = self.run.next_answer(last).await;
         }
-        let has_begun = found.as_ref().is_ok_and(|answer| answer.status.is_success());
+        let has_begun = found.as_ref().is_ok_and(|answer| self.goes_on(answer));
         if let Some(silent) = silent.filter(|_| !has_begun) {
             self.answer = Some(silent);
             self.waiting_since = self.run.state.clock.now();
@@ -206,12 +222,19 @@
         self.begin_resumed(found?, last)
     }
 
+    /// Whether an answer goes on with the stream, as far as its headers tell.
+    fn goes_on(&self, answer: &UpstreamAnswer) -> bool {
+        answer.status.is_success() && media_type(&answer.headers) == self.media_type
+    }
+
     fn begin_resumed(&mut self, answer: UpstreamAnswer, last: Option<u64>) -> Result<(), RunError> {
-        if !answer.status.is_success() {
-            let text = format!("status {} when resuming the stream", answer.status);
+        if !self.goes_on(&answer) {
+            let found = media_type(&answer.headers);
+            let text = format!("status {} and type {found:?} when resuming", answer.status);
             return Err(RunError::Failed(AttemptFault::new(FaultKind::Failed, text)));
         }
-        self.splitter = EventSplitter::after(last);
+        let splitter = EventSplitter::after(last);
+        self.splitter = if last.is_some() { splitter.with_ids() } else { splitter };
         self.run.state.metrics.record_resumption();
         self.answer = Some(answer);
         self.waiting_since = self.run.state.clock.now();
