--- a/crates/gateway/src/event_splitter.rs
+++ b/crates/gateway/src/event_splitter.rs
@@ -37,6 +37,7 @@
     pending: usize,
     /// Whether each event must have an id.
     needs_ids: bool,
+    /// Whether something else than an event of the stream was found.
     has_foreign: bool,
 }
 
@@ -49,6 +50,15 @@
 
     /// Takes only events with ids, and comments, as from an upstream that goes on with a stream of
     /// another one.
+    ///
+    /// ```
+    /// use oleander_gateway::event_splitter::EventSplitter;
+    ///
+    /// let mut splitter = EventSplitter::after(Some(1)).with_ids();
+    /// splitter.push(b"id: 2\ndata: b\n\nout of memory\n\n").unwrap();
+    /// assert_eq!(splitter.take_complete().unwrap(), "id: 2\ndata: b\n\n");
+    /// assert!(splitter.has_foreign());
+    /// ```
     #[must_use]
     pub const fn with_ids(mut self) -> Self {
         self.needs_ids = true;
--- a/crates/gateway/src/upstream_socket.rs
+++ b/crates/gateway/src/upstream_socket.rs
@@ -9,6 +9,25 @@
 use tokio::net::TcpStream;
 
 /// Whether the peer has answered the latest request on a connection, and so has received it.
+///
+/// ```
+/// use oleander_gateway::upstream_socket::DeliveryState;
+/// use std::io::ErrorKind;
+/// use tokio::io::AsyncReadExt;
+/// use tokio::net::{TcpListener, TcpStream};
+///
+/// # tokio::runtime::Builder::new_current_thread().enable_io().build().unwrap().block_on(async {
+/// let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+/// let delivery = DeliveryState::default();
+/// let socket = TcpStream::connect(listener.local_addr().unwrap()).await.unwrap();
+/// let socket = delivery.clone().watch(socket);
+/// let (mut peer, _) = listener.accept().await.unwrap();
+/// delivery.begin_request();
+/// drop(socket);
+/// let error = peer.read(&mut [0; 8]).await.unwrap_err();
+/// assert_eq!(error.kind(), ErrorKind::ConnectionReset);
+/// # });
+/// ```
 #[derive(Clone, Debug, Default)]
 pub struct DeliveryState {
     is_unanswered: Arc<AtomicBool>,
