Bind requests to home regions and evacuate failure domains

Change: core::home_regions; requests renew their homes from the newest configuration before each attempt, and are carried only by hosts in a home.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -6,6 +6,7 @@
 
 #![warn(clippy::unwrap_used)]
 
+pub mod account_share;
 pub mod admission;
 pub mod alarm_threshold;
 pub mod attempt_retry;
@@ -22,9 +23,11 @@
 pub mod detect;
 pub mod dispatch_guard;
 pub mod ejection;
+pub mod evacuation_view;
 pub mod fleet_statistics;
 pub mod head;
 pub mod hedge;
+pub mod home_regions;
 pub mod host_view;
 pub mod ids;
 pub mod lease;
@@ -63,6 +66,7 @@
 pub mod trace_context;
 pub mod units;
 pub mod upstream_choice;
+pub mod upstream_pace;
 pub mod upstream_standing;
 pub mod usage;
 pub mod versioned;
--- a/crates/core/src/reach_view.rs
+++ b/crates/core/src/reach_view.rs
@@ -10,6 +10,7 @@
 //! hands requests to one that has not. It never passes on what others hand to it, so no request goes
 //! round, also when all hosts are cut off or all upstreams have ended.
 
+use crate::home_regions::HomeRegions;
 use crate::host_view::HostHash;
 use crate::ids::{DomainName, RegionName, ServiceName, UpstreamName};
 use crate::stable_hash::hash_parts;
@@ -73,8 +74,13 @@
     /// The place of a host in a failure domain.
     #[must_use]
     pub fn new(domain: &DomainName, region: &RegionName) -> Self {
-        let hash = |text: &str| hash_parts(&["place", text]) as u32;
-        Self { domain: hash(domain.as_str()), region: hash(region.as_str()) }
+        Self { domain: place_hash(domain.as_str()), region: place_hash(region.as_str()) }
+    }
+
+    /// Whether it is in a region.
+    #[must_use]
+    pub fn is_in(&self, region: &RegionName) -> bool {
+        self.region == place_hash(region.as_str())
     }
 
     fn factor(&self, other: &Self) -> f64 {
@@ -88,6 +94,19 @@
     }
 }
 
+fn place_hash(text: &str) -> u32 {
+    hash_parts(&["place", text]) as u32
+}
+
+/// Which hosts may carry a request.
+#[derive(Clone, Copy, Debug)]
+pub struct CarrierRule<'a> {
+    /// Hosts that were asked already.
+    pub excluded: &'a BTreeSet<HostHash>,
+    /// Regions to whose hosts the body may be sent.
+    pub home_regions: &'a HomeRegions,
+}
+
 /// When upstreams of a service last answered a host, as told to others.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ReachedService {
@@ -398,11 +417,15 @@
     pub fn choose_carrier(
         &self,
         service: &ServiceName,
-        excluded: &BTreeSet<HostHash>,
+        rule: &CarrierRule<'_>,
         point: f64,
         now: Timestamp,
     ) -> Option<CarrierHost> {
-        let carriers = self.carriers(service, now).filter(|(host, _)| !excluded.contains(host));
+        let is_permitted = |host: &HostHash, peer: &PeerReach| {
+            let is_home = rule.home_regions.permits_where(|region| peer.place.is_in(region));
+            is_home && !rule.excluded.contains(host)
+        };
+        let carriers = self.carriers(service, now).filter(|(host, peer)| is_permitted(host, peer));
         let weighted: Vec<(CarrierHost, f64)> = carriers
             .filter_map(|(host, peer)| {
                 let load = u32::from(peer.carried).max(peer.outstanding);
--- a/crates/core/tests/reach_view.rs
+++ b/crates/core/tests/reach_view.rs
@@ -1,10 +1,11 @@
 //! How requests fare over random histories of hosts that lose the path to a service's upstreams, without
 //! a network.
 
+use oleander_core::home_regions::HomeRegions;
 use oleander_core::host_view::HostHash;
 use oleander_core::ids::{ServiceName, UpstreamName};
 use oleander_core::reach_view::{
-    ConnectionOutcome, HostPlace, ReachReport, ReachView, ServicePath,
+    CarrierRule, ConnectionOutcome, HostPlace, ReachReport, ReachView, ServicePath,
 };
 use oleander_core::stable_hash::{mix, unit_point};
 use oleander_core::units::Timestamp;
@@ -172,7 +173,8 @@
             self.random = mix(self.random);
             let point = unit_point(self.random);
             let view = &self.hosts[host].view;
-            let Some(carrier) = view.choose_carrier(&self.service, &excluded, point, now) else {
+            let rule = CarrierRule { excluded: &excluded, home_regions: &HomeRegions::any() };
+            let Some(carrier) = view.choose_carrier(&self.service, &rule, point, now) else {
                 return false;
             };
             let index = self.hosts.iter().position(|other| other.name == carrier.host).unwrap();
@@ -457,7 +459,8 @@
     let mut counts = BTreeMap::new();
     for point in 0..200 {
         let point = unit_point(mix(point));
-        let chosen = view.choose_carrier(&service, &BTreeSet::new(), point, now).unwrap();
+        let rule = CarrierRule { excluded: &BTreeSet::new(), home_regions: &HomeRegions::any() };
+        let chosen = view.choose_carrier(&service, &rule, point, now).unwrap();
         view.begin_carried(chosen.host);
         *counts.entry(chosen.host).or_insert(0) += 1;
     }
--- a/crates/gateway/src/admitted.rs
+++ b/crates/gateway/src/admitted.rs
@@ -15,6 +15,7 @@
 use http::{HeaderValue, Request, StatusCode};
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
+use oleander_core::home_regions::HomeRegions;
 use oleander_core::ids::ServiceName;
 use oleander_core::part_quarantine::PartHash;
 use oleander_core::request_hash::RequestHash;
@@ -64,6 +65,8 @@
     pub started: Timestamp,
     /// Its deadline.
     pub deadline: Timestamp,
+    /// Version of the configuration that its home regions are of.
+    homes_version: u64,
     /// Buffered bytes, released on drop.
     _reservation: BufferReservation,
 }
@@ -80,6 +83,20 @@
         RequestHash::new(&fields)
     }
 
+    /// Takes over the home regions of a newer configuration. A route or account that it no longer has
+    /// keeps its homes.
+    pub fn renew_home_regions(&mut self, table: &RouteTable) {
+        if table.version() == self.homes_version {
+            return;
+        }
+        let host = self.outgoing.headers.get(HOST).and_then(|host| host.to_str().ok());
+        let route = table.find(host.unwrap_or_default(), self.outgoing.target.path());
+        let account = self.head.key.as_ref().and_then(|key| table.account(key));
+        let (route, account) = (route.unwrap_or(&self.route), account.or(self.account.as_ref()));
+        self.outgoing.home_regions = home_regions(route, account);
+        self.homes_version = table.version();
+    }
+
     /// Priority of the request; 0 is served first.
     #[must_use]
     pub fn priority(&self) -> u8 {
@@ -224,7 +241,9 @@
         Refusal::new(StatusCode::SERVICE_UNAVAILABLE, "the route names no service")
             .with_retry_after(NO_CONFIG_RETRY_AFTER)
     })?;
-    let outgoing = outgoing(state, parts, body, &route);
+    let mut outgoing = outgoing(state, parts, body, &route);
+    outgoing.home_regions = home_regions(&route, account.as_ref());
+    let homes_version = table.version();
     Ok(AdmittedRequest {
         route,
         service,
@@ -237,6 +256,7 @@
         parts: prompt_parts,
         started,
         deadline,
+        homes_version,
         _reservation: reservation,
     })
 }
@@ -336,6 +356,12 @@
     Ok(buffer.freeze())
 }
 
+/// Regions in which a request may be served: homes of the route and of the account both bind.
+fn home_regions(route: &Route, account: Option<&Arc<AccountSpec>>) -> HomeRegions {
+    let homes = account.map(|account| &account.home_regions);
+    homes.map_or_else(|| route.home_regions.clone(), |homes| route.home_regions.and(homes))
+}
+
 fn outgoing(state: &GatewayState, parts: Parts, body: Bytes, route: &Route) -> OutgoingRequest {
     let mut headers = parts.headers;
     remove_hop_headers(&mut headers);
@@ -347,6 +373,7 @@
         headers,
         body,
         may_reuse: route.retry_policy.allows_retry(),
+        home_regions: HomeRegions::any(),
     }
 }
 
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -13,6 +13,7 @@
 use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, Uri};
 use http_body_util::Full;
 use oleander_core::attempt_retry::FaultKind;
+use oleander_core::home_regions::HomeRegions;
 use oleander_core::ids::ServiceName;
 use oleander_core::reach_view::ServicePath;
 use oleander_core::units::Timestamp;
@@ -61,6 +62,8 @@
     pub body: Bytes,
     /// Whether the request may be sent on a pooled connection.
     pub may_reuse: bool,
+    /// Regions in which it may be served, and to whose hosts it may be sent.
+    pub home_regions: HomeRegions,
 }
 
 /// How far an attempt got.
--- a/crates/gateway/src/carrier_client.rs
+++ b/crates/gateway/src/carrier_client.rs
@@ -9,7 +9,7 @@
 use crate::wire_format::UpstreamHead;
 use http::Response;
 use oleander_core::attempt_retry::FaultKind;
-use oleander_core::reach_view::CarrierHost;
+use oleander_core::reach_view::{CarrierHost, CarrierRule};
 use oleander_core::units::Timestamp;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -96,7 +96,8 @@
     let mut excluded = BTreeSet::new();
     while excluded.len() < MAX_CARRIERS {
         let (point, now) = (state.random.next_unit(), state.clock.now());
-        let Some(carrier) = state.reach.begin_carried(service, &excluded, point, now) else {
+        let rule = CarrierRule { excluded: &excluded, home_regions: &request.home_regions };
+        let Some(carrier) = state.reach.begin_carried(service, &rule, point, now) else {
             break;
         };
         let carried = CarriedRequest { carrier, state: Arc::clone(state) };
--- a/crates/gateway/src/carrier_server.rs
+++ b/crates/gateway/src/carrier_server.rs
@@ -23,6 +23,7 @@
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use oleander_adapters::http_server::{BodyError, ResponseBody, full_body};
+use oleander_core::home_regions::HomeRegions;
 use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU16, AtomicUsize, Ordering};
@@ -206,6 +207,8 @@
         headers: parts.headers,
         body,
         may_reuse: head.may_reuse,
+        // The host that received the request has chosen the upstream.
+        home_regions: HomeRegions::any(),
     };
     let mut permit = state.pool.permit(&entry);
     let left = head.time_left().saturating_sub(state.clock.now().since(started));
@@ -240,6 +243,9 @@
     let entry = entries
         .find(|entry| entry.name == head.upstream && entry.started_ms == head.started_ms)
         .ok_or_else(|| refused("the host does not know the upstream"))?;
+    if state.evacuations.is_heard(&entry.domain, &snapshot) {
+        return Err(refused("the upstream's failure domain is evacuated"));
+    }
     if state.reach.lost_for(&entry.service, now).is_some() {
         return Err(refused("the host does not reach the upstream either"));
     }
--- a/crates/gateway/src/control_cache.rs
+++ b/crates/gateway/src/control_cache.rs
@@ -7,12 +7,13 @@
 //! comes back from an older copy, rows of that copy do not undo what is known already.
 
 use crate::control_port::{Topic, TopicChange, TopicRow, TopicValue};
+use crate::evacuation_records::EvacuationRecords;
 use crate::rollout_beliefs::RolloutBeliefs;
 use crate::rollout_plan::{RolloutDecision, RolloutOrder, RolloutPhase, VersionRule, version_rule};
 use crate::routes::RouteTable;
 use crate::upstream_entry::UpstreamEntry;
 use crate::upstream_records::UpstreamRecords;
-use oleander_core::ids::ServiceName;
+use oleander_core::ids::{DomainName, ServiceName};
 use oleander_core::store_era::{StoreEra, StoreRevision};
 use oleander_core::units::Timestamp;
 use std::collections::{BTreeMap, HashSet};
@@ -31,8 +32,11 @@
 pub struct ControlSnapshot {
     /// Configuration in force, if known.
     pub routes: Option<Arc<RouteTable>>,
-    /// Upstreams that accept new work, by service; without those of withdrawn versions.
+    /// Upstreams that accept new work, by service; without those of withdrawn versions and in evacuated
+    /// failure domains.
     pub upstreams: BTreeMap<ServiceName, Vec<Arc<UpstreamEntry>>>,
+    /// Evacuated failure domains, with the revisions of their orders.
+    pub evacuated: BTreeMap<DomainName, StoreRevision>,
     /// Rollouts, by service.
     pub rollouts: BTreeMap<ServiceName, RolloutState>,
     /// Whether every topic has been read since the process started.
@@ -163,6 +167,10 @@
     UpstreamRemoved(Arc<str>, &'static str),
     /// A rollout was ordered or decided on.
     Rollout(Arc<str>),
+    /// A failure domain is evacuated.
+    Evacuated(DomainName),
+    /// The evacuation of a failure domain ended.
+    EvacuationEnded(DomainName),
     /// An entry lists an upstream that has left and is held back.
     UpstreamHeld(Arc<str>),
     /// A topic was read after the store came back from an older copy, which began this era.
@@ -180,6 +188,7 @@
     rows: BTreeMap<(Topic, Arc<str>), StoreRevision>,
     upstreams: UpstreamRecords,
     rollouts: RolloutBeliefs,
+    evacuations: EvacuationRecords,
     topics: BTreeMap<Topic, TopicStatus>,
     store_offset_ms: i64,
     /// How long rows of an older copy are held back that contradict what is known.
@@ -283,6 +292,9 @@
                 let (at, held) = (context.written_at, context.held_until);
                 self.rollouts.apply_order(key, order, at, held, events);
             }
+            TopicValue::Evacuation(domain) => {
+                self.evacuations.apply(key, domain, revision, events);
+            }
             TopicValue::Upstream(entry) => match context.held_until {
                 Some(held) => self.upstreams.apply_restored(key, entry, revision, held, events),
                 None => self.upstreams.apply(key, entry, revision, events),
@@ -326,7 +338,10 @@
     ) {
         match topic {
             Topic::Upstreams => self.upstreams.remove(key, grace, events),
-            Topic::Orders => self.rollouts.remove_order(key),
+            Topic::Orders => {
+                self.evacuations.remove(key, events);
+                self.rollouts.remove_order(key);
+            }
             Topic::Decisions => self.rollouts.remove_decision(key),
         }
     }
@@ -345,7 +360,10 @@
         let missing = |key: &&Arc<str>| !present.contains(&***key);
         let keys: Vec<Arc<str>> = match topic {
             Topic::Upstreams => self.upstreams.keys().filter(missing).cloned().collect(),
-            Topic::Orders => self.rollouts.order_keys().filter(missing).cloned().collect(),
+            Topic::Orders => {
+                let keys = self.rollouts.order_keys().chain(self.evacuations.keys());
+                keys.filter(missing).cloned().collect()
+            }
             Topic::Decisions => self.rollouts.decision_keys().filter(missing).cloned().collect(),
         };
         let grace = self.grace_end(topic, context.now);
@@ -356,7 +374,7 @@
                 continue;
             }
             match (topic, context.held_until) {
-                (Topic::Orders, Some(_)) => {}
+                (Topic::Orders, Some(held_until)) => self.evacuations.hold(&key, held_until),
                 (Topic::Decisions, Some(_)) => self.rollouts.mark_lost(&key, context.era, events),
                 _ => self.remove_row(topic, &key, grace, events),
             }
@@ -371,6 +389,7 @@
         let mut events = self.upstreams.expire(now, upstreams.unwrap_or_default());
         let offset = self.store_offset_ms;
         let store_now = Timestamp::from_millis(now.as_millis().saturating_add_signed(offset));
+        events.extend(self.evacuations.expire(now));
         events.extend(self.rollouts.release_held(orders.unwrap_or_default(), store_now));
         events
     }
@@ -380,7 +399,9 @@
     pub fn snapshot(&self) -> ControlSnapshot {
         let rollouts = self.rollouts.rollouts();
         let mut upstreams: BTreeMap<ServiceName, Vec<Arc<UpstreamEntry>>> = BTreeMap::new();
-        for entry in self.upstreams.ready() {
+        let evacuated = self.evacuations.domains();
+        let usable = self.upstreams.ready().filter(|entry| !evacuated.contains_key(&entry.domain));
+        for entry in usable {
             upstreams.entry(entry.service.clone()).or_default().push(Arc::clone(entry));
         }
         for (service, rollout) in &rollouts {
@@ -396,6 +417,7 @@
         ControlSnapshot {
             routes: self.routes.clone(),
             upstreams,
+            evacuated,
             rollouts,
             complete: Topic::ALL.iter().all(is_loaded) && self.routes.is_some(),
             revisions: self.revisions(),
--- a/crates/gateway/src/control_port.rs
+++ b/crates/gateway/src/control_port.rs
@@ -9,7 +9,7 @@
 use crate::rollout_sums::HostSums;
 use crate::routes::RouteTable;
 use crate::upstream_entry::UpstreamEntry;
-use oleander_core::ids::{HostId, RegionName, ServiceName};
+use oleander_core::ids::{DomainName, HostId, RegionName, ServiceName};
 use oleander_core::store_era::StoreRevision;
 use oleander_core::units::Timestamp;
 use oleander_ports::{PlatformError, PortFuture};
@@ -22,7 +22,7 @@
 /// A feed that can be followed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub enum Topic {
-    /// Rows written by operators: the configuration and rollout orders.
+    /// Rows written by operators: the configuration, rollout orders and evacuations.
     Orders,
     /// The upstreams.
     Upstreams,
@@ -52,6 +52,8 @@
     Routes(Arc<RouteTable>),
     /// An order to roll out a version.
     Rollout(RolloutOrder),
+    /// An order to evacuate a failure domain.
+    Evacuation(DomainName),
     /// An upstream.
     Upstream(Arc<UpstreamEntry>),
     /// A decision on a rollout.
@@ -171,6 +173,11 @@
     /// Writes the requests that are blocked.
     fn write_blocked(&self, report: Vec<u8>) -> PortFuture<'_, Result<(), PlatformError>>;
 
+    /// Whether the answer to a call that reads a topic is arriving now.
+    fn is_receiving(&self, _topic: Topic) -> bool {
+        false
+    }
+
     /// Drops connections that may have silently died; later calls open new ones.
     fn reset_connections(&self);
 }
--- a/crates/gateway/src/gateway_process.rs
+++ b/crates/gateway/src/gateway_process.rs
@@ -19,6 +19,7 @@
 use crate::seeded_random::SeededRandom;
 use crate::session_versions::SessionVersions;
 use crate::settings::{GatewaySettings, SharedSettings};
+use crate::shared_evacuations::SharedEvacuations;
 use crate::snapshot_publisher::{ExpiryDue, SharedSnapshot, SnapshotPublisher};
 use crate::socket_dialer::SocketDialer;
 use crate::state::GatewayState;
@@ -143,7 +144,10 @@
     /// Serves until `stop` resolves, then shuts down gracefully.
     pub async fn serve(self, stop: impl Future<Output = ()>) -> GatewayStop {
         let Self { state, callers, ready, metrics, control, publisher, gossip, hosts } = self;
-        let (calls, peers) = (Arc::new(StoreCalls::default()), Arc::new(PeerTable::new()));
+        let arriving = Arc::clone(&control);
+        let probe = Box::new(move |topic| arriving.is_receiving(topic));
+        let calls = Arc::new(StoreCalls::default().with_arrivals(probe));
+        let peers = Arc::new(PeerTable::new());
         let mut tasks = tokio::task::JoinSet::new();
         for topic in Topic::ALL {
             let (state, control) = (Arc::clone(&state), Arc::clone(&control));
@@ -218,6 +222,7 @@
     Arc::new(GatewayState {
         snapshot,
         reach: UpstreamReach::new(&settings.load()),
+        evacuations: SharedEvacuations::default(),
         links: CarrierLinks::default(),
         carrier_load: CarrierLoad::default(),
         pool: UpstreamPool::new(Arc::clone(&settings), Arc::clone(&clock)),
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -13,6 +13,8 @@
 use crate::peer_table::{PeerTable, RegionHash};
 use crate::state::GatewayState;
 use crate::store_calls::{LagDetector, StoreCalls};
+use oleander_core::account_share::ReportedDemand;
+use oleander_core::evacuation_view::ReportedEvacuation;
 use oleander_core::host_view::{HostHash, HostReport};
 use oleander_core::limit_division::ReportedLimit;
 use oleander_core::part_quarantine::PartReport;
@@ -21,6 +23,7 @@
 use oleander_core::request_quarantine::RequestReport;
 use oleander_core::store_era::{StoreEra, StoreRevision};
 use oleander_core::units::Timestamp;
+use oleander_core::upstream_pace::ReportedPace;
 use oleander_ports::clock::{ClockPort, SystemClock};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeSet;
@@ -75,6 +78,12 @@
     pub reach: Option<ReachReport>,
     /// Which upstreams are brittle. Used if the datagram is authentic.
     pub places: Vec<ReportedPlaces>,
+    /// Evacuated failure domains. Used if the datagram is authentic.
+    pub evacuations: Vec<ReportedEvacuation>,
+    /// How long work takes at the upstreams of `loads`, in the same order; shorter if builds before sent it.
+    pub paces: Vec<ReportedPace>,
+    /// The largest client accounts of hosts. Used if the datagram is authentic.
+    pub demand: Vec<ReportedDemand>,
 }
 
 /// The part of a datagram that says who sent it.
@@ -117,7 +126,12 @@
                     let reach;
                     (message.sealed, reach) = postcard::take_from_bytes(sealed)?;
                     if !reach.is_empty() {
-                        (message.reach, message.places) = postcard::from_bytes(reach)?;
+                        let rest;
+                        ((message.reach, message.places), rest) = postcard::take_from_bytes(reach)?;
+                        if !rest.is_empty() {
+                            (message.evacuations, message.paces, message.demand) =
+                                postcard::from_bytes(rest)?;
+                        }
                     }
                 }
             }
@@ -176,6 +190,7 @@
             let limits = self.state.pool.limits();
             limits.merge(&sealed.origin.host, &sealed.hosts, &sealed.limits, now);
             limits.merge_places(&message.places, now);
+            self.state.evacuations.merge(&message.evacuations, &self.state.snapshot.load());
             if let Some(reach) = &message.reach {
                 self.state.reach.merge(HostHash::new(&sealed.origin.host), reach, now);
                 seeks = reach.seeks;
@@ -282,6 +297,9 @@
             }),
             reach: Some(reach),
             places,
+            evacuations: state.evacuations.report(&snapshot),
+            paces: Vec::new(),
+            demand: Vec::new(),
         }
     }
 }
--- a/crates/gateway/src/load_report.rs
+++ b/crates/gateway/src/load_report.rs
@@ -48,10 +48,10 @@
 /// use std::time::Duration;
 ///
 /// let hash = UpstreamHash::new(&UpstreamName::new("i-1").unwrap());
-/// let load = AnswerLoad { running: 7, waiting: 300, slots: 24 };
+/// let load = AnswerLoad { running: 7, waiting: 300, slots: 24, pace: None };
 /// let (lag, age) = (Duration::from_millis(90), Duration::from_millis(240));
 /// let report = LoadReport::new(hash, load, lag, age).unwrap();
-/// assert_eq!(report.load(24), AnswerLoad { running: 7, waiting: 255, slots: 24 });
+/// assert_eq!(report.load(24), AnswerLoad { running: 7, waiting: 255, slots: 24, pace: None });
 /// assert_eq!((report.lag().as_millis(), report.age()), (80, age));
 /// assert!(LoadReport::new(hash, load, lag, Duration::from_secs(2)).is_none(), "too old");
 /// ```
@@ -90,7 +90,7 @@
     /// The reported load of an upstream that has `slots` slots.
     #[must_use]
     pub const fn load(&self, slots: u32) -> AnswerLoad {
-        AnswerLoad { running: self.running as u32, waiting: self.waiting as u32, slots }
+        AnswerLoad { running: self.running as u32, waiting: self.waiting as u32, slots, pace: None }
     }
 
     /// Delay of the reporting response beyond its expected time to headers.
--- a/crates/gateway/src/request_run.rs
+++ b/crates/gateway/src/request_run.rs
@@ -27,6 +27,7 @@
 use oleander_core::request_hash::RequestHash;
 use oleander_core::request_quarantine::RequestPermission;
 use oleander_core::units::Timestamp;
+use std::borrow::Cow;
 use std::collections::HashSet;
 use std::sync::{Arc, OnceLock};
 use std::time::Duration;
@@ -162,6 +163,7 @@
         let mut last_fault = None;
         loop {
             notice_departure().await;
+            self.renew_home_regions();
             if self.time_left() < MIN_TIME_LEFT {
                 return Err(RunError::TimedOut);
             }
@@ -199,6 +201,29 @@
         }
     }
 
+    fn renew_home_regions(&mut self) {
+        if let Some(table) = &self.state.snapshot.load().routes {
+            self.request.renew_home_regions(table);
+        }
+    }
+
+    /// The upstreams of the service to which the request may be sent: those in its home regions, outside
+    /// evacuated failure domains.
+    fn eligible<'a>(&self, snapshot: &'a ControlSnapshot) -> Cow<'a, [Arc<UpstreamEntry>]> {
+        let entries = snapshot.upstreams.get(&self.request.service).map_or(&[][..], Vec::as_slice);
+        let homes = &self.request.outgoing.home_regions;
+        let evacuations = &self.state.evacuations;
+        if homes.is_any() && evacuations.is_empty() {
+            return Cow::Borrowed(entries);
+        }
+        let settings = self.state.settings.load();
+        let is_eligible = |entry: &&Arc<UpstreamEntry>| {
+            homes.permits(settings.region_of(&entry.domain))
+                && !evacuations.is_heard(&entry.domain, snapshot)
+        };
+        Cow::Owned(entries.iter().filter(is_eligible).cloned().collect())
+    }
+
     /// Time for which the request is blocked; `None` if it may be sent, once more or as a trial.
     fn blocked_for(&mut self, now: Timestamp) -> Option<Duration> {
         let state = &self.state;
@@ -344,21 +369,18 @@
     }
 
     fn choose_untried(&self) -> Option<UpstreamPermit> {
-        self.with_choice(|pool, input| pool.choose(input)).flatten()
+        self.with_choice(|pool, input| pool.choose(input))
     }
 
     /// Whether an untried upstream is expected to answer within `limit`.
     fn has_faster(&self, limit: Duration) -> bool {
-        self.with_choice(|pool, input| pool.has_faster(input, limit)).unwrap_or(false)
+        self.with_choice(|pool, input| pool.has_faster(input, limit))
     }
 
-    fn with_choice<T>(
-        &self,
-        query: impl FnOnce(&UpstreamPool, &ChoiceInput<'_>) -> T,
-    ) -> Option<T> {
+    fn with_choice<T>(&self, query: impl FnOnce(&UpstreamPool, &ChoiceInput<'_>) -> T) -> T {
         // Later attempts use the latest snapshot, but keep the route the request was admitted on.
         let snapshot = self.state.snapshot.load();
-        let entries = snapshot.upstreams.get(&self.request.service)?;
+        let entries = self.eligible(&snapshot);
         let rule = self.version_rule(&snapshot);
         let model = self.model();
         let name = model.as_deref().unwrap_or_default();
@@ -366,7 +388,7 @@
             self.request.shared_prefix.as_ref().map(|prefix| format!("{name}/{}", prefix.id));
         let size = self.request.head.size.unwrap_or_default();
         let input = ChoiceInput {
-            entries,
+            entries: &entries,
             rule: &rule,
             tried: &self.tried,
             size,
@@ -376,7 +398,7 @@
             random: self.state.random.next(),
             now: self.state.clock.now(),
         };
-        Some(query(&self.state.pool, &input))
+        query(&self.state.pool, &input)
     }
 
     fn version_rule(&self, snapshot: &ControlSnapshot) -> VersionRule {
@@ -666,19 +688,19 @@
     /// this host for a pause.
     fn time_until_reopening(&self) -> Option<Duration> {
         let snapshot = self.state.snapshot.load();
-        let entries = snapshot.upstreams.get(&self.request.service)?;
+        let entries = self.eligible(&snapshot);
         let now = self.state.clock.now();
         let rule = self.version_rule(&snapshot);
-        self.state.pool.reopens_at(entries, &rule, now).map(|at| at.since(now))
+        self.state.pool.reopens_at(&entries, &rule, now).map(|at| at.since(now))
     }
 
     /// Time until it is the caller's turn, when all upstreams of the service have limits.
     fn next_turn(&self) -> Option<Duration> {
         let snapshot = self.state.snapshot.load();
         let service = &self.request.service;
-        let entries = snapshot.upstreams.get(service)?;
+        let entries = self.eligible(&snapshot);
         let (rule, now) = (self.version_rule(&snapshot), self.state.clock.now());
-        self.state.pool.next_turn(service, entries, &rule, now)
+        self.state.pool.next_turn(service, &entries, &rule, now)
     }
 
     /// The response to a caller whose request got no answer.
@@ -698,6 +720,9 @@
             _ if self.may_have_run => {
                 Refusal::new(StatusCode::BAD_GATEWAY, "no upstream gave a whole answer")
             }
+            RunError::NoUpstream if !self.request.outgoing.home_regions.is_any() => {
+                not_run("no upstream in the home regions is open to the request")
+            }
             RunError::TimedOut => not_run("no upstream took the request in time"),
             RunError::NoUpstream | RunError::Blocked(_) => {
                 not_run("no upstream is open to the request")
--- a/crates/gateway/src/routes.rs
+++ b/crates/gateway/src/routes.rs
@@ -1,6 +1,8 @@
 //! The operators' configuration: routes by host name and longest prefix, services, client accounts.
 
+use oleander_core::home_regions::HomeRegions;
 use oleander_core::ids::ServiceName;
+use oleander_core::request_rate::RequestRate;
 use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 use std::time::Duration;
@@ -70,6 +72,8 @@
     pub public: bool,
     /// Maximum gap between events of a stream that is still on time.
     pub max_event_gap: Option<Duration>,
+    /// Regions in which its requests may be served.
+    pub home_regions: HomeRegions,
 }
 
 impl Route {
@@ -107,6 +111,20 @@
     pub name: ServiceName,
     /// Models of its engines; empty for plain services.
     pub models: Vec<EngineModel>,
+    /// How its upstreams warm up; `None` if they take full load from their start.
+    pub warm_up: Option<WarmUpSpec>,
+    /// Tokens of running requests and cached prompt parts that fit into an engine's memory; `None` for
+    /// plain services.
+    pub memory_tokens: Option<u32>,
+}
+
+/// How upstreams of a service warm up after a start.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct WarmUpSpec {
+    /// Time for which an upstream stays cold.
+    pub duration: Duration,
+    /// Requests a second that a cold upstream takes from all hosts together.
+    pub rate: RequestRate,
 }
 
 /// A client account, identified by its keys.
@@ -116,6 +134,8 @@
     pub name: Arc<str>,
     /// Priority, which overrides that of the route.
     pub priority: Option<u8>,
+    /// Regions in which its requests may be served.
+    pub home_regions: HomeRegions,
 }
 
 /// Limits on requests and connections of callers.
@@ -146,6 +166,7 @@
 /// One complete, immutable configuration.
 ///
 /// ```
+/// use oleander_core::home_regions::HomeRegions;
 /// use oleander_gateway::routes::{Route, RouteTable, RetryPolicy};
 /// use std::time::Duration;
 ///
@@ -162,6 +183,7 @@
 ///     max_attempts: 2,
 ///     public: true,
 ///     max_event_gap: None,
+///     home_regions: HomeRegions::any(),
 /// };
 /// let table = RouteTable::new(7)
 ///     .with_route(route("all", "/a/"))
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -41,11 +41,19 @@
     pub store: SocketAddr,
     /// Memory that the process may use, in bytes.
     pub memory_bytes: u64,
+    /// File descriptors that the process may use.
+    #[serde(default = "default_descriptors")]
+    pub max_descriptors: u32,
     /// Limits set by the deployment.
     #[serde(default)]
     pub bounds: GatewayBounds,
 }
 
+/// Descriptors that most systems allow a process.
+const fn default_descriptors() -> u32 {
+    1_024
+}
+
 /// Limits set by the deployment; the defaults are those of the smallest deployments.
 #[derive(Clone, Copy, Debug, PartialEq, Deserialize)]
 #[serde(deny_unknown_fields, default)]
@@ -67,6 +75,10 @@
     /// Time after which the platform removes the entry of an upstream that is silent, in
     /// milliseconds.
     pub upstream_expiry_ms: u64,
+    /// What a cold upstream may get in a second over all hosts, as a multiple of its rate.
+    pub cold_excess: f64,
+    /// Requests that a cold upstream may get in addition.
+    pub cold_slack: f64,
 }
 
 impl Default for GatewayBounds {
@@ -80,6 +92,8 @@
             exposure_slack: 30.0,
             session_gap_ms: 5_000,
             upstream_expiry_ms: 4_000,
+            cold_excess: 1.5,
+            cold_slack: 5.0,
         }
     }
 }
--- a/crates/gateway/src/snapshot_publisher.rs
+++ b/crates/gateway/src/snapshot_publisher.rs
@@ -6,10 +6,13 @@
 use kameo::Actor;
 use kameo::message::{Context, Message};
 use oleander_ports::clock::ClockPort;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
 
+/// Maximum number of different reasons that are logged in one outage of a topic.
+const MAX_REASONS: usize = 6;
+
 /// The snapshot that requests read.
 pub type SharedSnapshot = Arc<ArcSwap<ControlSnapshot>>;
 
@@ -20,13 +23,21 @@
 /// Triggers the removal of expired entries.
 pub struct ExpiryDue;
 
+/// Failures to follow a topic since it was last followed.
+#[derive(Debug, Default)]
+struct TopicOutage {
+    failures: u32,
+    /// The reasons that were logged.
+    reasons: BTreeSet<String>,
+}
+
 /// Owns the control cache.
 #[derive(Actor)]
 pub struct SnapshotPublisher {
     cache: ControlCache,
     shared: SharedSnapshot,
     clock: Arc<dyn ClockPort>,
-    unavailable: BTreeMap<Topic, bool>,
+    outages: BTreeMap<Topic, TopicOutage>,
     on_change: ChangeHook,
 }
 
@@ -38,7 +49,7 @@
     #[must_use]
     pub fn new(shared: SharedSnapshot, clock: Arc<dyn ClockPort>) -> Self {
         let on_change: ChangeHook = Box::new(|_| {});
-        Self { cache: ControlCache::new(), shared, clock, unavailable: BTreeMap::new(), on_change }
+        Self { cache: ControlCache::new(), shared, clock, outages: BTreeMap::new(), on_change }
     }
 
     /// Sets how long rows of an older copy of the store are held back that contradict what is known.
@@ -73,9 +84,10 @@
         TopicChanged(topic, change): TopicChanged,
         _: &mut Context<Self, ()>,
     ) {
-        if self.unavailable.insert(topic, false) == Some(true) {
+        if let Some(outage) = self.outages.remove(&topic) {
             log::info!(
-                target: "dependency", topic:% = topic, cursor:% = change.cursor;
+                target: "dependency", topic:% = topic, cursor:% = change.cursor,
+                failures = outage.failures;
                 "store available again"
             );
         }
@@ -95,12 +107,17 @@
         _: &mut Context<Self, ()>,
     ) {
         self.cache.mark_unavailable(topic);
-        if self.unavailable.insert(topic, true) != Some(true) {
-            log::warn!(
-                target: "dependency", topic:% = topic, reason:% = reason;
-                "store unavailable"
-            );
+        let outage = self.outages.entry(topic).or_default();
+        outage.failures += 1;
+        let is_first = outage.failures == 1;
+        if outage.reasons.len() >= MAX_REASONS || !outage.reasons.insert(reason.clone()) {
+            return;
         }
+        let text = if is_first { "store unavailable" } else { "store still unavailable" };
+        log::warn!(
+            target: "dependency", topic:% = topic, reason:% = reason, failures = outage.failures;
+            "{text}"
+        );
     }
 }
 
@@ -135,6 +152,12 @@
                 "upstream left before and is held back"
             );
         }
+        ControlEvent::Evacuated(domain) => {
+            log::info!(target: "belief", domain:% = domain, source; "failure domain is evacuated");
+        }
+        ControlEvent::EvacuationEnded(domain) => {
+            log::info!(target: "belief", domain:% = domain, source; "evacuation ended");
+        }
         ControlEvent::Restored(topic, era) => {
             log::warn!(
                 target: "belief", topic:% = topic, era:%, source;
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -12,6 +12,7 @@
 use crate::seeded_random::SeededRandom;
 use crate::session_versions::SessionVersions;
 use crate::settings::SharedSettings;
+use crate::shared_evacuations::SharedEvacuations;
 use crate::snapshot_publisher::SharedSnapshot;
 use crate::socket_dialer::SocketDialer;
 use crate::stop_state::StopState;
@@ -36,6 +37,8 @@
     pub wire: WireFormat,
     /// Which services are out of this host's reach.
     pub reach: UpstreamReach,
+    /// Evacuations that other hosts tell of.
+    pub evacuations: SharedEvacuations,
     /// Connections to hosts that carry requests.
     pub links: CarrierLinks,
     /// How much this host carries for others.
--- a/crates/gateway/src/store_calls.rs
+++ b/crates/gateway/src/store_calls.rs
@@ -7,6 +7,7 @@
 use oleander_core::store_era::StoreRevision;
 use oleander_core::units::Timestamp;
 use std::collections::BTreeMap;
+use std::fmt;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -34,13 +35,22 @@
     pub confirmed_at: Option<Timestamp>,
 }
 
+/// Tells whether the answer to a topic's call is arriving.
+pub type ArrivalProbe = Box<dyn Fn(Topic) -> bool + Send + Sync>;
+
 /// The calls of all topics, and requests to begin them again over new connections.
-#[derive(Debug)]
 pub struct StoreCalls {
     topics: Mutex<BTreeMap<Topic, TopicCall>>,
     reconnects: watch::Sender<u64>,
     last_reconnect: Mutex<Option<Timestamp>>,
     is_isolated: AtomicBool,
+    is_arriving: ArrivalProbe,
+}
+
+impl fmt::Debug for StoreCalls {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("StoreCalls").field("topics", &self.topics).finish_non_exhaustive()
+    }
 }
 
 impl Default for StoreCalls {
@@ -51,11 +61,20 @@
             reconnects,
             last_reconnect: Mutex::default(),
             is_isolated: AtomicBool::new(false),
+            is_arriving: Box::new(|_| false),
         }
     }
 }
 
 impl StoreCalls {
+    /// Sets what tells whether the answer to a topic's call is arriving. Such a call is not lost, however long
+    /// its answer takes.
+    #[must_use]
+    pub fn with_arrivals(mut self, is_arriving: ArrivalProbe) -> Self {
+        self.is_arriving = is_arriving;
+        self
+    }
+
     /// Records that a call began which waits for a change.
     pub fn begin(&self, topic: Topic, now: Timestamp) {
         lock(&self.topics).entry(topic).or_default().waiting_since = Some(now);
@@ -208,8 +227,8 @@
         let overdue = self.heard.iter().filter(|(topic, heard)| {
             // Between two calls there is nothing to wait for: the next one brings the change.
             let waiting_since = calls.topic(**topic).waiting_since;
-            waiting_since
-                .is_some_and(|since| now.since(since.max(heard.first_at)) >= ANSWER_TIMEOUT)
+            let is_late = |since: Timestamp| now.since(since.max(heard.first_at)) >= ANSWER_TIMEOUT;
+            waiting_since.is_some_and(is_late) && !(calls.is_arriving)(**topic)
         });
         overdue.map(|(_, heard)| now.since(heard.first_at)).max()
     }
--- a/crates/gateway/src/upstream_entry.rs
+++ b/crates/gateway/src/upstream_entry.rs
@@ -3,6 +3,7 @@
 use oleander_core::ids::{DomainName, ServiceName, UpstreamName};
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 /// Whether an upstream accepts new work.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -32,4 +33,6 @@
     pub state: UpstreamState,
     /// Start of its process, in milliseconds since the Unix epoch; 0 if not stated.
     pub started_ms: u64,
+    /// How much longer it stays cold, as of the write of the entry.
+    pub cold_left: Duration,
 }
--- a/crates/gateway/src/upstream_reach.rs
+++ b/crates/gateway/src/upstream_reach.rs
@@ -6,7 +6,8 @@
 use oleander_core::host_view::HostHash;
 use oleander_core::ids::ServiceName;
 use oleander_core::reach_view::{
-    CarrierHost, ConnectionOutcome, HostPlace, ReachChange, ReachReport, ReachView, ServicePath,
+    CarrierHost, CarrierRule, ConnectionOutcome, HostPlace, ReachChange, ReachReport, ReachView,
+    ServicePath,
 };
 use oleander_core::units::Timestamp;
 use std::collections::{BTreeMap, BTreeSet};
@@ -192,12 +193,12 @@
     pub fn begin_carried(
         &self,
         service: &ServiceName,
-        excluded: &BTreeSet<HostHash>,
+        rule: &CarrierRule<'_>,
         point: f64,
         now: Timestamp,
     ) -> Option<CarrierHost> {
         let mut view = lock(&self.view);
-        let carrier = view.choose_carrier(service, excluded, point, now)?;
+        let carrier = view.choose_carrier(service, rule, point, now)?;
         view.begin_carried(carrier.host);
         Some(carrier)
     }
--- a/crates/gateway/src/wire_format.rs
+++ b/crates/gateway/src/wire_format.rs
@@ -79,6 +79,8 @@
     pub waiting: u32,
     /// Requests that can run at once.
     pub slots: u32,
+    /// How long work takes there now, in per cent of the usual time, if stated.
+    pub pace: Option<u16>,
 }
 
 /// Fields of an upstream's response headers.
@@ -105,6 +107,8 @@
     /// How many requests a second the upstream can turn away for want of room, as stated; it falls over
     /// when there are more. Several when repeated.
     pub brittle: Vec<Arc<str>>,
+    /// How much longer the upstream stays cold, if stated.
+    pub cold_left: Option<Duration>,
 }
 
 /// Codec for a deployment's headers.
--- a/crates/gateway/tests/canary_load.rs
+++ b/crates/gateway/tests/canary_load.rs
@@ -39,6 +39,7 @@
         slots: SLOTS,
         state: UpstreamState::Ready,
         started_ms: 1,
+        cold_left: std::time::Duration::ZERO,
     };
     let value = TopicValue::Upstream(entry.into());
     TopicRow { key: name.into(), version: u64::from(number), value }
@@ -110,6 +111,7 @@
             outgoing: None,
             store: free,
             memory_bytes: 100_000_000,
+            max_descriptors: 1_024,
             bounds: GatewayBounds::default(),
         }));
         let clock: Arc<dyn ClockPort> = Arc::new(RuntimeClock::new(START));
--- a/crates/gateway/tests/control_cache.rs
+++ b/crates/gateway/tests/control_cache.rs
@@ -23,6 +23,7 @@
         slots: 6,
         state,
         started_ms: 1,
+        cold_left: std::time::Duration::ZERO,
     }))
 }
 
--- a/crates/gateway/tests/earlier_builds.rs
+++ b/crates/gateway/tests/earlier_builds.rs
@@ -22,7 +22,7 @@
 
 fn message() -> GossipMessage {
     let hash = |number: usize| UpstreamHash::of_parts(&[&number.to_string()]);
-    let load = AnswerLoad { running: 40, waiting: 200, slots: 64 };
+    let load = AnswerLoad { running: 40, waiting: 200, slots: 64, pace: None };
     let report = |number| {
         LoadReport::new(hash(number), load, Duration::from_secs(1), Duration::from_millis(900))
     };
@@ -43,6 +43,7 @@
             seeks: true,
         }),
         places: Vec::new(),
+        ..GossipMessage::default()
     }
 }
 
--- a/crates/gateway/tests/load.rs
+++ b/crates/gateway/tests/load.rs
@@ -36,6 +36,7 @@
         outgoing: None,
         store: free,
         memory_bytes: 100_000_000,
+        max_descriptors: 1_024,
         bounds,
     }))
 }
@@ -61,6 +62,7 @@
         slots: 64,
         state: UpstreamState::Ready,
         started_ms: 1,
+        cold_left: std::time::Duration::ZERO,
     };
     (0..count).map(|number| Arc::new(entry(number))).collect()
 }
@@ -209,7 +211,7 @@
             let idle = permit.upstream.entry.name.as_str() == "i-0";
             let running = if idle { 0 } else { 20 };
             permit.upstream.record_load(
-                AnswerLoad { running, waiting: 0, slots: 64 },
+                AnswerLoad { running, waiting: 0, slots: 64, pace: None },
                 Duration::ZERO,
                 Timestamp::from_millis(1_000),
             );
@@ -232,7 +234,7 @@
             let permit = TestRequest::tag().choose(&pool, entries, host * 100 + n, 1_000).unwrap();
             let number: u32 = permit.upstream.entry.name.as_str()[2..].parse().unwrap();
             let waiting = if number.is_multiple_of(10) { 8 } else { 0 };
-            let load = AnswerLoad { running: 6, waiting, slots: 24 };
+            let load = AnswerLoad { running: 6, waiting, slots: 24, pace: None };
             permit.upstream.record_load(load, Duration::ZERO, Timestamp::from_millis(1_000));
         }
         pools.push(pool);
@@ -287,7 +289,7 @@
     let settings = settings("puget", GatewayBounds::default());
     let other = UpstreamPool::new(settings, Arc::clone(&clock) as Arc<dyn ClockPort>);
     other.update(&BTreeMap::from([("writer".parse().unwrap(), entries.clone())]));
-    let idle = AnswerLoad { running: 3, waiting: 0, slots: 24 };
+    let idle = AnswerLoad { running: 3, waiting: 0, slots: 24, pace: None };
     let mut slow = TestRequest::tag().choose(&other, &entries, 5, 1_000).unwrap();
     let name = slow.upstream.entry.name.to_string();
     slow.upstream.record_load(idle, Duration::ZERO, Timestamp::from_millis(1_000));
@@ -318,7 +320,7 @@
     let at = Timestamp::from_millis;
     for (host, waiting, reported_at) in [(&pool, 9, 1_000), (&other, 1, 1_500)] {
         let permit = TestRequest::tag().choose(host, &entries, 1, reported_at).unwrap();
-        let load = AnswerLoad { running: 5, waiting, slots: 24 };
+        let load = AnswerLoad { running: 5, waiting, slots: 24, pace: None };
         permit.upstream.record_load(load, Duration::ZERO, at(reported_at));
     }
     let old = pool.load_reports(at(1_600));
--- a/crates/gateway/tests/store_silence.rs
+++ b/crates/gateway/tests/store_silence.rs
@@ -27,6 +27,7 @@
 use oleander_gateway::seeded_random::SeededRandom;
 use oleander_gateway::session_versions::SessionVersions;
 use oleander_gateway::settings::{GatewayBounds, GatewaySettings};
+use oleander_gateway::shared_evacuations::SharedEvacuations;
 use oleander_gateway::snapshot_publisher::SnapshotPublisher;
 use oleander_gateway::socket_dialer::SocketDialer;
 use oleander_gateway::state::GatewayState;
@@ -199,6 +200,7 @@
         slots: 6,
         state,
         started_ms: 0,
+        cold_left: std::time::Duration::ZERO,
     }))
 }
 
@@ -224,6 +226,7 @@
         outgoing: None,
         store: free,
         memory_bytes: 50_000_000,
+        max_descriptors: 1_024,
         bounds: GatewayBounds::default(),
     }));
     let clock = Arc::new(RuntimeClock::new(Timestamp::from_millis(1_000)));
@@ -239,6 +242,7 @@
         },
         dialer: SocketDialer::default(),
         reach: UpstreamReach::new(&settings.load()),
+        evacuations: SharedEvacuations::default(),
         links: CarrierLinks::default(),
         carrier_load: CarrierLoad::default(),
         clock,
--- a/crates/gateway/tests/support/store_model.rs
+++ b/crates/gateway/tests/support/store_model.rs
@@ -33,6 +33,7 @@
         slots: 6,
         state: if is_ready { UpstreamState::Ready } else { UpstreamState::Draining },
         started_ms,
+        cold_left: std::time::Duration::ZERO,
     }))
 }
 
--- a/crates/gateway/tests/topic_calls.rs
+++ b/crates/gateway/tests/topic_calls.rs
@@ -126,6 +126,7 @@
         outgoing: None,
         store: free,
         memory_bytes: 50_000_000,
+        max_descriptors: 1_024,
         bounds: GatewayBounds::default(),
     }
 }
--- a/crates/gateway/tests/withdrawn_versions.rs
+++ b/crates/gateway/tests/withdrawn_versions.rs
@@ -26,6 +26,7 @@
         slots: 6,
         state: UpstreamState::Ready,
         started_ms: 1,
+        cold_left: std::time::Duration::ZERO,
     };
     TopicRow { key: name.into(), version: row_version, value: TopicValue::Upstream(entry.into()) }
 }
