Read large answers of the store for as long as they make progress

Cause: a call had 1 s in all. A host with a link of 10 Mbit/s that was cut off for seconds asked for all versions in between, 1 to 2 MB, did not get them in time and asked for the same again; other hosts' news broke off calls whose answers were arriving. Change: time counts from progress (32 KiB in each second after the head). Answers that arrive are not taken for lost calls.

--- a/crates/adapters/src/http_client.rs
+++ b/crates/adapters/src/http_client.rs
@@ -7,10 +7,10 @@
 use crate::read_meter::{MeteredIo, ReadMeter};
 use crate::socket_keepalive::SocketKeepalive;
 use arc_swap::ArcSwap;
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http::{Request, Response, Uri};
-use http_body_util::Full;
-use hyper::body::Incoming;
+use http_body_util::{BodyExt, Full};
+use hyper::body::{Body, Incoming};
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
@@ -19,6 +19,7 @@
 use std::task::{Context, Poll};
 use std::time::Duration;
 use tokio::net::TcpStream;
+use tokio::time::Instant;
 use tower_service::Service;
 
 /// Time after which an idle connection is closed.
@@ -35,6 +36,28 @@
 /// Maximum number of idle connections per address.
 const MAX_IDLE_PER_ADDRESS: usize = 32;
 
+/// Bytes of a body that make progress. Over a link of 10 Mbit/s that is shared with other traffic they take some
+/// 30 to 300 ms.
+pub const MIN_PROGRESS_BYTES: usize = 32 * 1024;
+
+/// How long a call may take whose answer may be large.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct CallTimeouts {
+    /// Until the head of the answer.
+    pub head: Duration,
+    /// In which [`MIN_PROGRESS_BYTES`] of its body arrive each time, or the rest of it.
+    pub progress: Duration,
+}
+
+/// How large an answer may be, in bytes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct AnswerLimits {
+    /// Length that its head may state; a larger one is not read.
+    pub stated: usize,
+    /// Length of its body.
+    pub body: usize,
+}
+
 /// Why a call failed.
 #[derive(Debug, thiserror::Error)]
 pub enum CallError {
@@ -47,6 +70,9 @@
     /// No answer arrived in time; the call may have been handled.
     #[error("no answer within {0:?}")]
     Timeout(Duration),
+    /// The body of the answer stopped arriving; the call may have been handled.
+    #[error("the answer stalled, less than {MIN_PROGRESS_BYTES} bytes within {0:?}")]
+    Stalled(Duration),
     /// The answer's body could not be read.
     #[error(transparent)]
     Body(#[from] BodyReadError),
@@ -127,6 +153,28 @@
         })
     }
 
+    /// Sends a request and buffers its answer, for as long as it makes progress; `on_progress` is
+    /// called whenever some of it has arrived.
+    ///
+    /// # Errors
+    ///
+    /// [`CallError`], which states whether bytes may have been sent.
+    pub async fn send_progressing(
+        &self,
+        request: Request<Full<Bytes>>,
+        timeouts: CallTimeouts,
+        limits: AnswerLimits,
+        on_progress: impl Fn(),
+    ) -> Result<Response<Bytes>, CallError> {
+        let pool = self.pool.load_full();
+        let (head, body) = self.send(request, timeouts.head).await?.into_parts();
+        let read = read_progressing(body, timeouts.progress, limits, on_progress).await;
+        if matches!(read, Err(CallError::Stalled(_))) {
+            self.retire(&pool);
+        }
+        Ok(Response::from_parts(head, read?))
+    }
+
     /// Drops all pooled connections, for example after one of them stopped responding in the
     /// middle of an answer. In-flight calls continue.
     pub fn retire_connections(&self) {
@@ -175,6 +223,35 @@
         .build(MeteredConnector { connector, answer_limit })
 }
 
+async fn read_progressing(
+    mut body: Incoming,
+    timeout: Duration,
+    limits: AnswerLimits,
+    on_progress: impl Fn(),
+) -> Result<Bytes, CallError> {
+    if body.size_hint().lower() > limits.stated as u64 {
+        return Err(BodyReadError::TooLarge(limits.stated).into());
+    }
+    let mut buffer = BytesMut::new();
+    let (mut expected, mut deadline) = (MIN_PROGRESS_BYTES, Instant::now() + timeout);
+    loop {
+        let frame = tokio::time::timeout_at(deadline, body.frame()).await;
+        let Some(frame) = frame.map_err(|_| CallError::Stalled(timeout))? else {
+            return Ok(buffer.freeze());
+        };
+        let frame = frame.map_err(|error| BodyReadError::Truncated(error.to_string()))?;
+        let Ok(bytes) = frame.into_data() else { continue };
+        if buffer.len() + bytes.len() > limits.body {
+            return Err(BodyReadError::TooLarge(limits.body).into());
+        }
+        buffer.extend_from_slice(&bytes);
+        on_progress();
+        if buffer.len() >= expected {
+            (expected, deadline) = (buffer.len() + MIN_PROGRESS_BYTES, Instant::now() + timeout);
+        }
+    }
+}
+
 fn describe(error: &hyper_util::client::legacy::Error) -> String {
     let cause = std::error::Error::source(error);
     cause.map_or_else(|| error.to_string(), |cause| format!("{error}: {cause}"))
--- a/crates/adapters/src/platform/call.rs
+++ b/crates/adapters/src/platform/call.rs
@@ -75,7 +75,7 @@
 fn call_error(error: CallError) -> PlatformError {
     match error {
         CallError::Connect(_) => PlatformError::NotApplied(error.to_string()),
-        CallError::Lost(_) | CallError::Timeout(_) | CallError::Body(_) => {
+        CallError::Lost(_) | CallError::Timeout(_) | CallError::Stalled(_) | CallError::Body(_) => {
             PlatformError::Unknown(error.to_string())
         }
     }
--- a/crates/gateway/src/topic_watch.rs
+++ b/crates/gateway/src/topic_watch.rs
@@ -76,15 +76,13 @@
         if !wait.is_zero() {
             reconnects.calls().begin(topic, began);
         }
-        let update = tokio::select! {
-            update = next_update(topic, &*control, cursor, wait) => update,
-            () = reconnects.next() => {
-                log::info!(target: "dependency", topic:% = topic; "reconnecting to the store");
-                control.reset_connections();
-                reconnects.calls().end(topic);
-                is_confirmed = false;
-                continue;
-            }
+        let Some(update) = call_or_reconnect(topic, &*control, cursor, wait, &mut reconnects).await
+        else {
+            log::info!(target: "dependency", topic:% = topic; "reconnecting to the store");
+            control.reset_connections();
+            reconnects.calls().end(topic);
+            is_confirmed = false;
+            continue;
         };
         reconnects.calls().end(topic);
         is_confirmed = update.is_ok();
@@ -172,6 +170,29 @@
     tokio::time::sleep(spread.mul_f64(state.random.next_unit())).await;
 }
 
+/// The next update; `None` when a reconnect is requested first. An answer that is arriving is read to its end, since
+/// asking for it again over a slow link would take as long.
+async fn call_or_reconnect(
+    topic: Topic,
+    control: &dyn ControlPort,
+    cursor: Option<StoreRevision>,
+    wait: Duration,
+    reconnects: &mut ReconnectRequests,
+) -> Option<Result<TopicUpdate, PlatformError>> {
+    let call = next_update(topic, control, cursor, wait);
+    tokio::pin!(call);
+    loop {
+        tokio::select! {
+            update = call.as_mut() => return Some(update),
+            () = reconnects.next() => {
+                if !control.is_receiving(topic) {
+                    return None;
+                }
+            }
+        }
+    }
+}
+
 async fn next_update(
     topic: Topic,
     control: &dyn ControlPort,
