Cover stalled answers in the entry's faults

Cause: the client has a new error for a body that stops arriving, and the entry matches its errors one by one, so the workspace did not build. Change: a stalled answer is a lost or cut one there, as a body that ends early. Measured: the release build of the gateway passes again.

--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -199,7 +199,7 @@
     let kind = match &error {
         CallError::Connect(_) => FaultKind::Connect,
         CallError::Timeout(_) => FaultKind::Silent,
-        CallError::Lost(_) | CallError::Body(_) => FaultKind::Lost,
+        CallError::Lost(_) | CallError::Stalled(_) | CallError::Body(_) => FaultKind::Lost,
     };
     AttemptFault::new(kind, error.to_string())
 }
--- a/crates/entry/src/service_send.rs
+++ b/crates/entry/src/service_send.rs
@@ -104,7 +104,7 @@
         CallError::Connect(_) => FaultKind::Connect,
         CallError::Timeout(_) => FaultKind::Silent,
         CallError::Lost(_) => FaultKind::Lost,
-        CallError::Body(_) => FaultKind::Cut,
+        CallError::Stalled(_) | CallError::Body(_) => FaultKind::Cut,
     };
     AttemptFault { kind, message: error.to_string() }
 }
