Divide the rate of cold upstreams among hosts

Upstreams of a crashed or emptied domain look idle when they come back, and all hosts rush to them. core::cold_division gives a seat at a cold upstream to as many hosts as the bound's burst allows (0.8 of it), each sending at even intervals; the order of seats covers every host heard from within ten minutes, so hosts that disagree on who is alive never hold more seats than there are.

--- a/crates/core/src/host_view.rs
+++ b/crates/core/src/host_view.rs
@@ -191,15 +191,28 @@
         std::iter::once(self.me).chain(others.map(|(host, _)| *host)).collect()
     }
 
+    /// The hosts that were heard from, or first listed, within `silence`, this one included. Unlike
+    /// [`HostView::live`] it keeps hosts that may only be paused or cut off from this one.
+    #[must_use]
+    pub fn members(&self, silence: Duration, now: Timestamp) -> Vec<HostHash> {
+        let others = self.hosts.iter().filter(|(_, known)| self.is_heard(known, silence, now));
+        std::iter::once(self.me).chain(others.map(|(host, _)| *host)).collect()
+    }
+
+    /// Whether another host was heard from just now, or none is known.
+    #[must_use]
+    pub fn is_in_touch(&self, now: Timestamp) -> bool {
+        self.hosts.is_empty()
+            || self.contact.is_some_and(|contact| now.since(contact.last) <= CONTACT_TIMEOUT)
+    }
+
     /// Whether this host is the first one in the order of a key, among those that are alive. None is
     /// as long as it has not settled, or is out of touch with others that it knows.
     #[must_use]
     pub fn is_first(&self, key: u64, now: Timestamp) -> bool {
-        let is_in_touch = self.hosts.is_empty()
-            || self.contact.is_some_and(|contact| now.since(contact.last) <= CONTACT_TIMEOUT);
         let rank = |host: HostHash| (mix(key ^ u64::from(host.get())), host);
         let first = self.live(now).into_iter().min_by_key(|host| rank(*host));
-        self.is_settled(now) && is_in_touch && first == Some(self.me)
+        self.is_settled(now) && self.is_in_touch(now) && first == Some(self.me)
     }
 
     /// Whether the store's list was read, so that this host knows of the others.
@@ -215,10 +228,14 @@
     }
 
     fn is_live(&self, known: &KnownHost, now: Timestamp) -> bool {
+        self.is_heard(known, EXPIRY_TIME, now)
+    }
+
+    fn is_heard(&self, known: &KnownHost, silence: Duration, now: Timestamp) -> bool {
         let Some(contact) = self.contact else { return true };
         let is_in_touch = now.since(contact.last) <= CONTACT_TIMEOUT;
         let silent_for = now.since(known.heard_at).min(now.since(contact.since));
-        !is_in_touch || silent_for < EXPIRY_TIME
+        !is_in_touch || silent_for < silence
     }
 
     /// The entry of another host, added if there is room. Dead hosts stay, so that they do not come
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod chain_input;
 pub mod choice_mode;
 pub mod claim;
+pub mod cold_division;
 pub mod concurrency;
 pub mod confidence;
 pub mod deadline;
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -220,6 +220,7 @@
     let is_own = answer.request == expected || (answer.not_run && answer.request.is_none());
     if !is_other && is_own {
         permit.upstream.record_limit(&answer, checked.is_ok(), now);
+        permit.upstream.record_cold(&answer, now);
         let is_rejection = answer.not_run && parts.status == StatusCode::SERVICE_UNAVAILABLE;
         permit.upstream.record_places(&answer, (checked.is_ok(), is_rejection), now);
     }
@@ -302,6 +303,10 @@
         let reason = "the upstream asked for no more requests while the connection was opened";
         return Err(AttemptFault::new(FaultKind::Connect, reason));
     }
+    if !permit.is_timely(state.clock.now()) {
+        let reason = "the upstream is cold and the connection was opened too late";
+        return Err(AttemptFault::new(FaultKind::Unreached, reason));
+    }
     progress.begin();
     let response = {
         let sent = watch_silence(state, &entry.service, connection.send(request));
--- a/crates/gateway/src/gateway_process.rs
+++ b/crates/gateway/src/gateway_process.rs
@@ -253,6 +253,7 @@
         state.metrics.set_lost_services(state.reach.lost_count());
         state.crashes.expire(state.clock.now());
         state.pool.limits().divide(state.clock.now());
+        state.metrics.set_cold_upstreams(state.pool.limits().cold().count(state.clock.now()));
         state.sessions.evict(state.settings.load().bounds.session_retention(), state.clock.now());
     }
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod carrier_wire;
 pub mod cascade;
 pub mod choice_price;
+pub mod cold_upstreams;
 pub mod connection_end;
 pub mod control_cache;
 pub mod control_port;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -30,6 +30,8 @@
     carried: Family<OutcomeLabel, Counter>,
     handed_over: Counter,
     lost_services: Gauge,
+    cold_upstreams: Gauge,
+    cold_waits: Counter,
     escalations: Counter,
     resumptions: Counter,
     ejections: Counter,
@@ -54,6 +56,8 @@
             carried: Family::default(),
             handed_over: Counter::default(),
             lost_services: Gauge::default(),
+            cold_upstreams: Gauge::default(),
+            cold_waits: Counter::default(),
             escalations: Counter::default(),
             resumptions: Counter::default(),
             ejections: Counter::default(),
@@ -76,6 +80,10 @@
         registry.register("handed_over", help, self.handed_over.clone());
         let help = "Services out of reach of this host";
         registry.register("lost_services", help, self.lost_services.clone());
+        let help = "Upstreams that are cold";
+        registry.register("cold_upstreams", help, self.cold_upstreams.clone());
+        let help = "Choices that found all open upstreams cold and no permit left";
+        registry.register("cold_waits", help, self.cold_waits.clone());
         registry.register("escalations", "Weak answers given up", self.escalations.clone());
         registry.register("resumptions", "Streams resumed elsewhere", self.resumptions.clone());
         registry.register("ejections", "Upstreams left out for a while", self.ejections.clone());
@@ -118,6 +126,16 @@
         self.lost_services.set(i64::try_from(count).unwrap_or(i64::MAX));
     }
 
+    /// Sets the number of cold upstreams.
+    pub fn set_cold_upstreams(&self, count: usize) {
+        self.cold_upstreams.set(i64::try_from(count).unwrap_or(i64::MAX));
+    }
+
+    /// Records that no permit for cold upstreams was left and no other upstream was open.
+    pub fn record_cold_wait(&self) {
+        self.cold_waits.inc();
+    }
+
     /// Records an attempt at an upstream.
     pub fn record_attempt(&self) {
         self.attempts.inc();
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -40,6 +40,8 @@
     pub shared_prefix: Option<&'a str>,
     /// Prices that candidates are compared by.
     pub prices: ChoicePrices,
+    /// Priority of the request; 0 is most urgent.
+    pub priority: u8,
     /// Random number for tie-breaking and sampling.
     pub random: u64,
     /// Current time.
--- a/crates/gateway/src/request_run.rs
+++ b/crates/gateway/src/request_run.rs
@@ -172,6 +172,9 @@
                 return Err(RunError::Blocked(wait));
             }
             let Some(permit) = self.choose(last_fault.as_ref()) else {
+                if self.with_choice(|pool, input| pool.is_cold_wait(input)) {
+                    self.state.metrics.record_cold_wait();
+                }
                 return Err(last_fault.map_or(RunError::NoUpstream, RunError::Failed));
             };
             match self.send(permit, resume_after).await {
@@ -395,6 +398,7 @@
             prefill: self.expected_prefill(model.as_ref(), size.prompt),
             shared_prefix: shared_prefix.as_deref(),
             prices: self.prices(model.as_deref()),
+            priority: self.request.priority(),
             random: self.state.random.next(),
             now: self.state.clock.now(),
         };
--- a/crates/gateway/src/shared_limits.rs
+++ b/crates/gateway/src/shared_limits.rs
@@ -1,5 +1,6 @@
 //! The limits that upstreams name, shared by all requests of this host.
 
+use crate::cold_upstreams::ColdUpstreams;
 use crate::control_port::HostRecord;
 use crate::upstream_entry::UpstreamEntry;
 use crate::wire_format::AnswerHead;
@@ -25,6 +26,7 @@
     hosts: Mutex<HostView>,
     division: Mutex<LimitDivision>,
     places: Mutex<PlaceDivision>,
+    cold: ColdUpstreams,
 }
 
 impl SharedLimits {
@@ -34,7 +36,12 @@
         let number = SystemClock.now().as_millis() / HEARTBEAT_MS;
         let heartbeat = Heartbeat::new(number as u16);
         let hosts = Mutex::new(HostView::new(HostHash::new(host), heartbeat));
-        Self { hosts, division: Mutex::default(), places: Mutex::default() }
+        Self {
+            hosts,
+            division: Mutex::default(),
+            places: Mutex::default(),
+            cold: ColdUpstreams::default(),
+        }
     }
 
     /// Adds the hosts that the store lists.
@@ -69,6 +76,20 @@
         let hosts = lock(&self.hosts);
         lock(&self.division).divide(&hosts, now);
         lock(&self.places).expire(now);
+        self.cold.divide(&hosts, now);
+    }
+
+    /// The upstreams that are cold.
+    #[must_use]
+    pub const fn cold(&self) -> &ColdUpstreams {
+        &self.cold
+    }
+
+    /// Divides the rates of cold upstreams at once if `has_changed`.
+    pub fn divide_cold(&self, has_changed: bool, now: Timestamp) {
+        if has_changed {
+            self.cold.divide(&lock(&self.hosts), now);
+        }
     }
 
     /// Whether this host is the first live one in the order of a key.
@@ -188,11 +209,16 @@
         lock(&self.division).wait(key(entry), now)
     }
 
-    /// Takes the permission to send a request to an upstream.
+    /// Takes the permission to send a request of this priority to an upstream.
     #[must_use]
-    pub fn try_take(&self, entry: &UpstreamEntry, now: Timestamp) -> bool {
+    pub fn try_take(&self, entry: &UpstreamEntry, priority: u8, now: Timestamp) -> bool {
         let mut division = lock(&self.division);
-        division.is_empty() || division.try_take(key(entry), now)
+        let is_open = division.is_empty()
+            || matches!(division.wait(key(entry), now), LimitWait::Unlimited | LimitWait::Ready);
+        // One that is cold and limited counts as both, and a request that one forbids as neither.
+        is_open
+            && self.cold.try_take(entry, priority, now)
+            && (division.is_empty() || division.try_take(key(entry), now))
     }
 
     /// The upstreams whose limits, if any, allow a request now.
@@ -222,14 +248,19 @@
         (0..entries.len()).filter(is_limited).collect()
     }
 
-    /// The sum of the limits of upstreams; `None` if one of them has no limit, or there are none.
+    /// The sum of the limits of upstreams, or of their rates while they are cold; `None` if one of them
+    /// has neither, or there are none.
     #[must_use]
     pub fn total<'a>(
         &self,
         entries: impl Iterator<Item = &'a Arc<UpstreamEntry>>,
+        now: Timestamp,
     ) -> Option<RequestRate> {
         let division = lock(&self.division);
-        let limits = entries.map(|entry| division.limit(key(entry)).map(RequestRate::per_second));
+        let limits = entries.map(|entry| {
+            let rates = [division.limit(key(entry)), self.cold.rate(entry, now)];
+            rates.into_iter().flatten().map(RequestRate::per_second).reduce(f64::min)
+        });
         let limits: Vec<f64> = limits.collect::<Option<_>>()?;
         (!limits.is_empty()).then(|| RequestRate::new(limits.iter().sum()))
     }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -73,6 +73,7 @@
     /// Takes over a new list of upstreams.
     pub fn update_upstreams(&self, snapshot: &ControlSnapshot) {
         self.pool.update(&snapshot.upstreams);
+        self.pool.update_cold(snapshot);
         self.reach.retain_services(&snapshot.upstreams.keys().collect());
     }
 
--- a/crates/gateway/src/upstream_handle.rs
+++ b/crates/gateway/src/upstream_handle.rs
@@ -24,6 +24,10 @@
 /// evidence of load. Shorter delays come from refused connections or callers that disconnect.
 const MIN_OVERDUE: Duration = Duration::from_millis(300);
 
+/// Time within which a request has to be sent to a cold upstream: several round trips to the farthest
+/// region.
+const MAX_PERMIT_AGE: Duration = Duration::from_millis(200);
+
 struct IdleConnection {
     connection: UpstreamConnection,
     until: Timestamp,
@@ -121,7 +125,13 @@
 
     /// Takes the permission to send the request once more.
     pub(crate) fn try_send_again(&self, now: Timestamp) -> bool {
-        self.limits.try_take(&self.entry, now)
+        self.limits.try_take(&self.entry, 0, now)
+    }
+
+    /// Records what an answer says of how long the upstream stays cold.
+    pub(crate) fn record_cold(&self, head: &AnswerHead, now: Timestamp) {
+        let has_changed = self.limits.cold().record_answer(&self.entry, head.cold_left, now);
+        self.limits.divide_cold(has_changed, now);
     }
 
     /// Whether the upstream has not asked this host for no more requests.
@@ -231,6 +241,13 @@
         Self { upstream, started: clock.now(), clock, pending_prefill: Some(prefill) }
     }
 
+    /// Whether the request may be sent now. If its permission for a cold upstream is too old, it takes
+    /// another one, since requests that waited for connections would arrive together.
+    pub(crate) fn is_timely(&self, now: Timestamp) -> bool {
+        now.since(self.started) < MAX_PERMIT_AGE
+            || self.upstream.limits.cold().try_take(&self.upstream.entry, 0, now)
+    }
+
     /// Records that response headers arrived, with the load they report.
     pub fn record_head(&mut self, load: Option<AnswerLoad>) {
         let Some(lag) = self.finish_prefill() else { return };
--- a/crates/gateway/src/upstream_pool.rs
+++ b/crates/gateway/src/upstream_pool.rs
@@ -1,5 +1,6 @@
 //! The upstreams of this host: connections, requests in flight, load, ejection and retry budgets.
 
+use crate::control_cache::ControlSnapshot;
 use crate::fault::AttemptFault;
 use crate::load_report::{LoadReport, MAX_LOAD_REPORTS, UpstreamHash};
 use crate::placement::{ChoiceInput, attempt_work, cache_holder, has_free_slots};
@@ -10,6 +11,7 @@
 use crate::upstream_handle::{UpstreamHandle, UpstreamPermit};
 use crate::upstream_standings::SharedStandings;
 use crate::wire_format::TokenSize;
+use oleander_core::attempt_retry::FaultKind;
 use oleander_core::ejection::OutlierEjection;
 use oleander_core::ids::{ServiceName, UpstreamName};
 use oleander_core::limit_division::LimitWait;
@@ -22,6 +24,7 @@
 use oleander_core::upstream_choice::{UpstreamRule, UpstreamView, choose_upstream};
 use oleander_core::upstream_standing::SendPermission;
 use oleander_ports::clock::ClockPort;
+use std::borrow::Cow;
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -105,6 +108,13 @@
         }
     }
 
+    /// Takes over what a new snapshot tells of cold upstreams.
+    pub fn update_cold(&self, snapshot: &ControlSnapshot) {
+        let (bounds, now) = (self.settings.load().bounds, self.clock.now());
+        let has_changed = self.limits.cold().update(snapshot, &bounds, now);
+        self.limits.divide_cold(has_changed, now);
+    }
+
     fn new_service_state(&self) -> ServiceState {
         let ejection = OutlierEjection::new(EJECTION_SHARE).with_base(EJECTION_TIME);
         let bounds = self.settings.load().bounds;
@@ -230,6 +240,10 @@
         now: Timestamp,
     ) -> bool {
         let weight = fault.weight();
+        if matches!(fault.kind, FaultKind::Connect | FaultKind::Lost | FaultKind::Cut) {
+            let has_changed = self.limits.cold().record_loss(entry, now);
+            self.limits.divide_cold(has_changed, now);
+        }
         let mut services = lock(&self.services);
         let state = services.get_mut(&entry.service).filter(|_| weight > 0);
         state.is_some_and(|state| state.ejection.record_failures(&entry.name, weight, now))
@@ -277,10 +291,12 @@
     #[must_use]
     pub fn choose(&self, input: &ChoiceInput<'_>) -> Option<UpstreamPermit> {
         self.record_prefill(input);
+        self.limits.cold().record_ask(input.priority, input.now);
         // Another request may take the last one of an upstream meanwhile.
         (0..=input.entries.len()).find_map(|_| {
             let permit = self.choose_open(input)?;
-            self.limits.try_take(&permit.upstream.entry, input.now).then_some(permit)
+            let is_taken = self.limits.try_take(&permit.upstream.entry, input.priority, input.now);
+            is_taken.then_some(permit)
         })
     }
 
@@ -295,6 +311,7 @@
         let usable = self.standings.open_only(usable, input.now);
         let usable = self.limits.open_only(usable, input.now);
         let usable = self.with_places(usable, input);
+        let usable = self.limits.cold().open_only(usable, input.priority, input.now);
         let preferred: Vec<&Arc<UpstreamEntry>> =
             usable.iter().copied().filter(|entry| input.rule.prefers(&entry.version)).collect();
         let loaded = self.canary_upstreams(&preferred, input);
@@ -372,6 +389,10 @@
         for index in self.limits.limited(entries) {
             views[index].is_always_drawn = true;
         }
+        let cold = self.limits.cold().among(entries, input);
+        for index in cold.iter().filter(|cold| cold.is_drawn).map(|cold| cold.index) {
+            views[index].is_always_drawn = true;
+        }
         if !views.iter().any(UpstreamView::is_available) {
             // All of them failed recently: any one is better than none.
             views.iter_mut().for_each(|view| {
@@ -379,7 +400,12 @@
                 view.limit = u32::MAX;
             });
         }
-        let holder = cache_holder(&views, input);
+        let mut holders = Cow::Borrowed(&views);
+        if cold.len() < entries.len() {
+            // Nothing is cached at a cold upstream, which must not attract all requests of a prefix.
+            cold.iter().for_each(|cold| holders.to_mut()[cold.index].leaving = true);
+        }
+        let holder = cache_holder(&holders, input);
         for (index, view) in views.iter_mut().enumerate() {
             let transfer = if view.delay.get() > 0 { input.prices.transfer } else { Money::ZERO };
             let is_holder = holder.is_none_or(|holder| holder == index);
@@ -425,12 +451,23 @@
         let open = self.standings.open_only(permitted.collect(), input.now);
         let open = self.limits.open_only(open, input.now);
         let open = self.with_places(open, input);
+        let open = self.limits.cold().open_only(open, input.priority, input.now);
         open.into_iter().map(|entry| self.view(&self.handle(entry), input.now)).any(|view| {
             let wait = view.backlog.as_duration() + view.delay.as_duration() + input.prefill;
             view.is_available() && has_free_slots(&view) && wait <= limit
         })
     }
 
+    /// Whether upstreams are open to a request, but all of them are cold and this host has no permit
+    /// left for it.
+    #[must_use]
+    pub fn is_cold_wait(&self, input: &ChoiceInput<'_>) -> bool {
+        let permitted = input.entries.iter().filter(|entry| input.rule.permits(&entry.version));
+        let open = self.standings.open_only(permitted.collect(), input.now);
+        let cold = self.limits.cold();
+        !open.is_empty() && open.iter().all(|entry| cold.rate(entry, input.now).is_some())
+    }
+
     /// When the first of the upstreams that may be tried takes requests again; `None` if one does
     /// now, or none is known to.
     #[must_use]
@@ -445,10 +482,12 @@
         for entry in permitted {
             let reopening = match self.standings.permission(entry, now) {
                 SendPermission::Open | SendPermission::Reported => {
-                    match self.limits.wait(entry, now) {
-                        LimitWait::Unlimited | LimitWait::Ready => return None,
-                        LimitWait::After(wait) => now + wait,
-                        LimitWait::NoSeat => continue,
+                    let cold = self.limits.cold().time_until_open(entry, now);
+                    match (self.limits.wait(entry, now), cold) {
+                        (LimitWait::Unlimited | LimitWait::Ready, None) => return None,
+                        (LimitWait::Unlimited | LimitWait::Ready, Some(wait)) => now + wait,
+                        (LimitWait::After(wait), cold) => now + wait.max(cold.unwrap_or_default()),
+                        (LimitWait::NoSeat, _) => continue,
                     }
                 }
                 SendPermission::Paused(until) => until,
@@ -460,7 +499,7 @@
     }
 
     /// Time after which a caller should come back that was refused because all upstreams of a service
-    /// have limits; `None` if one of them has none. Callers are spread over the rate that all hosts
+    /// have limits or are cold; `None` if one of them is neither. Callers are spread over the rate that all hosts
     /// together may send.
     #[must_use]
     pub fn next_turn(
@@ -470,17 +509,21 @@
         rule: &VersionRule,
         now: Timestamp,
     ) -> Option<Duration> {
-        let open = entries.iter().filter(|entry| {
+        let is_open = |entry: &&Arc<UpstreamEntry>| {
             rule.permits(&entry.version)
                 && matches!(
                     self.standings.permission(entry, now),
                     SendPermission::Open | SendPermission::Reported
                 )
-        });
-        let total = self.limits.total(open)?;
+        };
+        let open: Vec<&Arc<UpstreamEntry>> = entries.iter().filter(is_open).collect();
+        let total = self.limits.total(open.iter().copied(), now)?;
         let part = RequestRate::new(total.per_second() / self.limits.live_hosts(now) as f64);
         let mut services = lock(&self.services);
-        services.get_mut(service).map(|state| state.turns.next_turn(part, now))
+        let turn = services.get_mut(service).map(|state| state.turns.next_turn(part, now))?;
+        // One that becomes warm takes more than its turns.
+        let warm = open.iter().filter_map(|entry| self.limits.cold().cold_left(entry, now)).min();
+        Some(warm.map_or(turn, |warm| turn.min(warm)))
     }
 
     /// Hashes of upstreams that recently told this host that they are leaving, for other hosts.
--- a/crates/gateway/tests/canary_load.rs
+++ b/crates/gateway/tests/canary_load.rs
@@ -145,6 +145,7 @@
                 prefill: Duration::from_millis(13),
                 shared_prefix: None,
                 prices,
+                priority: 1,
                 random: mix(number as u64),
                 now,
             });
--- a/crates/gateway/tests/load.rs
+++ b/crates/gateway/tests/load.rs
@@ -137,6 +137,7 @@
             prefill: self.prefill,
             shared_prefix: self.shared.as_ref().map(|shared| shared.0.as_str()),
             prices: self.prices(),
+            priority: 1,
             random: mix(random),
             now: Timestamp::from_millis(now),
         })
@@ -436,6 +437,7 @@
             prefill: request.prefill,
             shared_prefix: None,
             prices: request.prices(),
+            priority: 1,
             random: 1,
             now: Timestamp::from_millis(1_000),
         };
