--- a/crates/core/tests/cold_division.rs
+++ b/crates/core/tests/cold_division.rs
@@ -135,7 +135,7 @@
             2 => self.hosts[index].silent_until = now + 2 * length,
             3 if left > 4 => self.hosts[index].is_gone = true,
             4 if left < 100 => self.start(None, now),
-            // Each half hears only its own hosts, and takes the others for dead after ten seconds.
+            // Four groups hear only their own hosts, and take the others for dead after ten seconds.
             5 => self.split_until = self.split_until.max(now + 2 * length),
             _ => {}
         }
@@ -196,7 +196,7 @@
             let report = host.view.report(at(now));
             for _ in 0..3 {
                 let to = self.below(self.hosts.len() as u64) as usize;
-                let is_cut = now < self.split_until && to % 2 != index % 2;
+                let is_cut = now < self.split_until && to % 4 != index % 4;
                 if to != index && !is_cut && !self.chance(0.05) {
                     let arrives = now + 1 + self.below(60);
                     self.datagrams.push((arrives, index, to, report.clone()));
@@ -291,6 +291,19 @@
     }
 }
 
+/// Guards against groups of hosts that do not hear each other and each take all of the rate.
+#[test]
+fn groups_that_take_each_other_for_dead_keep_the_bound() {
+    for seed in 0..3 {
+        let mut fleet = Fleet::new(84, 15.0, seed);
+        fleet.split_until = u64::MAX;
+        fleet.has_others = false;
+        fleet.play(0, 4 * CYCLE_MS);
+        let busiest = fleet.busiest_second();
+        assert!(busiest <= 27, "seed {seed}: {busiest} in a second");
+    }
+}
+
 fn settled_view() -> HostView {
     let me = HostHash::new(&"host-1".parse().unwrap());
     let mut view = HostView::new(me, Heartbeat::default());
