Check a configuration before it is sent: oleander-gateway check

Cause: operators learn of routes that never match, services that are not listed or limits that contradict each other only when requests fail. Change: ConfigurationDraft holds the parts in the order in which they are written; check_configuration and compare_configurations find errors, entries that never match, contradictory limits and what differs from the version in force; the adapter reads the file and the places of its entries. Exit code 1 if there are errors.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -18,6 +18,8 @@
 pub mod carrier_wire;
 pub mod cascade;
 pub mod choice_price;
+pub mod configuration_check;
+pub mod configuration_draft;
 pub mod connection_end;
 pub mod control_cache;
 pub mod control_port;
--- a/src/bin/oleander-gateway/exit_codes.rs
+++ b/src/bin/oleander-gateway/exit_codes.rs
@@ -10,6 +10,10 @@
     Stopped,
     /// The settings are invalid, or an address is in use.
     CannotStart,
+    /// A checked configuration has no errors.
+    Checked,
+    /// A checked configuration has errors, or cannot be read.
+    Invalid,
     /// Connections were still open at the end of the grace period and were closed.
     Cut,
 }
@@ -26,8 +30,8 @@
 impl From<GatewayExit> for ExitCode {
     fn from(exit: GatewayExit) -> Self {
         match exit {
-            GatewayExit::Stopped => Self::SUCCESS,
-            GatewayExit::CannotStart => Self::from(1),
+            GatewayExit::Stopped | GatewayExit::Checked => Self::SUCCESS,
+            GatewayExit::CannotStart | GatewayExit::Invalid => Self::from(1),
             GatewayExit::Cut => Self::from(2),
         }
     }
--- a/src/bin/oleander-gateway/main.rs
+++ b/src/bin/oleander-gateway/main.rs
@@ -1,11 +1,12 @@
 //! Routes opaque requests to services and model engines, on one host.
 
+mod check;
 mod cli;
 mod exit_codes;
 
 use anyhow::Context;
 use clap::Parser;
-use cli::Cli;
+use cli::{Cli, Command};
 use exit_codes::GatewayExit;
 use oleander_adapters::bounded_log::start_bounded_logs;
 use oleander_adapters::settings::read_settings;
@@ -27,6 +28,9 @@
 #[tokio::main(flavor = "current_thread")]
 async fn main() -> ExitCode {
     let cli = Cli::parse();
+    if let Some(Command::Check(args)) = &cli.command {
+        return check::run(args).into();
+    }
     let exit = match serve(&cli).await {
         Ok(stop) => GatewayExit::from(stop),
         Err(error) => {
@@ -41,14 +45,15 @@
 async fn serve(cli: &Cli) -> anyhow::Result<GatewayStop> {
     // Without handlers, a signal to reload ends the process.
     let (mut signals, reloads) = (StopSignals::new()?, ReloadSignals::new()?);
-    let settings = load_settings(&cli.settings)?;
+    let path = cli.settings.clone().context("no settings file is named")?;
+    let settings = load_settings(&path)?;
     start_bounded_logs(&cli.log_level)?;
     let control = Arc::new(StoreClient::new(settings.store));
     let (host, callers) = (settings.host.clone(), settings.callers);
     let process = GatewayProcess::start(settings, wire_format(), control).await?;
     log::info!(target: "process", host:%, callers:%; "started");
     let settings = Arc::clone(&process.state().settings);
-    let reload = tokio::spawn(watch_settings(cli.settings.clone(), settings, reloads));
+    let reload = tokio::spawn(watch_settings(path, settings, reloads));
     let stop = process.serve(signals.next()).await;
     reload.abort();
     log::info!(target: "process", host:%, stop:?; "stopped");
--- a/tests/gateway_binary.rs
+++ b/tests/gateway_binary.rs
@@ -124,3 +124,18 @@
     gateway.wait_for_line("started");
     gateway.wait_for_line("settings reloaded");
 }
+
+/// Guards against a configuration with errors that a script takes for a sound one.
+#[yare::parameterized(
+    sound = { r#"{"version": 1, "routes": [{"name": "look", "host": "h", "prefix": "/", "type": "safe",
+        "timeout_ms": 900, "public": true, "service": "desk"}], "services": [{"name": "desk"}]}"#, 0 },
+    without_routes = { r#"{"version": 1}"#, 1 },
+    no_configuration = { "{", 1 },
+)]
+fn check_exits_with_one_if_there_are_errors(text: &str, code: i32) {
+    let folder = tempfile::tempdir().unwrap();
+    let path = folder.path().join("new.json");
+    std::fs::write(&path, text).unwrap();
+    let checked = Command::new(BINARY).arg("check").arg(&path).output().unwrap();
+    assert_eq!(checked.status.code(), Some(code), "{checked:?}");
+}
