--- a/crates/core/tests/cold_division.rs
+++ b/crates/core/tests/cold_division.rs
@@ -311,6 +311,46 @@
     view
 }
 
+/// Guards against hosts that all send in the moment in which they learn that an upstream is cold, on top of
+/// what they sent before.
+#[test]
+fn seats_begin_one_after_the_other() {
+    let name = |number: usize| HostHash::new(&format!("host-{number}").parse().unwrap());
+    let begin = |number: usize| {
+        let mut view = HostView::new(name(number), Heartbeat::default());
+        view.register((0..84).map(name), at(0));
+        let mut division = new_division();
+        division.observe(&listed(15.0, 1, COLD_MS), at(10_000));
+        division.divide(&view, at(10_000));
+        (10_000..18_000).find(|now| division.try_take(key(), 0, at(*now)))
+    };
+    let mut first: Vec<u64> = (0..84).filter_map(begin).collect();
+    first.sort_unstable();
+    assert_eq!(first.len(), 10);
+    assert!(first[0] >= 10_300, "{first:?}");
+    assert!(first.windows(2).all(|pair| pair[1] - pair[0] >= 20), "{first:?}");
+}
+
+/// Guards against a host that others may not count, and that uses a seat although warm upstreams are open;
+/// and against one that does so before it has read the list of hosts.
+#[test]
+fn a_new_or_lonely_host_uses_its_seat_as_a_last_resort() {
+    let [me, other] = ["host-1", "host-2"].map(|name| HostHash::new(&name.parse().unwrap()));
+    let (mut division, mut view) = (new_division(), HostView::new(me, Heartbeat::default()));
+    let mut wait_at = |view: &HostView, now: u64| {
+        division.observe(&listed(15.0, 1, 90_000 - now), at(now));
+        division.divide(view, at(now));
+        division.divide(view, at(now + 1));
+        division.wait(key(), 0, at(now + 1_000))
+    };
+    assert!(matches!(wait_at(&view, 1_000), ColdWait::NoSeat(_)));
+    view.register([me, other], at(3_000));
+    assert_eq!(wait_at(&view, 4_000), ColdWait::LastResort, "just started");
+    assert_eq!(wait_at(&view, 10_000), ColdWait::LastResort, "hears no other host");
+    view.merge(other, &HostView::new(other, Heartbeat::default()).report(at(11_000)), at(11_000));
+    assert_eq!(wait_at(&view, 11_100), ColdWait::Ready);
+}
+
 /// Guards against starts, losses and returns that a host does not notice, and against warm upstreams that
 /// it takes for cold.
 #[test]
