Renew permits that waited for connections, and ignore cut streams

Requests that wait for connections would reach a cold upstream together, so a permit is renewed after 300 ms. Upstreams abort answers that callers do not read; a stream that is cut no longer counts as a lost connection, but a connection that is refused when the upstream is checked afterwards does.

--- a/crates/gateway/src/crash_guard.rs
+++ b/crates/gateway/src/crash_guard.rs
@@ -112,20 +112,22 @@
         });
         if are_parts_first || is_request_first {
             let (guard, state) = (Arc::clone(self), Arc::clone(state));
-            let (service, address) = (entry.service.clone(), entry.address);
+            let entry = entry.clone();
             tokio::spawn(async move {
                 for delay in CHECK_DELAYS {
                     tokio::time::sleep(delay).await;
-                    let connect = tokio::time::timeout(CHECK_TIMEOUT, state.dialer.dial(address));
+                    let connect =
+                        tokio::time::timeout(CHECK_TIMEOUT, state.dialer.dial(entry.address));
                     let refused =
                         |error: &std::io::Error| error.kind() == ErrorKind::ConnectionRefused;
                     if connect.await.is_ok_and(|connected| connected.as_ref().is_err_and(refused)) {
                         // This host alone may have lost the path to all upstreams.
-                        state.reach.suspect(&service);
+                        state.reach.suspect(&entry.service);
                         tokio::time::sleep(REACH_CHECK_TIME).await;
                         let now = state.clock.now();
-                        if state.reach.lost_for(&service, now).is_none() {
+                        if state.reach.lost_for(&entry.service, now).is_none() {
                             guard.record_run_end(run, now);
+                            state.pool.record_loss(&entry, now);
                         }
                         return;
                     }
--- a/crates/gateway/src/upstream_handle.rs
+++ b/crates/gateway/src/upstream_handle.rs
@@ -26,7 +26,7 @@
 
 /// Time within which a request has to be sent to a cold upstream: several round trips to the farthest
 /// region.
-const MAX_PERMIT_AGE: Duration = Duration::from_millis(200);
+const MAX_PERMIT_AGE: Duration = Duration::from_millis(300);
 
 struct IdleConnection {
     connection: UpstreamConnection,
--- a/crates/gateway/src/upstream_pool.rs
+++ b/crates/gateway/src/upstream_pool.rs
@@ -232,6 +232,12 @@
         }
     }
 
+    /// Records that an upstream refused or lost a connection, so that it may have started again.
+    pub(crate) fn record_loss(&self, entry: &UpstreamEntry, now: Timestamp) {
+        let has_changed = self.limits.cold().record_loss(entry, now);
+        self.limits.divide_cold(has_changed, now);
+    }
+
     /// Records a fault of an upstream; `true` when it causes an ejection.
     pub fn record_fault(
         &self,
@@ -240,9 +246,9 @@
         now: Timestamp,
     ) -> bool {
         let weight = fault.weight();
-        if matches!(fault.kind, FaultKind::Connect | FaultKind::Lost | FaultKind::Cut) {
-            let has_changed = self.limits.cold().record_loss(entry, now);
-            self.limits.divide_cold(has_changed, now);
+        // A stream that is cut proves no restart: upstreams also abort what callers do not read.
+        if matches!(fault.kind, FaultKind::Connect | FaultKind::Lost) {
+            self.record_loss(entry, now);
         }
         let mut services = lock(&self.services);
         let state = services.get_mut(&entry.service).filter(|_| weight > 0);
