Choose upstreams by their pace

Cause: two of three machines take 2.4 times as long as the third, and each got the same share.

The choice multiplies the time for work by it, draws candidates in proportion to speed, replaces old reports by the mean load of upstreams of that pace, and where paces differ counts what a request costs others. With equal paces choices are as before.

--- a/crates/core/src/upstream_choice.rs
+++ b/crates/core/src/upstream_choice.rs
@@ -6,11 +6,16 @@
 //! arrive, so each is blended with the mean of all reports according to its age, and the host's
 //! own requests in flight are counted exactly. This keeps hosts from herding on the upstream that
 //! was last reported idle.
+//!
+//! Where machines differ in speed, work is expected to take a multiple of the usual time
+//! ([`UpstreamView::pace`]), and slower upstreams are drawn less often, so that work is shared in
+//! proportion to speed also among hosts that know little of the load.
 
 use crate::choice_mode::ChoiceMode;
 use crate::ids::UpstreamName;
 use crate::stable_hash::{mix, unit_point};
 use crate::units::{Millis, Money, TokenCount};
+use crate::upstream_pace::PaceFactor;
 use std::time::Duration;
 
 /// Age at which a load report has half of its weight; the mean of all reports has the rest.
@@ -21,6 +26,8 @@
 const PREFILL_SAVED: f64 = 1.0;
 const MILLIS_PER_SECOND: f64 = 1_000.0;
 const MAX_REDRAWS: u32 = 4;
+/// Variance of the logarithm of the pace below which upstreams count as equally fast: 5 % of difference.
+const MIN_PACE_SPREAD: f64 = 0.002_5;
 /// Lower bound of the success rate in the expected cost.
 const MIN_SUCCESS_RATE: f64 = 0.01;
 
@@ -66,6 +73,8 @@
     pub delay: Millis,
     /// Expected time until the prompts queued at the upstream are processed.
     pub backlog: Millis,
+    /// Time that work takes there now, relative to the usual time. The backlog includes it already.
+    pub pace: PaceFactor,
     /// Share of full load while it warms up, from 0 to 1.
     pub slow_start: f64,
     /// Share of its latest attempts that failed, from 0 to 1.
@@ -93,6 +102,7 @@
             region_price: Money::ZERO,
             delay: Millis::new(0),
             backlog: Millis::new(0),
+            pace: PaceFactor::USUAL,
             slow_start: 1.0,
             failure_rate: 0.0,
             ejected: false,
@@ -201,16 +211,21 @@
     let second = draw(views, available, mix(random), Some(first));
     let prefix_holder = available.iter().copied().max_by_key(|&index| views[index].cached.get());
     let prefix_holder = prefix_holder.filter(|&index| views[index].cached.get() > 0);
-    let mean = mean_others(views);
-    let cost = |index: usize| expected_cost(&views[index], work, mean);
+    let mean = MeanOthers::new(views);
+    let price = work.price_per_second.as_micros() as f64;
+    let cost = |index: usize| {
+        let (view, mean_others) = (&views[index], mean.at(views[index].pace));
+        let crowding = if mean.is_uneven { crowding_seconds(view, work, mean_others) } else { 0.0 };
+        expected_cost(view, work, mean_others) + crowding * price
+    };
     let [first_near, second_near] = draw_nearest(views, available, mix(random ^ 1));
     let candidates = [Some(first), Some(second), first_near, second_near, prefix_holder];
     let always = available.iter().copied().filter(|&index| views[index].is_always_drawn);
     candidates.into_iter().flatten().chain(always).min_by(|&a, &b| cost(a).total_cmp(&cost(b)))
 }
 
-/// Draws an available upstream other than `excluded`. One that warms up or fails is drawn less
-/// often.
+/// Draws an available upstream other than `excluded`. One that warms up, fails or is slow is drawn
+/// less often.
 fn draw(
     views: &[UpstreamView],
     available: &[usize],
@@ -220,11 +235,14 @@
     let others: Vec<usize> =
         available.iter().copied().filter(|&index| Some(index) != excluded).collect();
     let pool = if others.is_empty() { available } else { &others };
+    let pace = |index: usize| views[index].pace.get();
+    let fastest = pool.iter().map(|&index| pace(index)).fold(f64::INFINITY, f64::min);
     let mut bits = mix(random);
     let mut chosen = pool[pick(bits, pool.len())];
     for _ in 0..MAX_REDRAWS {
         bits = mix(bits);
-        if unit_point(bits) < views[chosen].slow_start * (1.0 - views[chosen].failure_rate) {
+        let health = views[chosen].slow_start * (1.0 - views[chosen].failure_rate);
+        if unit_point(bits) < health * fastest / pace(chosen) {
             break;
         }
         bits = mix(bits);
@@ -258,11 +276,43 @@
     Some(ties[pick(random, ties.len())])
 }
 
-/// Mean load per upstream that other hosts cause, over all reports.
-fn mean_others(views: &[UpstreamView]) -> f64 {
-    let reports: Vec<f64> =
-        views.iter().filter_map(|view| view.report).map(|load| f64::from(load.others())).collect();
-    if reports.is_empty() { 0.0 } else { reports.iter().sum::<f64>() / reports.len() as f64 }
+/// Mean load per upstream that other hosts cause, over all reports, as a line over the logarithm of
+/// the pace: faster upstreams get more work, so an old report of one must not be replaced by the mean
+/// of all. With equal paces it is the mean.
+#[derive(Clone, Copy, Debug, Default)]
+struct MeanOthers {
+    load: f64,
+    log_pace: f64,
+    slope: f64,
+    /// Whether upstreams differ in pace.
+    is_uneven: bool,
+}
+
+impl MeanOthers {
+    fn new(views: &[UpstreamView]) -> Self {
+        let reports = || {
+            views.iter().filter_map(|view| {
+                let load = f64::from(view.report?.others());
+                Some((load, view.pace.get().ln()))
+            })
+        };
+        let count = reports().count();
+        if count == 0 {
+            return Self::default();
+        }
+        let mean = |values: &mut dyn Iterator<Item = f64>| values.sum::<f64>() / count as f64;
+        let load = mean(&mut reports().map(|(load, _)| load));
+        let log_pace = mean(&mut reports().map(|(_, log_pace)| log_pace));
+        let spread = mean(&mut reports().map(|(_, pace)| (pace - log_pace).powi(2)));
+        let common = mean(&mut reports().map(|(found, pace)| (found - load) * (pace - log_pace)));
+        let is_uneven = spread > MIN_PACE_SPREAD;
+        let slope = if is_uneven { (common / spread).min(0.0) } else { 0.0 };
+        Self { load, log_pace, slope, is_uneven }
+    }
+
+    fn at(&self, pace: PaceFactor) -> f64 {
+        (self.load + self.slope * (pace.get().ln() - self.log_pace)).max(0.0)
+    }
 }
 
 /// Weight of a load report of this age, decaying from 1 for a new one to 0.
@@ -287,14 +337,31 @@
 pub fn expected_seconds(view: &UpstreamView, work: &AttemptWork, mean_others: f64) -> f64 {
     let slots = (f64::from(view.slots.max(1)) * view.slow_start).max(1.0);
     let load = expected_load(view, mean_others);
-    let service = work.service_seconds();
+    let pace = view.pace.get();
+    let service = work.service_seconds() * pace;
     let queueing = (load + 1.0 - slots).max(0.0) / slots * service;
     let cached = f64::from(view.cached.get()) / f64::from(work.prompt.get().max(1));
     let prefill = work.first_token.get() as f64 * (1.0 - PREFILL_SAVED * cached.min(1.0));
     let slowdown = 1.0 + BATCH_SLOWDOWN * (load / slots).min(1.0);
     let decode = work.token_gap.get() as f64 * f64::from(work.answer.get()) * slowdown;
     let delays = (view.delay.get() + view.backlog.get()) as f64;
-    queueing + (delays + prefill + decode) / MILLIS_PER_SECOND
+    queueing + (delays + (prefill + decode) * pace) / MILLIS_PER_SECOND
+}
+
+/// Seconds by which a request delays others at an upstream. Counts only among machines of different
+/// speed, where the fastest would otherwise be filled until it is as slow as the slowest: those that
+/// run there get slower, and with an old report the slots may be full already, so each place above
+/// the expected load within one standard deviation (of a Poisson distribution) is a queue.
+fn crowding_seconds(view: &UpstreamView, work: &AttemptWork, mean_others: f64) -> f64 {
+    let slots = (f64::from(view.slots.max(1)) * view.slow_start).max(1.0);
+    let load = expected_load(view, mean_others);
+    let pace = view.pace.get();
+    let decode = work.token_gap.get() as f64 * f64::from(work.answer.get()) / MILLIS_PER_SECOND;
+    let slowed = BATCH_SLOWDOWN * (load / slots).min(1.0) * decode * pace;
+    let certainty = view.report.map_or(0.0, |report| report_weight(report.age));
+    let deviation = (load * (1.0 - certainty)).sqrt();
+    let queue = (load + deviation + 1.0 - slots).max(0.0);
+    slowed + queue / slots * work.service_seconds()
 }
 
 /// Expected cost in millionths: the price of the transfer plus the price of the expected latency.
