Learn the pace of upstreams from answers and from other hosts

Cause: one host of 75 sees an answer of each upstream in 15 s, and the time between tokens was a constant.

Change: the pace that an upstream states travels with the load reports (GossipMessage::paces, one byte a load, empty where none is stated; fewer loads then, so that a datagram does not grow). upstream_speeds keeps the usual times of a service by load; streams of this host and lags that other hosts report are compared with them. The time between answer tokens is learned from complete streams.

Result: crates/gateway/tests/uneven_upstreams.rs: after two rounds of gossip, four streams of each upstream, or 60 reports of lag, the faster third gets more than 0.55 of 300 requests, less than 0.47 before.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -109,7 +109,8 @@
 impl UpstreamAnswer {
     /// Returns the connection to the idle pool once the body has been read to the end.
     pub async fn release_connection(self, state: Arc<GatewayState>) {
-        let Self { headers, mut connection, permit, body, .. } = self;
+        let Self { headers, mut connection, mut permit, body, .. } = self;
+        permit.record_end();
         drop(body);
         let idle_time = idle_timeout(&headers);
         if idle_time == Some(Duration::ZERO) || !connection.is_reusable().await {
--- a/crates/gateway/src/event_pace.rs
+++ b/crates/gateway/src/event_pace.rs
@@ -58,6 +58,12 @@
         self.gaps
     }
 
+    /// Time from the first events to the last.
+    #[must_use]
+    pub fn span(&self) -> Duration {
+        self.first.map_or(Duration::ZERO, |first| self.last.since(first))
+    }
+
     /// Mean time from one event to the next; `None` when all events arrived together.
     #[must_use]
     pub fn mean_gap(&self) -> Option<Duration> {
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -140,6 +140,15 @@
     }
 }
 
+impl GossipMessage {
+    /// The loads with their paces. Those that an earlier build has sent have no paces, or fewer.
+    #[must_use]
+    pub fn paced_loads(&self) -> Vec<LoadReport> {
+        let paces = self.paces.iter().copied().chain(std::iter::repeat(ReportedPace::default()));
+        self.loads.iter().zip(paces).map(|(load, pace)| load.with_pace(pace)).collect()
+    }
+}
+
 /// One host's part in the gossip, without its socket.
 pub struct GossipNode {
     state: Arc<GatewayState>,
@@ -176,7 +185,7 @@
         for (topic, (known, heard)) in Topic::ALL.into_iter().zip(known.zip(message.heard)) {
             self.lag.record_peer_revision(topic, known.max(heard), &self.calls, now);
         }
-        self.state.pool.merge_load_reports(&message.loads, now);
+        self.state.pool.merge_load_reports(&message.paced_loads(), now);
         self.state.pool.merge_leaving(&message.leaving, now);
         if content.is_none() && message.sealed.is_some() && self.peers.contains(sender) {
             self.state.seal.record_unverified();
@@ -280,7 +289,15 @@
             + hosts.others.len()
             + limits.len() * 3 / 2
             + requests.len() * 7 / 2;
-        loads.truncate(MAX_LOAD_REPORTS.saturating_sub(others));
+        let mut max_loads = MAX_LOAD_REPORTS.saturating_sub(others);
+        // Nothing is sent of services that state no pace. A pace takes a ninth of a load.
+        let has_paces = loads.iter().any(|load| load.pace().percent().is_some());
+        if has_paces {
+            max_loads = max_loads * 9 / 10;
+        }
+        loads.truncate(max_loads);
+        let paces =
+            if has_paces { loads.iter().map(LoadReport::pace).collect() } else { Vec::new() };
         GossipMessage {
             versions: revisions.map(|revision| revision.version),
             region: RegionHash::new(&state.settings.load().region),
@@ -298,7 +315,7 @@
             reach: Some(reach),
             places,
             evacuations: state.evacuations.report(&snapshot),
-            paces: Vec::new(),
+            paces,
             demand: Vec::new(),
         }
     }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -68,5 +68,6 @@
 pub mod upstream_reach;
 pub mod upstream_records;
 pub mod upstream_socket;
+pub mod upstream_speeds;
 pub mod upstream_standings;
 pub mod wire_format;
--- a/crates/gateway/src/load_report.rs
+++ b/crates/gateway/src/load_report.rs
@@ -8,6 +8,7 @@
 use crate::wire_format::AnswerLoad;
 use oleander_core::ids::UpstreamName;
 use oleander_core::stable_hash::hash_parts;
+use oleander_core::upstream_pace::ReportedPace;
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
 
@@ -65,6 +66,9 @@
     lag: u8,
     /// Age in units of 10 ms.
     age: u8,
+    /// Pace that the upstream stated. Follows in a field of its own, which earlier builds do not read.
+    #[serde(skip)]
+    pace: ReportedPace,
 }
 
 impl LoadReport {
@@ -84,13 +88,27 @@
             waiting: small(load.waiting.into()),
             lag: units(lag, LAG_UNIT_MS),
             age: units(age, AGE_UNIT_MS),
+            pace: ReportedPace::new(load.pace),
         })
     }
 
     /// The reported load of an upstream that has `slots` slots.
     #[must_use]
     pub const fn load(&self, slots: u32) -> AnswerLoad {
-        AnswerLoad { running: self.running as u32, waiting: self.waiting as u32, slots, pace: None }
+        let (running, waiting) = (self.running as u32, self.waiting as u32);
+        AnswerLoad { running, waiting, slots, pace: self.pace.percent() }
+    }
+
+    /// The pace that the upstream stated, in the unit on the wire.
+    #[must_use]
+    pub const fn pace(&self) -> ReportedPace {
+        self.pace
+    }
+
+    /// The report with a pace that came beside it.
+    #[must_use]
+    pub const fn with_pace(self, pace: ReportedPace) -> Self {
+        Self { pace, ..self }
     }
 
     /// Delay of the reporting response beyond its expected time to headers.
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -19,10 +19,16 @@
 const CACHE_HOLDER_LOAD_FACTOR: f64 = 1.25;
 /// Requests above the mean that a cache holder may always have.
 const CACHE_HOLDER_LOAD_SLACK: f64 = 3.0;
-/// Engines of the target deployments take about 60 ms to the first token and 6 ms per further token
-/// with a few dozen requests running.
+/// Engines of the target deployments take about 60 ms to the first token of a short prompt with a few
+/// dozen requests running.
 const FIRST_TOKEN_BASE_MS: u64 = 60;
-const TOKEN_GAP: Millis = Millis::new(6);
+
+/// What a choice needs to know of the prompt. The default is that of a service without models.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct PromptInput<'a> {
+    /// The model that answers it.
+    pub model: Option<&'a Arc<str>>,
+}
 
 /// Inputs to the choice of an upstream.
 pub struct ChoiceInput<'a> {
@@ -38,6 +44,8 @@
     pub prefill: Duration,
     /// Id of the shared prompt prefix that upstreams may have cached.
     pub shared_prefix: Option<&'a str>,
+    /// The prompt.
+    pub prompt: PromptInput<'a>,
     /// Prices that candidates are compared by.
     pub prices: ChoicePrices,
     /// Random number for tie-breaking and sampling.
@@ -70,13 +78,14 @@
     candidates.into_iter().filter(|&index| load(index) <= max_load).max_by_key(rank)
 }
 
-pub(crate) fn attempt_work(input: &ChoiceInput<'_>) -> AttemptWork {
+/// Expected work of the request; `token_gap` is the time between tokens of the service's answers.
+pub(crate) fn attempt_work(input: &ChoiceInput<'_>, token_gap: Millis) -> AttemptWork {
     let prefill = u64::try_from(input.prefill.as_millis()).unwrap_or(u64::MAX);
     AttemptWork {
         prompt: TokenCount::new(input.size.prompt),
         answer: TokenCount::new(input.size.answer),
         first_token: Millis::new(FIRST_TOKEN_BASE_MS.saturating_add(prefill)),
-        token_gap: TOKEN_GAP,
+        token_gap,
         price_per_second: input.prices.per_second,
     }
 }
--- a/crates/gateway/src/request_run.rs
+++ b/crates/gateway/src/request_run.rs
@@ -8,7 +8,7 @@
 use crate::crash_guard::LostRequest;
 use crate::fault::AttemptFault;
 use crate::latency_tracker::LatencyKey;
-use crate::placement::ChoiceInput;
+use crate::placement::{ChoiceInput, PromptInput};
 use crate::refusal::Refusal;
 use crate::request_record::RequestRecord;
 use crate::rollout_answer::{AnswerStart, RolloutAnswer};
@@ -394,6 +394,7 @@
             size,
             prefill: self.expected_prefill(model.as_ref(), size.prompt),
             shared_prefix: shared_prefix.as_deref(),
+            prompt: PromptInput { model: model.as_ref() },
             prices: self.prices(model.as_deref()),
             random: self.state.random.next(),
             now: self.state.clock.now(),
--- a/crates/gateway/src/stream_relay.rs
+++ b/crates/gateway/src/stream_relay.rs
@@ -80,9 +80,10 @@
         loop {
             let passed = self.splitter.passed();
             if let Some(events) = self.splitter.take_complete() {
-                self.run.record_events(self.splitter.passed() - passed);
-                if let Some(answer) = &self.answer {
-                    answer.permit.upstream.record_events(self.run.state.clock.now());
+                let count = self.splitter.passed() - passed;
+                self.run.record_events(count);
+                if let Some(answer) = &mut self.answer {
+                    answer.permit.record_events(count, self.run.state.clock.now());
                 }
                 return Ok(Some(events));
             }
--- a/crates/gateway/src/upstream_handle.rs
+++ b/crates/gateway/src/upstream_handle.rs
@@ -1,15 +1,18 @@
 //! One upstream as used by this host: connections, requests in flight and reported load.
 
+use crate::event_pace::EventPace;
 use crate::load_report::{LoadReport, UpstreamHash};
 use crate::shared_limits::SharedLimits;
 use crate::upstream_connection::UpstreamConnection;
 use crate::upstream_entry::UpstreamEntry;
+use crate::upstream_speeds::{StreamMeasure, UpstreamSpeeds};
 use crate::upstream_standings::SharedStandings;
 use crate::wire_format::{AnswerHead, AnswerLoad};
 use http::StatusCode;
 use oleander_core::silence_excuse::SilenceExcuse;
 use oleander_core::units::{Millis, Timestamp};
 use oleander_core::upstream_choice::{ReportedLoad, UpstreamView, report_weight};
+use oleander_core::upstream_pace::UpstreamPace;
 use oleander_core::upstream_standing::SendPermission;
 use oleander_ports::clock::ClockPort;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -24,6 +27,15 @@
 /// evidence of load. Shorter delays come from refused connections or callers that disconnect.
 const MIN_OVERDUE: Duration = Duration::from_millis(300);
 
+/// Events after which the pace of a stream is known.
+const MIN_GAPS: u32 = 6;
+/// Weight of how late an answer began, as a measurement of the upstream's speed: it depends on the
+/// prompts before it more than on the machine.
+const START_WEIGHT: f64 = 0.2;
+/// Minimum time between answers of one upstream whose begin is measured. Several hosts pass on the same
+/// answer, with ages that differ by rounding.
+const START_INTERVAL: Duration = Duration::from_millis(100);
+
 struct IdleConnection {
     connection: UpstreamConnection,
     until: Timestamp,
@@ -50,6 +62,9 @@
     /// milliseconds.
     pending_prefill_ms: u64,
     load: Option<ObservedLoad>,
+    pace: UpstreamPace,
+    /// The latest answer whose begin was measured.
+    start_measured_at: Timestamp,
     silence: SilenceExcuse,
     idle: Vec<IdleConnection>,
 }
@@ -63,6 +78,7 @@
     state: Mutex<HandleState>,
     standings: Arc<SharedStandings>,
     limits: Arc<SharedLimits>,
+    speeds: Arc<UpstreamSpeeds>,
 }
 
 impl UpstreamHandle {
@@ -70,9 +86,10 @@
         entry: Arc<UpstreamEntry>,
         standings: Arc<SharedStandings>,
         limits: Arc<SharedLimits>,
+        speeds: Arc<UpstreamSpeeds>,
     ) -> Self {
         let hash = UpstreamHash::new(&entry.name);
-        Self { entry, hash, state: Mutex::default(), standings, limits }
+        Self { entry, hash, state: Mutex::default(), standings, limits, speeds }
     }
 
     /// Records what an answer, on a connection opened at `opened_at`, says about whether the
@@ -167,10 +184,57 @@
         if state.load.is_some_and(|known| known.at > at) {
             return;
         }
+        if let Some(pace) = load.pace {
+            state.pace.record_stated(pace, at);
+        }
         let (own, own_waiting) = (state.in_flight, state.waiting);
         state.load = Some(ObservedLoad { load, own, own_waiting, lag, at });
     }
 
+    /// Records what a late begin of an answer, as told by this host or another one, says about the
+    /// upstream's speed. `prefill` is the typical prefill time of the service.
+    pub(crate) fn record_start(
+        &self,
+        load: AnswerLoad,
+        lag: Duration,
+        prefill: Duration,
+        at: Timestamp,
+    ) {
+        let mut state = self.lock();
+        if at < state.start_measured_at + START_INTERVAL || prefill.is_zero() {
+            return;
+        }
+        state.start_measured_at = at;
+        let time = (lag + prefill).div_f64(state.pace.usual().get());
+        let requests = load.running.saturating_add(load.waiting);
+        let expected = self.speeds.compare_start(&self.entry.service, requests, time);
+        if let Some(expected) = expected {
+            let measured = lag + prefill;
+            state.pace.record_measured(measured, expected, START_WEIGHT);
+        }
+    }
+
+    /// Records the stream of an answer that began under `load`; `tokens` if it is complete.
+    fn record_stream(&self, stream: &PermitStream, load: AnswerLoad) {
+        let gaps = stream.pace.gaps();
+        let Some(gap) = stream.pace.usual_gap().filter(|_| gaps >= MIN_GAPS) else { return };
+        let service = &self.entry.service;
+        let expected = self.speeds.event_gap(service, &stream.model, load.running);
+        let usual = {
+            let mut state = self.lock();
+            if let Some(expected) = expected {
+                state.pace.record_measured(gap, expected, 1.0);
+            }
+            state.pace.usual().get()
+        };
+        let measure = StreamMeasure {
+            event_gap: gap.div_f64(usual),
+            span: stream.pace.span().div_f64(usual),
+            tokens: Some(stream.tokens).filter(|_| stream.is_complete),
+        };
+        self.speeds.record_stream(service, &stream.model, load, measure);
+    }
+
     /// Records that a response is overdue by `lag`. Counts as a report made now, since the missing
     /// response says more about the upstream than its last report.
     fn record_overdue(&self, lag: Duration, now: Timestamp) {
@@ -190,12 +254,15 @@
         let state = self.lock();
         let mut view = UpstreamView::new(self.entry.name.clone(), self.entry.slots);
         view.in_flight = state.in_flight;
+        view.pace = state.pace.factor(now);
+        let prefill = prefill.mul_f64(view.pace.get());
+        let own_prefill = state.pending_prefill_ms as f64 * view.pace.get();
         let others = state.load.map_or(Duration::ZERO, |seen| {
             let waiting = f64::from(seen.load.waiting.saturating_sub(seen.own_waiting));
             prefill.mul_f64(waiting).max(seen.lag).mul_f64(report_weight(now.since(seen.at)))
         });
         let others = others.as_millis() as u64;
-        view.backlog = Millis::new(state.pending_prefill_ms.saturating_add(others));
+        view.backlog = Millis::new((own_prefill as u64).saturating_add(others));
         view.report = state.load.map(|seen| ReportedLoad {
             running: seen.load.running,
             queued: seen.load.waiting,
@@ -206,6 +273,15 @@
     }
 }
 
+/// The stream of an answer, to measure how fast the upstream is.
+struct PermitStream {
+    model: Arc<str>,
+    /// Expected tokens of the answer.
+    tokens: u32,
+    pace: EventPace,
+    is_complete: bool,
+}
+
 /// A request in flight at an upstream, until dropped.
 pub struct UpstreamPermit {
     /// The upstream.
@@ -214,6 +290,9 @@
     started: Timestamp,
     /// Expected prefill time of its prompt, until response headers arrive.
     pending_prefill: Option<Duration>,
+    /// Load that the response headers reported.
+    load: Option<AnswerLoad>,
+    stream: Option<PermitStream>,
 }
 
 impl UpstreamPermit {
@@ -228,12 +307,36 @@
             state.waiting += 1;
             state.pending_prefill_ms += prefill.as_millis() as u64;
         }
-        Self { upstream, started: clock.now(), clock, pending_prefill: Some(prefill) }
+        let (started, pending_prefill) = (clock.now(), Some(prefill));
+        Self { upstream, clock, started, pending_prefill, load: None, stream: None }
+    }
+
+    /// The permit of a request to a model, whose stream is measured.
+    pub(crate) fn with_model(mut self, model: &Arc<str>, tokens: u32) -> Self {
+        let (model, pace) = (Arc::clone(model), EventPace::default());
+        self.stream = Some(PermitStream { model, tokens, pace, is_complete: false });
+        self
+    }
+
+    /// Records that `events` of its stream arrived together.
+    pub fn record_events(&mut self, events: u32, now: Timestamp) {
+        self.upstream.record_events(now);
+        if let Some(stream) = &mut self.stream {
+            stream.pace.record(events, now);
+        }
+    }
+
+    /// Records that the answer has been read to its end.
+    pub const fn record_end(&mut self) {
+        if let Some(stream) = &mut self.stream {
+            stream.is_complete = true;
+        }
     }
 
     /// Records that response headers arrived, with the load they report.
     pub fn record_head(&mut self, load: Option<AnswerLoad>) {
         let Some(lag) = self.finish_prefill() else { return };
+        self.load = load;
         if let Some(load) = load {
             self.upstream.record_load(load, lag, self.clock.now());
         }
@@ -255,6 +358,9 @@
         if let Some(lag) = self.finish_prefill().filter(|lag| *lag >= MIN_OVERDUE) {
             self.upstream.record_overdue(lag, self.clock.now());
         }
+        if let (Some(stream), Some(load)) = (&self.stream, self.load) {
+            self.upstream.record_stream(stream, load);
+        }
         let mut state = self.upstream.lock();
         state.in_flight = state.in_flight.saturating_sub(1);
     }
--- a/crates/gateway/src/upstream_pool.rs
+++ b/crates/gateway/src/upstream_pool.rs
@@ -8,6 +8,7 @@
 use crate::shared_limits::SharedLimits;
 use crate::upstream_entry::UpstreamEntry;
 use crate::upstream_handle::{UpstreamHandle, UpstreamPermit};
+use crate::upstream_speeds::UpstreamSpeeds;
 use crate::upstream_standings::SharedStandings;
 use crate::wire_format::TokenSize;
 use oleander_core::ejection::OutlierEjection;
@@ -70,6 +71,7 @@
     handles: Mutex<HashMap<UpstreamName, Arc<UpstreamHandle>>>,
     standings: Arc<SharedStandings>,
     limits: Arc<SharedLimits>,
+    speeds: Arc<UpstreamSpeeds>,
     services: Mutex<BTreeMap<ServiceName, ServiceState>>,
     /// Number of hosts, once counted.
     hosts: Mutex<Option<usize>>,
@@ -86,6 +88,7 @@
             handles: Mutex::default(),
             standings: Arc::default(),
             limits,
+            speeds: Arc::default(),
             services: Mutex::default(),
             hosts: Mutex::default(),
         }
@@ -262,12 +265,21 @@
     pub fn merge_load_reports(&self, reports: &[LoadReport], now: Timestamp) {
         let by_upstream: HashMap<UpstreamHash, &LoadReport> =
             reports.iter().map(|report| (report.upstream, report)).collect();
+        let prefills: HashMap<ServiceName, Duration> = lock(&self.services)
+            .iter()
+            .map(|(service, state)| (service.clone(), state.prefill))
+            .collect();
+        let prefill = |handle: &UpstreamHandle| {
+            prefills.get(&handle.entry.service).copied().unwrap_or_default()
+        };
         for handle in lock(&self.handles).values() {
             if let Some(report) = by_upstream.get(&handle.hash) {
                 let at = Timestamp::from_millis(
                     now.as_millis().saturating_sub(report.age().as_millis() as u64),
                 );
-                handle.record_load(report.load(handle.entry.slots), report.lag(), at);
+                let (load, prefill) = (report.load(handle.entry.slots), prefill(handle));
+                handle.record_load(load, report.lag(), at);
+                handle.record_start(load, report.lag(), prefill, at);
             }
         }
     }
@@ -390,10 +402,15 @@
             // Half of the prompt, since the cache may have evicted the prefix.
             views[holder].cached = TokenCount::new(input.size.prompt / 2);
         }
-        let work = attempt_work(input);
+        let service = &entries[0].service;
+        let work = attempt_work(input, self.speeds.token_gap(service, input.prompt.model));
         let index = choose_upstream(UpstreamRule::ExpectedCost, &views, &work, input.random)?;
         let clock = Arc::clone(&self.clock);
-        Some(UpstreamPermit::new(Arc::clone(&handles[index]), input.prefill, clock))
+        let permit = UpstreamPermit::new(Arc::clone(&handles[index]), input.prefill, clock);
+        Some(match input.prompt.model {
+            Some(model) => permit.with_model(model, input.size.answer),
+            None => permit,
+        })
     }
 
     /// Counts a request of another host as in flight at an upstream.
@@ -426,7 +443,8 @@
         let open = self.limits.open_only(open, input.now);
         let open = self.with_places(open, input);
         open.into_iter().map(|entry| self.view(&self.handle(entry), input.now)).any(|view| {
-            let wait = view.backlog.as_duration() + view.delay.as_duration() + input.prefill;
+            let prefill = input.prefill.mul_f64(view.pace.get());
+            let wait = view.backlog.as_duration() + view.delay.as_duration() + prefill;
             view.is_available() && has_free_slots(&view) && wait <= limit
         })
     }
@@ -537,7 +555,8 @@
             return Arc::clone(handle);
         }
         let (standings, limits) = (Arc::clone(&self.standings), Arc::clone(&self.limits));
-        let handle = Arc::new(UpstreamHandle::new(Arc::clone(entry), standings, limits));
+        let speeds = Arc::clone(&self.speeds);
+        let handle = Arc::new(UpstreamHandle::new(Arc::clone(entry), standings, limits, speeds));
         handles.insert(entry.name.clone(), Arc::clone(&handle));
         handle
     }
--- a/crates/gateway/tests/canary_load.rs
+++ b/crates/gateway/tests/canary_load.rs
@@ -8,7 +8,7 @@
 use oleander_gateway::choice_price::{PricedRequest, prices};
 use oleander_gateway::control_cache::{ControlCache, ControlSnapshot};
 use oleander_gateway::control_port::{Topic, TopicChange, TopicRow, TopicValue};
-use oleander_gateway::placement::ChoiceInput;
+use oleander_gateway::placement::{ChoiceInput, PromptInput};
 use oleander_gateway::rollout_plan::{RolloutDecision, RolloutOrder, RolloutPhase};
 use oleander_gateway::settings::{GatewayBounds, GatewaySettings};
 use oleander_gateway::upstream_entry::{UpstreamEntry, UpstreamState};
@@ -144,6 +144,7 @@
                 size: TokenSize { prompt: 1_200, answer: 24 },
                 prefill: Duration::from_millis(13),
                 shared_prefix: None,
+                prompt: PromptInput::default(),
                 prices,
                 random: mix(number as u64),
                 now,
--- a/crates/gateway/tests/load.rs
+++ b/crates/gateway/tests/load.rs
@@ -6,7 +6,7 @@
 use oleander_core::units::{Money, Timestamp};
 use oleander_gateway::choice_price::{ChoicePrices, PricedRequest, prices};
 use oleander_gateway::fault::AttemptFault;
-use oleander_gateway::placement::ChoiceInput;
+use oleander_gateway::placement::{ChoiceInput, PromptInput};
 use oleander_gateway::rollout_plan::VersionRule;
 use oleander_gateway::settings::{GatewayBounds, GatewaySettings, SharedSettings};
 use oleander_gateway::upstream_entry::{UpstreamEntry, UpstreamState};
@@ -136,6 +136,7 @@
             size: self.size,
             prefill: self.prefill,
             shared_prefix: self.shared.as_ref().map(|shared| shared.0.as_str()),
+            prompt: PromptInput::default(),
             prices: self.prices(),
             random: mix(random),
             now: Timestamp::from_millis(now),
@@ -435,6 +436,7 @@
             size: request.size,
             prefill: request.prefill,
             shared_prefix: None,
+            prompt: PromptInput::default(),
             prices: request.prices(),
             random: 1,
             now: Timestamp::from_millis(1_000),
--- /dev/null
+++ b/crates/gateway/tests/uneven_upstreams.rs
@@ -0,0 +1,195 @@
+//! Upstreams on machines of different speed, as hosts learn of them, without a network.
+
+use arc_swap::ArcSwap;
+use oleander_core::stable_hash::mix;
+use oleander_core::units::{Money, Timestamp};
+use oleander_gateway::choice_price::ChoicePrices;
+use oleander_gateway::gossip::GossipMessage;
+use oleander_gateway::load_report::LoadReport;
+use oleander_gateway::placement::{ChoiceInput, PromptInput};
+use oleander_gateway::rollout_plan::VersionRule;
+use oleander_gateway::settings::{GatewayBounds, GatewaySettings};
+use oleander_gateway::upstream_entry::{UpstreamEntry, UpstreamState};
+use oleander_gateway::upstream_handle::UpstreamPermit;
+use oleander_gateway::upstream_pool::UpstreamPool;
+use oleander_gateway::wire_format::{AnswerLoad, TokenSize};
+use oleander_ports::clock::ClockPort;
+use std::collections::{BTreeMap, HashSet};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+/// A clock set by hand, in milliseconds.
+#[derive(Debug, Default)]
+struct ManualClock(AtomicU64);
+
+impl ClockPort for ManualClock {
+    fn now(&self) -> Timestamp {
+        Timestamp::from_millis(self.0.load(Ordering::Relaxed))
+    }
+}
+
+/// A host with its pool of nine upstreams of 24 slots.
+struct TestHost {
+    pool: UpstreamPool,
+    entries: Vec<Arc<UpstreamEntry>>,
+    clock: Arc<ManualClock>,
+    model: Arc<str>,
+}
+
+impl TestHost {
+    fn new(change: impl FnOnce(&mut GatewaySettings)) -> Self {
+        let free = ([127, 0, 0, 1], 0).into();
+        let mut settings = GatewaySettings {
+            host: "host-1".parse().unwrap(),
+            region: "north".parse().unwrap(),
+            domain: "north-a".parse().unwrap(),
+            domains: [("north-a".parse().unwrap(), "north".parse().unwrap())].into(),
+            callers: free,
+            ready: free,
+            metrics: None,
+            peers: None,
+            outgoing: None,
+            store: free,
+            memory_bytes: 100_000_000,
+            max_descriptors: 1_024,
+            bounds: GatewayBounds::default(),
+        };
+        change(&mut settings);
+        let entry = |number: u8| UpstreamEntry {
+            name: format!("i-{number}").parse().unwrap(),
+            service: "writer".parse().unwrap(),
+            address: ([10, 0, 0, number], 80).into(),
+            domain: "north-a".parse().unwrap(),
+            version: Arc::from("v1"),
+            slots: 24,
+            state: UpstreamState::Ready,
+            started_ms: 1,
+            cold_left: Duration::ZERO,
+        };
+        let entries: Vec<_> = (0..9).map(|number| Arc::new(entry(number))).collect();
+        let clock = Arc::new(ManualClock(AtomicU64::new(1_000)));
+        let settings = Arc::new(ArcSwap::from_pointee(settings));
+        let pool = UpstreamPool::new(settings, Arc::clone(&clock) as Arc<dyn ClockPort>);
+        pool.update(&BTreeMap::from([("writer".parse().unwrap(), entries.clone())]));
+        Self { pool, entries, clock, model: Arc::from("small") }
+    }
+
+    fn now(&self) -> Timestamp {
+        self.clock.now()
+    }
+
+    fn wait(&self, millis: u64) {
+        self.clock.0.fetch_add(millis, Ordering::Relaxed);
+    }
+
+    /// Chooses an upstream for a short prompt; `only` one if given.
+    fn choose(&self, only: Option<usize>, random: u64) -> UpstreamPermit {
+        let entries = only.map_or(&self.entries[..], |index| &self.entries[index..=index]);
+        let prompt = PromptInput { model: Some(&self.model) };
+        let input = ChoiceInput {
+            entries,
+            rule: &VersionRule::Any,
+            tried: &HashSet::new(),
+            size: TokenSize { prompt: 800, answer: 60 },
+            prefill: Duration::from_millis(20),
+            shared_prefix: None,
+            prompt,
+            prices: ChoicePrices { per_second: Money::from_micros(500), ..Default::default() },
+            random: mix(random),
+            now: self.now(),
+        };
+        self.pool.choose(&input).unwrap()
+    }
+
+    /// Share of 300 requests, one at a time, that goes to every third upstream.
+    fn share_of_thirds(&self) -> f64 {
+        let is_third = |permit: &UpstreamPermit| {
+            let number: usize = permit.upstream.entry.name.as_str()[2..].parse().unwrap();
+            number.is_multiple_of(3)
+        };
+        (0..300).filter(|&n| is_third(&self.choose(None, n))).count() as f64 / 300.0
+    }
+}
+
+fn load(pace: Option<u16>) -> AnswerLoad {
+    AnswerLoad { running: 8, waiting: 0, slots: 24, pace }
+}
+
+/// Guards against paces that only the host knows that has the answer: one host of 75 sees an answer of
+/// each upstream in 15 s. The paces pass two hosts, as earlier builds would send them and as this one
+/// does.
+#[test]
+fn stated_paces_reach_other_hosts() {
+    let hosts: Vec<TestHost> = (0..3).map(|_| TestHost::new(|_| {})).collect();
+    for (index, number) in (0..9).enumerate() {
+        let pace = if index % 3 == 0 { 60 } else { 140 };
+        let permit = hosts[0].choose(Some(number), 1);
+        permit.upstream.record_load(load(Some(pace)), Duration::ZERO, hosts[0].now());
+    }
+    let even = hosts[2].share_of_thirds();
+    let pass_on = |from: &TestHost, to: &TestHost, with_paces: bool| {
+        let loads = from.pool.load_reports(from.now());
+        let paces = loads.iter().map(LoadReport::pace).take(if with_paces { 9 } else { 0 });
+        let message = GossipMessage { paces: paces.collect(), loads, ..GossipMessage::default() };
+        let message = GossipMessage::decode(&postcard::to_allocvec(&message).unwrap()).unwrap();
+        to.pool.merge_load_reports(&message.paced_loads(), to.now());
+    };
+    pass_on(&hosts[0], &hosts[1], false);
+    let without = hosts[1].share_of_thirds();
+    hosts[0].wait(100);
+    hosts.iter().for_each(|host| host.clock.0.store(1_100, Ordering::Relaxed));
+    for (index, number) in (0..9).enumerate() {
+        let pace = if index % 3 == 0 { 60 } else { 140 };
+        let permit = hosts[0].choose(Some(number), 1);
+        permit.upstream.record_load(load(Some(pace)), Duration::ZERO, hosts[0].now());
+    }
+    pass_on(&hosts[0], &hosts[1], true);
+    pass_on(&hosts[1], &hosts[2], true);
+    assert!((0.2..0.47).contains(&even) && (0.2..0.47).contains(&without), "{even} {without}");
+    let known = hosts[2].share_of_thirds();
+    assert!(known > 0.55, "{known} of the work at the faster third that could take 0.55 of it");
+}
+
+/// Guards against sharing work evenly among machines that state no pace: events of streams at the
+/// slower ones have 2.4 times the distance.
+#[test]
+fn speeds_are_learned_from_streams() {
+    let host = TestHost::new(|_| {});
+    for round in 0..4 {
+        for number in 0..9 {
+            let mut permit = host.choose(Some(number), round);
+            host.wait(30);
+            permit.record_head(Some(load(None)));
+            for _ in 0..12 {
+                host.wait(if number % 3 == 0 { 28 } else { 68 });
+                permit.record_events(1, host.now());
+            }
+            permit.record_end();
+        }
+    }
+    host.wait(5_000);
+    let learned = host.share_of_thirds();
+    assert!(learned > 0.55, "{learned}");
+}
+
+/// Guards against machines that look slow by how late their answers begin, as other hosts tell, and
+/// that are yet used like the others. After the last report only what was learned counts.
+#[test]
+fn speeds_are_learned_from_lags_that_others_report() {
+    let host = TestHost::new(|_| {});
+    (0..40).for_each(|n| drop(host.choose(None, n)));
+    let before = host.share_of_thirds();
+    for _ in 0..60 {
+        host.wait(200);
+        let reports = (0..9).filter_map(|number| {
+            let lag = Duration::from_millis(if number % 3 == 0 { 20 } else { 240 });
+            let hash = oleander_gateway::load_report::UpstreamHash::new(&host.entries[number].name);
+            LoadReport::new(hash, load(None), lag, Duration::ZERO)
+        });
+        host.pool.merge_load_reports(&reports.collect::<Vec<_>>(), host.now());
+    }
+    host.wait(20_000);
+    let learned = host.share_of_thirds();
+    assert!(before < 0.47 && learned > 0.55, "{before} before, {learned} after");
+}
