Weigh cached prefixes and memory in the choice of an upstream

Cause: one upstream of each shared prefix was expected to have half of a prompt cached, whatever it had read since and however little of the prompt is shared; and requests were sent where they do not fit.

Change: core::prefix_value estimates for each candidate how many tokens of the prompt are kept there, from what this host sent, from how often all hosts use the prefix (this host's requests times hosts), from what is read against the memory that the service states, and from its start. The time to read them and the price of a miss are weighed against the wait there; the first three upstreams in the order of today are always compared. Setting prefix_weighing switches it off. A request that does not fit beside those at an upstream is sent elsewhere while another has room. Services that state no memory are served as before.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -41,6 +41,7 @@
 pub mod placement;
 pub mod pool_rotation;
 pub mod prefix_hints;
+pub mod prefix_value;
 pub mod price;
 pub mod quality;
 pub mod quality_estimate;
--- a/crates/core/tests/upstream_pace.rs
+++ b/crates/core/tests/upstream_pace.rs
@@ -197,3 +197,27 @@
     (0..60).for_each(|_| pace.record_measured(second / 2, second, 1.0));
     assert!(pace.factor(now).get() < 0.8, "{}", pace.factor(now));
 }
+
+/// Guards against counting requests only: a machine that takes 2.4 times as long is left idle while
+/// one with a few requests is done sooner, and is used once that one is full.
+#[yare::parameterized(
+    few_requests = { 6, 1 },
+    full = { 48, 0 },
+)]
+fn an_idle_slow_machine_waits_for_a_full_fast_one(running: u32, expected: usize) {
+    let mut views = vec![view(0), view(1)];
+    for (view, running) in views.iter_mut().zip([0, running]) {
+        let age = Duration::from_millis(100);
+        view.report = Some(ReportedLoad { running, queued: 0, own: 0, age });
+    }
+    let now = Timestamp::from_millis(1_000);
+    for (view, percent) in views.iter_mut().zip([143, 59]) {
+        let mut pace = UpstreamPace::new();
+        pace.record_stated(percent, now);
+        view.pace = pace.factor(now);
+    }
+    for random in 0..50 {
+        let chosen = choose_upstream(UpstreamRule::ExpectedCost, &views, &work(), mix(random));
+        assert_eq!(chosen, Some(expected));
+    }
+}
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -3,11 +3,13 @@
 use crate::choice_price::ChoicePrices;
 use crate::rollout_plan::VersionRule;
 use crate::upstream_entry::UpstreamEntry;
-use crate::wire_format::TokenSize;
+use crate::wire_format::{PromptPart, TokenSize};
 use oleander_core::ids::UpstreamName;
+use oleander_core::prefix_value::PromptPrefix;
 use oleander_core::stable_hash::hash_parts;
 use oleander_core::units::{Millis, Timestamp, TokenCount};
 use oleander_core::upstream_choice::{AttemptWork, UpstreamView, expected_load};
+use std::cmp::Reverse;
 use std::collections::HashSet;
 use std::sync::Arc;
 use std::time::Duration;
@@ -28,6 +30,40 @@
 pub struct PromptInput<'a> {
     /// The model that answers it.
     pub model: Option<&'a Arc<str>>,
+    /// Its parts; the last one belongs to the request alone.
+    pub parts: &'a [PromptPart],
+    /// Tokens that fit into the memory of an upstream, if the service states it.
+    pub memory_tokens: Option<u32>,
+}
+
+impl PromptInput<'_> {
+    /// The parts that other requests share.
+    pub(crate) fn prefix(&self) -> PromptPrefix {
+        let shared = self.parts.split_last().map_or(&[][..], |(_, shared)| shared);
+        let model = self.model.map_or("", |model| model);
+        PromptPrefix::new(model, shared.iter().map(|part| (&*part.id, part.tokens)))
+    }
+}
+
+/// Minimum prefill time that a cached prefix saves for its holders to be compared with other
+/// upstreams each time. Reports of load do not resolve less.
+const MIN_SAVED: Duration = Duration::from_millis(10);
+
+/// Whether a shared prefix is long enough for a request to seek the upstreams that keep it.
+pub(crate) fn is_worth_seeking(input: &ChoiceInput<'_>, prefix: &PromptPrefix) -> bool {
+    let share = f64::from(prefix.tokens().get()) / f64::from(input.size.prompt.max(1));
+    input.prefill.mul_f64(share.min(1.0)) >= MIN_SAVED
+}
+
+/// Places of the upstreams in the order of a prefix, which all hosts compute alike. Those that may not
+/// be used have none.
+pub(crate) fn holder_places(views: &[UpstreamView], input: &ChoiceInput<'_>) -> Vec<Option<usize>> {
+    let mut order: Vec<usize> =
+        (0..views.len()).filter(|&index| views[index].is_available()).collect();
+    order.sort_by_cached_key(|&index| Reverse(rank(input, &views[index])));
+    let mut places = vec![None; views.len()];
+    order.into_iter().enumerate().for_each(|(place, index)| places[index] = Some(place));
+    places
 }
 
 /// Inputs to the choice of an upstream.
@@ -62,7 +98,7 @@
 /// loaded much above the mean. If a cache hit saves less than the transfer to another region costs,
 /// only the nearest upstreams are considered.
 pub(crate) fn cache_holder(views: &[UpstreamView], input: &ChoiceInput<'_>) -> Option<usize> {
-    let shared_prefix = input.shared_prefix?;
+    input.shared_prefix?;
     let open = |index: &usize| views[*index].is_available();
     let nearest = (0..views.len()).filter(open).map(|index| views[index].delay).min()?;
     let any_region = input.prices.cache_miss > input.prices.transfer;
@@ -74,8 +110,13 @@
     let mean =
         candidates.iter().map(|&index| load(index)).sum::<f64>() / candidates.len().max(1) as f64;
     let max_load = mean * CACHE_HOLDER_LOAD_FACTOR + CACHE_HOLDER_LOAD_SLACK;
-    let rank = |index: &usize| hash_parts(&[shared_prefix, views[*index].name.as_str()]);
-    candidates.into_iter().filter(|&index| load(index) <= max_load).max_by_key(rank)
+    let open = candidates.into_iter().filter(|&index| load(index) <= max_load);
+    open.max_by_key(|&index| rank(input, &views[index]))
+}
+
+/// Rank of an upstream in the order of the request's shared prefix; the highest comes first.
+fn rank(input: &ChoiceInput<'_>, view: &UpstreamView) -> u64 {
+    hash_parts(&[input.shared_prefix.unwrap_or_default(), view.name.as_str()])
 }
 
 /// Expected work of the request; `token_gap` is the time between tokens of the service's answers.
--- a/crates/gateway/src/request_run.rs
+++ b/crates/gateway/src/request_run.rs
@@ -394,7 +394,11 @@
             size,
             prefill: self.expected_prefill(model.as_ref(), size.prompt),
             shared_prefix: shared_prefix.as_deref(),
-            prompt: PromptInput { model: model.as_ref() },
+            prompt: PromptInput {
+                model: model.as_ref(),
+                parts: &self.request.head.parts,
+                memory_tokens: self.memory_tokens(),
+            },
             prices: self.prices(model.as_deref()),
             random: self.state.random.next(),
             now: self.state.clock.now(),
@@ -419,6 +423,12 @@
         })
     }
 
+    /// Tokens that fit into the memory of an upstream.
+    fn memory_tokens(&self) -> Option<u32> {
+        let table = self.request.snapshot.routes.as_ref();
+        table.and_then(|table| table.service(&self.request.service))?.memory_tokens
+    }
+
     fn prices(&self, model: Option<&str>) -> ChoicePrices {
         let snapshot = &self.request.snapshot;
         let table = snapshot.routes.as_ref();
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -44,6 +44,10 @@
     /// File descriptors that the process may use.
     #[serde(default = "default_descriptors")]
     pub max_descriptors: u32,
+    /// Whether upstreams are chosen by how much of a prompt they are expected to have cached, where a
+    /// service states its memory. Without it a fixed upstream is expected to have half of the prompt.
+    #[serde(default = "default_prefix_weighing")]
+    pub prefix_weighing: bool,
     /// Limits set by the deployment.
     #[serde(default)]
     pub bounds: GatewayBounds,
@@ -54,6 +58,10 @@
     1_024
 }
 
+const fn default_prefix_weighing() -> bool {
+    true
+}
+
 /// Limits set by the deployment; the defaults are those of the smallest deployments.
 #[derive(Clone, Copy, Debug, PartialEq, Deserialize)]
 #[serde(deny_unknown_fields, default)]
--- a/crates/gateway/src/upstream_handle.rs
+++ b/crates/gateway/src/upstream_handle.rs
@@ -9,8 +9,9 @@
 use crate::upstream_standings::SharedStandings;
 use crate::wire_format::{AnswerHead, AnswerLoad};
 use http::StatusCode;
+use oleander_core::prefix_value::{PrefixUse, PromptPrefix, SentPrefixes, UpstreamMemory};
 use oleander_core::silence_excuse::SilenceExcuse;
-use oleander_core::units::{Millis, Timestamp};
+use oleander_core::units::{Millis, Timestamp, TokenCount};
 use oleander_core::upstream_choice::{ReportedLoad, UpstreamView, report_weight};
 use oleander_core::upstream_pace::UpstreamPace;
 use oleander_core::upstream_standing::SendPermission;
@@ -61,6 +62,9 @@
     /// Expected prefill time of this host's prompts that are still being prefilled, in
     /// milliseconds.
     pending_prefill_ms: u64,
+    /// Tokens of this host's requests in flight.
+    own_tokens: u64,
+    sent: SentPrefixes,
     load: Option<ObservedLoad>,
     pace: UpstreamPace,
     /// The latest answer whose begin was measured.
@@ -191,6 +195,27 @@
         state.load = Some(ObservedLoad { load, own, own_waiting, lag, at });
     }
 
+    /// Tokens of this host's requests in flight.
+    pub(crate) fn own_tokens(&self) -> u64 {
+        self.lock().own_tokens
+    }
+
+    /// Records that a prompt was sent.
+    pub(crate) fn record_prefix(&self, prefix: &PromptPrefix, now: Timestamp) {
+        self.lock().sent.record(prefix, now);
+    }
+
+    /// Expected tokens of a prompt that are cached; `place` in the order of its prefix.
+    pub(crate) fn kept_tokens(
+        &self,
+        prefix_use: &PrefixUse,
+        place: usize,
+        memory: &UpstreamMemory,
+        now: Timestamp,
+    ) -> TokenCount {
+        prefix_use.kept_tokens(place, &self.lock().sent, memory, now)
+    }
+
     /// Records what a late begin of an answer, as told by this host or another one, says about the
     /// upstream's speed. `prefill` is the typical prefill time of the service.
     pub(crate) fn record_start(
@@ -293,6 +318,8 @@
     /// Load that the response headers reported.
     load: Option<AnswerLoad>,
     stream: Option<PermitStream>,
+    /// Tokens of the request and its answer.
+    tokens: u32,
 }
 
 impl UpstreamPermit {
@@ -308,7 +335,14 @@
             state.pending_prefill_ms += prefill.as_millis() as u64;
         }
         let (started, pending_prefill) = (clock.now(), Some(prefill));
-        Self { upstream, clock, started, pending_prefill, load: None, stream: None }
+        Self { upstream, clock, started, pending_prefill, load: None, stream: None, tokens: 0 }
+    }
+
+    /// The permit of a request that takes so many tokens of the upstream's memory.
+    pub(crate) fn with_tokens(mut self, tokens: u32) -> Self {
+        self.upstream.lock().own_tokens += u64::from(tokens);
+        self.tokens += tokens;
+        self
     }
 
     /// The permit of a request to a model, whose stream is measured.
@@ -363,5 +397,6 @@
         }
         let mut state = self.upstream.lock();
         state.in_flight = state.in_flight.saturating_sub(1);
+        state.own_tokens = state.own_tokens.saturating_sub(self.tokens.into());
     }
 }
--- a/crates/gateway/src/upstream_pool.rs
+++ b/crates/gateway/src/upstream_pool.rs
@@ -2,7 +2,9 @@
 
 use crate::fault::AttemptFault;
 use crate::load_report::{LoadReport, MAX_LOAD_REPORTS, UpstreamHash};
-use crate::placement::{ChoiceInput, attempt_work, cache_holder, has_free_slots};
+use crate::placement::{
+    ChoiceInput, attempt_work, cache_holder, has_free_slots, holder_places, is_worth_seeking,
+};
 use crate::rollout_plan::{VersionRule, canary_upstreams};
 use crate::settings::{GatewayBounds, SharedSettings};
 use crate::shared_limits::SharedLimits;
@@ -15,12 +17,13 @@
 use oleander_core::ids::{ServiceName, UpstreamName};
 use oleander_core::limit_division::LimitWait;
 use oleander_core::place_division::PlaceRequest;
+use oleander_core::prefix_value::{HOLDERS, PrefixDemand, PrefixUse, PromptPrefix, UpstreamMemory};
 use oleander_core::request_rate::RequestRate;
 use oleander_core::retry_budget::RetryBudget;
 use oleander_core::retry_turns::RetryTurns;
 use oleander_core::stable_hash::hash_parts;
 use oleander_core::units::{Millis, Money, Timestamp, TokenCount};
-use oleander_core::upstream_choice::{UpstreamRule, UpstreamView, choose_upstream};
+use oleander_core::upstream_choice::{UpstreamRule, UpstreamView, choose_upstream, expected_load};
 use oleander_core::upstream_standing::SendPermission;
 use oleander_ports::clock::ClockPort;
 use std::collections::{BTreeMap, HashMap, HashSet};
@@ -60,6 +63,8 @@
     reserve: f64,
     /// Moving mean of prefill times.
     prefill: Duration,
+    /// Tokens and shared prefixes of this host's requests.
+    demand: PrefixDemand,
     /// When callers come back that were refused because all upstreams have limits.
     turns: RetryTurns,
 }
@@ -124,6 +129,7 @@
             rate: 0.0,
             reserve,
             prefill,
+            demand: PrefixDemand::new(),
             turns: RetryTurns::default(),
         }
     }
@@ -391,28 +397,106 @@
                 view.limit = u32::MAX;
             });
         }
-        let holder = cache_holder(&views, input);
-        for (index, view) in views.iter_mut().enumerate() {
-            let transfer = if view.delay.get() > 0 { input.prices.transfer } else { Money::ZERO };
-            let is_holder = holder.is_none_or(|holder| holder == index);
-            let cache_miss = if is_holder { Money::ZERO } else { input.prices.cache_miss };
-            view.region_price = transfer + cache_miss;
+        let prefix = input.prompt.prefix();
+        let memories = self.memories(&handles, &views, input);
+        if let Some(memories) = &memories {
+            keep_within_memory(&mut views, memories, input.size);
         }
-        if let Some(holder) = holder {
-            // Half of the prompt, since the cache may have evicted the prefix.
-            views[holder].cached = TokenCount::new(input.size.prompt / 2);
+        match &memories {
+            Some(memories) if self.settings.load().prefix_weighing => {
+                self.weigh_prefix(&mut views, &handles, (&prefix, memories), input);
+            }
+            _ => expect_half_cached(&mut views, input),
         }
         let service = &entries[0].service;
         let work = attempt_work(input, self.speeds.token_gap(service, input.prompt.model));
         let index = choose_upstream(UpstreamRule::ExpectedCost, &views, &work, input.random)?;
         let clock = Arc::clone(&self.clock);
         let permit = UpstreamPermit::new(Arc::clone(&handles[index]), input.prefill, clock);
+        let permit = self.record_prompt(permit, &prefix, input);
         Some(match input.prompt.model {
             Some(model) => permit.with_model(model, input.size.answer),
             None => permit,
         })
     }
 
+    /// Records what is sent to an upstream, if its service states its memory.
+    fn record_prompt(
+        &self,
+        permit: UpstreamPermit,
+        prefix: &PromptPrefix,
+        input: &ChoiceInput<'_>,
+    ) -> UpstreamPermit {
+        if input.prompt.memory_tokens.is_none() {
+            return permit;
+        }
+        let tokens = input.size.prompt.saturating_add(input.size.answer);
+        if let Some(state) = lock(&self.services).get_mut(&permit.upstream.entry.service) {
+            state.demand.record(prefix, TokenCount::new(tokens), input.now);
+        }
+        permit.upstream.record_prefix(prefix, input.now);
+        permit.with_tokens(tokens)
+    }
+
+    /// The memory of upstreams, if the service states it. What other hosts have there is estimated from
+    /// reports; an upstream without one is expected to hold as many requests as the others.
+    fn memories(
+        &self,
+        handles: &[Arc<UpstreamHandle>],
+        views: &[UpstreamView],
+        input: &ChoiceInput<'_>,
+    ) -> Option<Vec<UpstreamMemory>> {
+        let capacity = input.prompt.memory_tokens?;
+        let (hosts, upstreams) = (self.hosts() as f64, views.len() as f64);
+        let (held, rate) = {
+            let services = lock(&self.services);
+            let demand = &services.get(&handles[0].entry.service)?.demand;
+            (demand.held_tokens(input.now), demand.token_rate(input.now))
+        };
+        let reports: Vec<f64> =
+            views.iter().filter_map(|view| Some(f64::from(view.report?.others()))).collect();
+        let mean = reports.iter().sum::<f64>() / reports.len().max(1) as f64;
+        let memory = |(handle, view): (&Arc<UpstreamHandle>, &UpstreamView)| {
+            let others = expected_load(view, mean) - f64::from(view.in_flight);
+            let up_for = input.now.since(Timestamp::from_millis(handle.entry.started_ms));
+            UpstreamMemory {
+                capacity,
+                running: handle.own_tokens() as f64 + others * held,
+                read_rate: rate * hosts / upstreams / view.pace.get(),
+                up_for,
+            }
+        };
+        Some(handles.iter().zip(views).map(memory).collect())
+    }
+
+    /// Expects parts of the prompt to be cached at upstreams, and prices what would be read again.
+    fn weigh_prefix(
+        &self,
+        views: &mut [UpstreamView],
+        handles: &[Arc<UpstreamHandle>],
+        (prefix, memories): (&PromptPrefix, &[UpstreamMemory]),
+        input: &ChoiceInput<'_>,
+    ) {
+        let hosts = self.hosts();
+        let prefix_use = {
+            let services = lock(&self.services);
+            let Some(state) = services.get(&handles[0].entry.service) else { return };
+            PrefixUse::new(prefix, &state.demand, hosts, views.len(), input.now)
+        };
+        let is_sought = is_worth_seeking(input, prefix);
+        let places = holder_places(views, input);
+        let shared = f64::from(prefix.tokens().get());
+        for (index, view) in views.iter_mut().enumerate() {
+            let place = places[index].unwrap_or(usize::MAX);
+            let memory = &memories[index];
+            view.cached = handles[index].kept_tokens(&prefix_use, place, memory, input.now);
+            view.is_always_drawn |= is_sought && place < HOLDERS && has_free_slots(view);
+            let missed = 1.0 - f64::from(view.cached.get()) / shared.max(1.0);
+            let cache_miss = input.prices.cache_miss.as_micros() as f64 * missed;
+            view.region_price = transfer(view, input) + Money::from_micros(cache_miss as u64);
+        }
+    }
+
     /// Counts a request of another host as in flight at an upstream.
     #[must_use]
     pub fn permit(&self, entry: &Arc<UpstreamEntry>) -> UpstreamPermit {
@@ -562,6 +646,34 @@
     }
 }
 
+fn transfer(view: &UpstreamView, input: &ChoiceInput<'_>) -> Money {
+    if view.delay.get() > 0 { input.prices.transfer } else { Money::ZERO }
+}
+
+/// Excludes upstreams whose memory the request does not fit into, while another has room.
+fn keep_within_memory(views: &mut [UpstreamView], memories: &[UpstreamMemory], size: TokenSize) {
+    let tokens = size.prompt.saturating_add(size.answer);
+    let fits = |index: usize| memories[index].fits(tokens);
+    if (0..views.len()).any(|index| views[index].is_available() && fits(index)) {
+        let full = (0..views.len()).filter(|&index| !fits(index));
+        full.for_each(|index| views[index].limit = 0);
+    }
+}
+
+/// Expects half of the prompt to be cached at one upstream, for services that state no memory.
+fn expect_half_cached(views: &mut [UpstreamView], input: &ChoiceInput<'_>) {
+    let holder = cache_holder(views, input);
+    for (index, view) in views.iter_mut().enumerate() {
+        let is_holder = holder.is_none_or(|holder| holder == index);
+        let cache_miss = if is_holder { Money::ZERO } else { input.prices.cache_miss };
+        view.region_price = transfer(view, input) + cache_miss;
+    }
+    if let Some(holder) = holder {
+        // Half of the prompt, since the cache may have evicted the prefix.
+        views[holder].cached = TokenCount::new(input.size.prompt / 2);
+    }
+}
+
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
--- a/crates/gateway/tests/canary_load.rs
+++ b/crates/gateway/tests/canary_load.rs
@@ -112,6 +112,7 @@
             store: free,
             memory_bytes: 100_000_000,
             max_descriptors: 1_024,
+            prefix_weighing: true,
             bounds: GatewayBounds::default(),
         }));
         let clock: Arc<dyn ClockPort> = Arc::new(RuntimeClock::new(START));
--- a/crates/gateway/tests/load.rs
+++ b/crates/gateway/tests/load.rs
@@ -37,6 +37,7 @@
         store: free,
         memory_bytes: 100_000_000,
         max_descriptors: 1_024,
+        prefix_weighing: true,
         bounds,
     }))
 }
--- a/crates/gateway/tests/store_silence.rs
+++ b/crates/gateway/tests/store_silence.rs
@@ -227,6 +227,7 @@
         store: free,
         memory_bytes: 50_000_000,
         max_descriptors: 1_024,
+        prefix_weighing: true,
         bounds: GatewayBounds::default(),
     }));
     let clock = Arc::new(RuntimeClock::new(Timestamp::from_millis(1_000)));
--- a/crates/gateway/tests/topic_calls.rs
+++ b/crates/gateway/tests/topic_calls.rs
@@ -127,6 +127,7 @@
         store: free,
         memory_bytes: 50_000_000,
         max_descriptors: 1_024,
+        prefix_weighing: true,
         bounds: GatewayBounds::default(),
     }
 }
--- a/crates/gateway/tests/uneven_upstreams.rs
+++ b/crates/gateway/tests/uneven_upstreams.rs
@@ -12,7 +12,7 @@
 use oleander_gateway::upstream_entry::{UpstreamEntry, UpstreamState};
 use oleander_gateway::upstream_handle::UpstreamPermit;
 use oleander_gateway::upstream_pool::UpstreamPool;
-use oleander_gateway::wire_format::{AnswerLoad, TokenSize};
+use oleander_gateway::wire_format::{AnswerLoad, PromptPart, TokenSize};
 use oleander_ports::clock::ClockPort;
 use std::collections::{BTreeMap, HashSet};
 use std::sync::Arc;
@@ -35,6 +35,7 @@
     entries: Vec<Arc<UpstreamEntry>>,
     clock: Arc<ManualClock>,
     model: Arc<str>,
+    memory_tokens: u32,
 }
 
 impl TestHost {
@@ -53,6 +54,7 @@
             store: free,
             memory_bytes: 100_000_000,
             max_descriptors: 1_024,
+            prefix_weighing: true,
             bounds: GatewayBounds::default(),
         };
         change(&mut settings);
@@ -64,7 +66,7 @@
             version: Arc::from("v1"),
             slots: 24,
             state: UpstreamState::Ready,
-            started_ms: 1,
+            started_ms: 0,
             cold_left: Duration::ZERO,
         };
         let entries: Vec<_> = (0..9).map(|number| Arc::new(entry(number))).collect();
@@ -72,7 +74,7 @@
         let settings = Arc::new(ArcSwap::from_pointee(settings));
         let pool = UpstreamPool::new(settings, Arc::clone(&clock) as Arc<dyn ClockPort>);
         pool.update(&BTreeMap::from([("writer".parse().unwrap(), entries.clone())]));
-        Self { pool, entries, clock, model: Arc::from("small") }
+        Self { pool, entries, clock, model: Arc::from("small"), memory_tokens: 600_000 }
     }
 
     fn now(&self) -> Timestamp {
@@ -86,7 +88,7 @@
     /// Chooses an upstream for a short prompt; `only` one if given.
     fn choose(&self, only: Option<usize>, random: u64) -> UpstreamPermit {
         let entries = only.map_or(&self.entries[..], |index| &self.entries[index..=index]);
-        let prompt = PromptInput { model: Some(&self.model) };
+        let prompt = PromptInput { model: Some(&self.model), ..PromptInput::default() };
         let input = ChoiceInput {
             entries,
             rule: &VersionRule::Any,
@@ -102,6 +104,49 @@
         self.pool.choose(&input).unwrap()
     }
 
+    /// Chooses an upstream for a long prompt of which 5,382 tokens are shared by a subject's requests.
+    fn choose_long(&self, subject: u64, random: u64) -> UpstreamPermit {
+        let part = |id: String, tokens| PromptPart { id: id.into(), tokens };
+        let parts = [
+            part("system".into(), 512),
+            part(format!("subject-{subject}"), 4_870),
+            part(format!("own-{random}"), 6_610),
+        ];
+        let shared_prefix = format!("small/subject-{subject}");
+        let input = ChoiceInput {
+            entries: &self.entries,
+            rule: &VersionRule::Any,
+            tried: &HashSet::new(),
+            size: TokenSize { prompt: 11_992, answer: 60 },
+            prefill: Duration::from_millis(130),
+            shared_prefix: Some(&shared_prefix),
+            prompt: PromptInput {
+                model: Some(&self.model),
+                parts: &parts,
+                memory_tokens: Some(self.memory_tokens),
+            },
+            prices: ChoicePrices {
+                per_second: Money::from_micros(1_000_000),
+                cache_miss: Money::from_micros(200_000),
+                ..Default::default()
+            },
+            random: mix(random),
+            now: self.now(),
+        };
+        self.pool.choose(&input).unwrap()
+    }
+
+    /// Reports the same load of all upstreams but one.
+    fn report(&self, running: u32, waiting: u32, other: Option<(&str, AnswerLoad)>) {
+        for number in 0..9 {
+            let permit = self.choose(Some(number), 1);
+            let name = permit.upstream.entry.name.as_str();
+            let even = AnswerLoad { running, waiting, slots: 24, pace: None };
+            let load = other.filter(|other| other.0 == name).map_or(even, |other| other.1);
+            permit.upstream.record_load(load, Duration::ZERO, self.now());
+        }
+    }
+
     /// Share of 300 requests, one at a time, that goes to every third upstream.
     fn share_of_thirds(&self) -> f64 {
         let is_third = |permit: &UpstreamPermit| {
@@ -193,3 +238,96 @@
     let learned = host.share_of_thirds();
     assert!(before < 0.47 && learned > 0.55, "{before} before, {learned} after");
 }
+
+fn name_of(permit: &UpstreamPermit) -> String {
+    permit.upstream.entry.name.to_string()
+}
+
+/// A host that has seen each of three subjects a few times in the last seconds.
+fn host_with_demand(change: impl FnOnce(&mut GatewaySettings)) -> TestHost {
+    let host = TestHost::new(change);
+    host.pool.set_hosts(75);
+    for n in 0..18 {
+        host.wait(800);
+        drop(host.choose_long(n % 3, n));
+    }
+    host.report(8, 0, None);
+    host
+}
+
+/// Guards against hosts that each have their own upstream for a shared prefix: requests of 75 hosts
+/// with the same prefix go to the same few, without a shared table.
+#[test]
+fn hosts_send_a_shared_prefix_to_the_same_upstreams() {
+    let host = |random| name_of(&host_with_demand(|_| {}).choose_long(1, random));
+    let names: HashSet<String> = (1_000..1_075).map(host).collect();
+    assert!(names.len() <= 3, "{names:?}");
+}
+
+/// Guards against sending a hot prefix to upstreams that are full: the wait there costs more than
+/// what is saved, also when all hosts expect it to be cached.
+#[test]
+fn a_hot_prefix_leaves_a_full_upstream() {
+    let host = host_with_demand(|_| {});
+    let holder = name_of(&host.choose_long(1, 1));
+    let full = AnswerLoad { running: 24, waiting: 20, slots: 24, pace: None };
+    host.report(8, 0, Some((&holder, full)));
+    let stays = (0..50).filter(|&n| name_of(&host.choose_long(1, n)) == holder).count();
+    assert_eq!(stays, 0);
+    host.wait(10_000);
+    host.report(8, 0, None);
+    let back = (0..50).filter(|&n| name_of(&host.choose_long(1, n)) == holder).count();
+    assert!(back > 25, "{back}");
+}
+
+/// Guards against waiting for a prefix that no upstream has: one that was never seen is worth little,
+/// so a slightly busier upstream is left. Without the weighing, it is expected to have half of the
+/// prompt.
+#[yare::parameterized(
+    weighed = { true, 0 },
+    switched_off = { false, 30 },
+)]
+fn an_unknown_prefix_is_not_waited_for(prefix_weighing: bool, expected: usize) {
+    let choose = |random: u64, busy: Option<&str>| {
+        let host = TestHost::new(|settings| settings.prefix_weighing = prefix_weighing);
+        let load = AnswerLoad { running: 13, waiting: 0, slots: 24, pace: None };
+        host.report(8, 0, busy.map(|name| (name, load)));
+        name_of(&host.choose_long(1, random))
+    };
+    let holder = choose(1, None);
+    assert!((2..10).all(|random| choose(random, None) == holder), "all hosts agree on {holder}");
+    let stays = (0..30).filter(|&random| choose(random, Some(&holder)) == holder).count();
+    assert_eq!(stays, expected);
+}
+
+/// Guards against upstreams that crash since the requests they hold exceed their memory: by what other
+/// hosts have there, a long prompt does not fit, though slots are free and the prefix is cached. If no
+/// upstream has room it is sent, since what is known of others is an estimate.
+#[test]
+fn a_request_that_does_not_fit_is_sent_elsewhere() {
+    let mut host = host_with_demand(|_| {});
+    host.memory_tokens = 200_000;
+    let holder = name_of(&host.choose_long(1, 1));
+    let stays = |running, waiting| {
+        let load = AnswerLoad { running, waiting, slots: 24, pace: None };
+        host.report(15, 0, Some((&holder, load)));
+        (0..50).filter(|&n| name_of(&host.choose_long(1, n)) == holder).count()
+    };
+    assert!(stays(15, 0) > 0, "16 long requests fit");
+    assert_eq!(stays(16, 0), 0);
+    host.report(16, 0, None);
+    let _ = host.choose_long(1, 1);
+}
+
+/// Guards against counting only what upstreams report: this host's own requests, of which no report
+/// tells yet, take memory too.
+#[test]
+fn own_requests_in_flight_take_memory() {
+    let mut host = host_with_demand(|_| {});
+    host.memory_tokens = 100_000;
+    host.report(0, 0, None);
+    let permits: Vec<_> = (0..72).map(|n| host.choose_long(1, n)).collect();
+    let mut counts: BTreeMap<String, usize> = BTreeMap::new();
+    permits.iter().for_each(|permit| *counts.entry(name_of(permit)).or_default() += 1);
+    assert!(counts.values().all(|count| *count <= 8), "{counts:?}");
+}
