--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -9,7 +9,7 @@
 
 use crate::control_port::Topic;
 use crate::gossip_seal::GossipOrigin;
-use crate::load_report::{LoadReport, MAX_LOAD_REPORTS, UpstreamHash};
+use crate::load_report::{LoadReport, MAX_LOAD_REPORTS, UpstreamHash, fit_reports};
 use crate::peer_table::{PeerTable, RegionHash};
 use crate::state::GatewayState;
 use crate::store_calls::{LagDetector, StoreCalls};
@@ -272,7 +272,7 @@
             Topic::ALL.map(|topic| snapshot.revisions.get(&topic).copied().unwrap_or_default());
         let now = state.clock.now();
         let (parts, requests) = state.crashes.report(now);
-        let mut loads = state.pool.load_reports(now);
+        let loads = state.pool.load_reports(now);
         let (hosts, limits) = state.pool.limits().report(now);
         let is_stopping = state.stop.since(now).is_some();
         let address = state.carrier_load.address().filter(|_| !is_stopping);
@@ -289,15 +289,7 @@
             + hosts.others.len()
             + limits.len() * 3 / 2
             + requests.len() * 7 / 2;
-        let mut max_loads = MAX_LOAD_REPORTS.saturating_sub(others);
-        // Nothing is sent of services that state no pace. A pace takes a ninth of a load.
-        let has_paces = loads.iter().any(|load| load.pace().percent().is_some());
-        if has_paces {
-            max_loads = max_loads * 9 / 10;
-        }
-        loads.truncate(max_loads);
-        let paces =
-            if has_paces { loads.iter().map(LoadReport::pace).collect() } else { Vec::new() };
+        let (loads, paces) = fit_reports(loads, MAX_LOAD_REPORTS.saturating_sub(others));
         GossipMessage {
             versions: revisions.map(|revision| revision.version),
             region: RegionHash::new(&state.settings.load().region),
--- a/crates/gateway/src/load_report.rs
+++ b/crates/gateway/src/load_report.rs
@@ -21,6 +21,19 @@
 /// carries unfragmented; with six hundred upstreams this is the newest quarter.
 pub const MAX_LOAD_REPORTS: usize = 125;
 
+/// Takes the newest reports that fit into a datagram beside their paces, and the paces. Nothing is sent of
+/// upstreams that state no pace. A pace takes a ninth of a report, so there are fewer reports with paces.
+#[must_use]
+pub fn fit_reports(
+    mut loads: Vec<LoadReport>,
+    max_loads: usize,
+) -> (Vec<LoadReport>, Vec<ReportedPace>) {
+    let has_paces = loads.iter().any(|load| load.pace.percent().is_some());
+    loads.truncate(if has_paces { max_loads * 9 / 10 } else { max_loads });
+    let paces = if has_paces { loads.iter().map(LoadReport::pace).collect() } else { Vec::new() };
+    (loads, paces)
+}
+
 /// Compact id of an upstream. Of 20,000 deployments with 600 upstreams, one has a collision; the
 /// two upstreams then appear equally loaded.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
--- a/crates/gateway/tests/uneven_upstreams.rs
+++ b/crates/gateway/tests/uneven_upstreams.rs
@@ -5,7 +5,7 @@
 use oleander_core::units::{Money, Timestamp};
 use oleander_gateway::choice_price::ChoicePrices;
 use oleander_gateway::gossip::GossipMessage;
-use oleander_gateway::load_report::LoadReport;
+use oleander_gateway::load_report::{LoadReport, MAX_LOAD_REPORTS, UpstreamHash, fit_reports};
 use oleander_gateway::placement::{ChoiceInput, PromptInput};
 use oleander_gateway::rollout_plan::VersionRule;
 use oleander_gateway::settings::{GatewayBounds, GatewaySettings};
@@ -36,16 +36,26 @@
     clock: Arc<ManualClock>,
     model: Arc<str>,
     memory_tokens: u32,
+    transfer: Money,
 }
 
 impl TestHost {
     fn new(change: impl FnOnce(&mut GatewaySettings)) -> Self {
+        Self::with_domains(change, |_| "north-a")
+    }
+
+    fn with_domains(
+        change: impl FnOnce(&mut GatewaySettings),
+        domain: impl Fn(u8) -> &'static str,
+    ) -> Self {
         let free = ([127, 0, 0, 1], 0).into();
         let mut settings = GatewaySettings {
             host: "host-1".parse().unwrap(),
             region: "north".parse().unwrap(),
             domain: "north-a".parse().unwrap(),
-            domains: [("north-a".parse().unwrap(), "north".parse().unwrap())].into(),
+            domains: ["north", "south"]
+                .map(|name| (format!("{name}-a").parse().unwrap(), name.parse().unwrap()))
+                .into(),
             callers: free,
             ready: free,
             metrics: None,
@@ -62,7 +72,7 @@
             name: format!("i-{number}").parse().unwrap(),
             service: "writer".parse().unwrap(),
             address: ([10, 0, 0, number], 80).into(),
-            domain: "north-a".parse().unwrap(),
+            domain: domain(number).parse().unwrap(),
             version: Arc::from("v1"),
             slots: 24,
             state: UpstreamState::Ready,
@@ -74,7 +84,14 @@
         let settings = Arc::new(ArcSwap::from_pointee(settings));
         let pool = UpstreamPool::new(settings, Arc::clone(&clock) as Arc<dyn ClockPort>);
         pool.update(&BTreeMap::from([("writer".parse().unwrap(), entries.clone())]));
-        Self { pool, entries, clock, model: Arc::from("small"), memory_tokens: 600_000 }
+        Self {
+            pool,
+            entries,
+            clock,
+            model: Arc::from("small"),
+            memory_tokens: 600_000,
+            transfer: Money::ZERO,
+        }
     }
 
     fn now(&self) -> Timestamp {
@@ -128,7 +145,7 @@
             prices: ChoicePrices {
                 per_second: Money::from_micros(1_000_000),
                 cache_miss: Money::from_micros(200_000),
-                ..Default::default()
+                transfer: self.transfer,
             },
             random: mix(random),
             now: self.now(),
@@ -160,6 +177,24 @@
     AnswerLoad { running: 8, waiting: 0, slots: 24, pace }
 }
 
+/// Guards against datagrams that grow by paces: they have to stay below 2,048 bytes with all that else
+/// they bring, which was counted in loads of nine bytes.
+#[test]
+fn reports_with_paces_take_no_more_bytes() {
+    let report = |number: usize, pace| {
+        let hash = UpstreamHash::of_parts(&[&number.to_string()]);
+        LoadReport::new(hash, load(pace), Duration::from_secs(1), Duration::from_secs(1)).unwrap()
+    };
+    let bytes = |pace: Option<u16>| {
+        let loads = (0..MAX_LOAD_REPORTS).map(|number| report(number, pace)).collect();
+        let (loads, paces) = fit_reports(loads, MAX_LOAD_REPORTS);
+        assert_eq!(paces.len(), pace.map_or(0, |_| loads.len()));
+        let message = GossipMessage { loads, paces, ..GossipMessage::default() };
+        postcard::to_allocvec(&message).unwrap().len()
+    };
+    assert!(bytes(Some(140)) <= bytes(None), "{} after {}", bytes(Some(140)), bytes(None));
+}
+
 /// Guards against paces that only the host knows that has the answer: one host of 75 sees an answer of
 /// each upstream in 15 s. The paces pass two hosts, as earlier builds would send them and as this one
 /// does.
@@ -228,7 +263,7 @@
         host.wait(200);
         let reports = (0..9).filter_map(|number| {
             let lag = Duration::from_millis(if number % 3 == 0 { 20 } else { 240 });
-            let hash = oleander_gateway::load_report::UpstreamHash::new(&host.entries[number].name);
+            let hash = UpstreamHash::new(&host.entries[number].name);
             LoadReport::new(hash, load(None), lag, Duration::ZERO)
         });
         host.pool.merge_load_reports(&reports.collect::<Vec<_>>(), host.now());
@@ -344,3 +379,32 @@
     permits.iter().for_each(|permit| *counts.entry(name_of(permit)).or_default() += 1);
     assert!(counts.values().all(|count| *count <= 8), "{counts:?}");
 }
+
+/// Guards against traffic between regions that nobody pays for, and against waiting where demand has
+/// moved to: upstreams of the own region are used, also for a prefix that another region's are expected
+/// to have, until the wait there costs more than the transfer.
+#[test]
+fn demand_leaves_its_region_only_when_the_wait_outweighs_the_transfer() {
+    let is_near = |number: u8| number < 3;
+    let mut host = TestHost::with_domains(
+        |_| {},
+        |number| if is_near(number) { "north-a" } else { "south-a" },
+    );
+    host.pool.set_hosts(75);
+    host.transfer = Money::from_micros(400_000);
+    let near = |host: &TestHost| {
+        let near = (0..60).filter(|&n| {
+            let name = name_of(&host.choose_long(n % 6, n));
+            is_near(name[2..].parse().unwrap())
+        });
+        near.count()
+    };
+    host.report(load(None), None);
+    assert_eq!(near(&host), 60);
+    for number in 0..3 {
+        let permit = host.choose(Some(number), 1);
+        let full = AnswerLoad { running: 24, waiting: 40, slots: 24, pace: None };
+        permit.upstream.record_load(full, Duration::ZERO, host.now());
+    }
+    assert_eq!(near(&host), 0);
+}
