--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -9,7 +9,7 @@
 
 use crate::control_port::Topic;
 use crate::gossip_seal::GossipOrigin;
-use crate::load_report::{LoadReport, MAX_LOAD_REPORTS, UpstreamHash};
+use crate::load_report::{LoadReport, MAX_LOAD_REPORTS, UpstreamHash, fit_reports};
 use crate::peer_table::{PeerTable, RegionHash};
 use crate::state::GatewayState;
 use crate::store_calls::{LagDetector, StoreCalls};
@@ -140,6 +140,15 @@
     }
 }
 
+impl GossipMessage {
+    /// The loads with their paces. Those that an earlier build has sent have no paces, or fewer.
+    #[must_use]
+    pub fn paced_loads(&self) -> Vec<LoadReport> {
+        let paces = self.paces.iter().copied().chain(std::iter::repeat(ReportedPace::default()));
+        self.loads.iter().zip(paces).map(|(load, pace)| load.with_pace(pace)).collect()
+    }
+}
+
 /// One host's part in the gossip, without its socket.
 pub struct GossipNode {
     state: Arc<GatewayState>,
@@ -176,7 +185,7 @@
         for (topic, (known, heard)) in Topic::ALL.into_iter().zip(known.zip(message.heard)) {
             self.lag.record_peer_revision(topic, known.max(heard), &self.calls, now);
         }
-        self.state.pool.merge_load_reports(&message.loads, now);
+        self.state.pool.merge_load_reports(&message.paced_loads(), now);
         self.state.pool.merge_leaving(&message.leaving, now);
         if content.is_none() && message.sealed.is_some() && self.peers.contains(sender) {
             self.state.seal.record_unverified();
@@ -263,7 +272,7 @@
             Topic::ALL.map(|topic| snapshot.revisions.get(&topic).copied().unwrap_or_default());
         let now = state.clock.now();
         let (parts, requests) = state.crashes.report(now);
-        let mut loads = state.pool.load_reports(now);
+        let loads = state.pool.load_reports(now);
         let (hosts, limits) = state.pool.limits().report(now);
         let is_stopping = state.stop.since(now).is_some();
         let address = state.carrier_load.address().filter(|_| !is_stopping);
@@ -280,7 +289,7 @@
             + hosts.others.len()
             + limits.len() * 3 / 2
             + requests.len() * 7 / 2;
-        loads.truncate(MAX_LOAD_REPORTS.saturating_sub(others));
+        let (loads, paces) = fit_reports(loads, MAX_LOAD_REPORTS.saturating_sub(others));
         GossipMessage {
             versions: revisions.map(|revision| revision.version),
             region: RegionHash::new(&state.settings.load().region),
@@ -298,7 +307,7 @@
             reach: Some(reach),
             places,
             evacuations: state.evacuations.report(&snapshot),
-            paces: Vec::new(),
+            paces,
             demand: Vec::new(),
         }
     }
--- a/crates/gateway/src/request_run.rs
+++ b/crates/gateway/src/request_run.rs
@@ -8,7 +8,7 @@
 use crate::crash_guard::LostRequest;
 use crate::fault::AttemptFault;
 use crate::latency_tracker::LatencyKey;
-use crate::placement::ChoiceInput;
+use crate::placement::{ChoiceInput, PromptInput};
 use crate::refusal::Refusal;
 use crate::request_record::RequestRecord;
 use crate::rollout_answer::{AnswerStart, RolloutAnswer};
@@ -397,6 +397,11 @@
             size,
             prefill: self.expected_prefill(model.as_ref(), size.prompt),
             shared_prefix: shared_prefix.as_deref(),
+            prompt: PromptInput {
+                model: model.as_ref(),
+                parts: &self.request.head.parts,
+                memory_tokens: self.memory_tokens(),
+            },
             prices: self.prices(model.as_deref()),
             priority: self.request.priority(),
             random: self.state.random.next(),
@@ -422,6 +427,12 @@
         })
     }
 
+    /// Tokens that fit into the memory of an upstream.
+    fn memory_tokens(&self) -> Option<u32> {
+        let table = self.request.snapshot.routes.as_ref();
+        table.and_then(|table| table.service(&self.request.service))?.memory_tokens
+    }
+
     fn prices(&self, model: Option<&str>) -> ChoicePrices {
         let snapshot = &self.request.snapshot;
         let table = snapshot.routes.as_ref();
