Leave late attempts at their upstream where most upstreams are late

Cause: an attempt without response headers within 0.6 of the latency target was sent once more wherever one upstream looked idle. An outdated report looks idle, so in an overload nearly every late attempt was repeated, which adds load when there is none to spare.

Change: core::resend_choice weighs the wait at the present upstream against the wait elsewhere. The chance to leave falls with the share of upstreams that are late, by reports of all hosts and by attempts pending on this one, and is zero from half of them. Where the upstream answered this host about as late meanwhile, the time already waited counts.

Alone a slow upstream is left as before. Metric kept_attempts.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -50,6 +50,7 @@
 pub mod request_hash;
 pub mod request_quarantine;
 pub mod request_rate;
+pub mod resend_choice;
 pub mod retry_after;
 pub mod retry_budget;
 pub mod retry_turns;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -27,6 +27,7 @@
     requests: Family<OutcomeLabel, Counter>,
     faults: Family<FaultLabel, Counter>,
     attempts: Counter,
+    kept: Counter,
     carried: Family<OutcomeLabel, Counter>,
     handed_over: Counter,
     lost_services: Gauge,
@@ -51,6 +52,7 @@
             requests: Family::default(),
             faults: Family::default(),
             attempts: Counter::default(),
+            kept: Counter::default(),
             carried: Family::default(),
             handed_over: Counter::default(),
             lost_services: Gauge::default(),
@@ -71,6 +73,8 @@
         registry.register("requests", "Requests by outcome", self.requests.clone());
         registry.register("faults", "Failed attempts by kind", self.faults.clone());
         registry.register("attempts", "Attempts at upstreams", self.attempts.clone());
+        let help = "Times that a late attempt was left at its upstream";
+        registry.register("kept_attempts", help, self.kept.clone());
         registry.register("carried", "Attempts for other hosts by outcome", self.carried.clone());
         let help = "Attempts that other hosts carried";
         registry.register("handed_over", help, self.handed_over.clone());
@@ -123,6 +127,11 @@
         self.attempts.inc();
     }
 
+    /// Records that a late attempt was left at its upstream, though a retry was allowed.
+    pub fn record_kept(&self) {
+        self.kept.inc();
+    }
+
     /// Records the time to response headers.
     pub fn record_head(&self, span: Duration) {
         self.head_seconds.observe(span.as_secs_f64());
--- a/crates/gateway/src/request_run.rs
+++ b/crates/gateway/src/request_run.rs
@@ -26,6 +26,7 @@
 use oleander_core::reach_view::ServicePath;
 use oleander_core::request_hash::RequestHash;
 use oleander_core::request_quarantine::RequestPermission;
+use oleander_core::resend_choice::PendingAttempt;
 use oleander_core::units::Timestamp;
 use std::borrow::Cow;
 use std::collections::HashSet;
@@ -484,9 +485,10 @@
     }
 
     /// Sends an attempt. If response headers are late, another upstream is tried, provided that
-    /// retries are allowed, the budget has one and the other upstream is expected to answer sooner.
-    /// Otherwise the attempt continues, since swapping a place in one queue for the end of another
-    /// gains nothing.
+    /// retries are allowed, the budget has one and [`ResendChoice`] expects that to pay. Otherwise the
+    /// attempt continues, since swapping a place in one queue for the end of another gains nothing.
+    ///
+    /// [`ResendChoice`]: oleander_core::resend_choice::ResendChoice
     async fn send_with_timeout(
         &self,
         permit: UpstreamPermit,
@@ -499,6 +501,7 @@
         let (state, outgoing) = (&self.state, &self.request.outgoing);
         let time_left = self.time_left();
         let path = state.reach.path(&self.request.service, state.clock.now());
+        let entry = Arc::clone(&permit.upstream.entry);
         let work = send_attempt(state, permit, outgoing, head, time_left, progress);
         tokio::pin!(work);
         loop {
@@ -522,7 +525,7 @@
                     let text = "no response headers, and the service is out of reach";
                     return Err(progress.timeout_fault(text));
                 }
-                None if self.may_abandon() && self.has_faster(faster_limit) => {
+                None if self.may_abandon() && self.resend_pays(&entry, faster_limit) => {
                     let text = format!("no response headers within {timeout:?}");
                     return Err(progress.timeout_fault(&text));
                 }
@@ -531,6 +534,23 @@
         }
     }
 
+    /// Whether sending the request to another upstream, which must be expected to answer within
+    /// `limit`, pays more than waiting on at this one.
+    fn resend_pays(&self, entry: &UpstreamEntry, limit: Duration) -> bool {
+        let state = &self.state;
+        let pays = self.with_choice(|pool, input| {
+            let reported = pool.wait_since(entry, input.prefill, self.sent_at);
+            let waited = input.now.since(self.sent_at);
+            let pending = PendingAttempt { waited, reported, time_left: self.time_left() };
+            let choice = pool.resend_choice(input, limit);
+            choice.pays(&pending, state.random.next_unit())
+        });
+        if !pays {
+            state.metrics.record_kept();
+        }
+        pays
+    }
+
     /// Whether the retry policy and budget allow another attempt while this one is pending.
     fn may_abandon(&self) -> bool {
         let route = &self.request.route;
--- a/crates/gateway/src/upstream_handle.rs
+++ b/crates/gateway/src/upstream_handle.rs
@@ -7,6 +7,7 @@
 use crate::upstream_standings::SharedStandings;
 use crate::wire_format::{AnswerHead, AnswerLoad};
 use http::StatusCode;
+use oleander_core::resend_choice::ReportedWait;
 use oleander_core::silence_excuse::SilenceExcuse;
 use oleander_core::units::{Millis, Timestamp};
 use oleander_core::upstream_choice::{ReportedLoad, UpstreamView, report_weight};
@@ -44,12 +45,14 @@
 #[derive(Default)]
 struct HandleState {
     in_flight: u32,
-    /// Requests in flight whose response has not begun.
-    waiting: u32,
+    /// When the requests in flight were sent whose response has not begun.
+    waiting: Vec<Timestamp>,
     /// Expected prefill time of this host's prompts that are still being prefilled, in
     /// milliseconds.
     pending_prefill_ms: u64,
     load: Option<ObservedLoad>,
+    /// When this host's latest answer began, and its delay beyond the expected time.
+    answered: Option<(Timestamp, Duration)>,
     silence: SilenceExcuse,
     idle: Vec<IdleConnection>,
 }
@@ -167,7 +170,7 @@
         if state.load.is_some_and(|known| known.at > at) {
             return;
         }
-        let (own, own_waiting) = (state.in_flight, state.waiting);
+        let (own, own_waiting) = (state.in_flight, state.waiting.len() as u32);
         state.load = Some(ObservedLoad { load, own, own_waiting, lag, at });
     }
 
@@ -185,6 +188,34 @@
         LoadReport::new(self.hash, seen.load, seen.lag, now.since(seen.at))
     }
 
+    /// How long requests wait here for response headers, beyond their own prefill: as last reported, or
+    /// as the oldest pending one of this host shows, if that is longer than `limit`. `prefill` is the
+    /// typical prefill time here.
+    pub(crate) fn reported_wait(
+        &self,
+        prefill: Duration,
+        limit: Duration,
+        now: Timestamp,
+    ) -> Option<ReportedWait> {
+        let state = self.lock();
+        let reported = state.load.map(|seen| {
+            let waiting = f64::from(seen.load.waiting.saturating_sub(seen.own_waiting));
+            let wait = prefill.mul_f64(waiting).max(seen.lag);
+            ReportedWait { wait, weight: report_weight(now.since(seen.at)) }
+        });
+        let pending = state.waiting.iter().min().map(|sent| now.since(*sent));
+        let pending = pending.filter(|age| {
+            *age > limit && reported.is_none_or(|known| known.wait < *age || known.weight < 0.5)
+        });
+        pending.map(|wait| ReportedWait { wait, weight: 1.0 }).or(reported)
+    }
+
+    /// Delay of this host's latest answer beyond its expected time, if it arrived after `sent`. Reports of
+    /// other hosts may come from attempts that they gave up, which do not show that the upstream works.
+    pub(crate) fn lag_since(&self, sent: Timestamp) -> Option<Duration> {
+        self.lock().answered.filter(|(at, _)| *at > sent).map(|(_, lag)| lag)
+    }
+
     /// The upstream's inputs to the choice; `prefill` is the typical prefill time there.
     pub(crate) fn view(&self, prefill: Duration, now: Timestamp) -> UpstreamView {
         let state = self.lock();
@@ -222,18 +253,20 @@
         prefill: Duration,
         clock: Arc<dyn ClockPort>,
     ) -> Self {
+        let started = clock.now();
         {
             let mut state = upstream.lock();
             state.in_flight += 1;
-            state.waiting += 1;
+            state.waiting.push(started);
             state.pending_prefill_ms += prefill.as_millis() as u64;
         }
-        Self { upstream, started: clock.now(), clock, pending_prefill: Some(prefill) }
+        Self { upstream, started, clock, pending_prefill: Some(prefill) }
     }
 
     /// Records that response headers arrived, with the load they report.
     pub fn record_head(&mut self, load: Option<AnswerLoad>) {
         let Some(lag) = self.finish_prefill() else { return };
+        self.upstream.lock().answered = Some((self.clock.now(), lag));
         if let Some(load) = load {
             self.upstream.record_load(load, lag, self.clock.now());
         }
@@ -243,7 +276,9 @@
     fn finish_prefill(&mut self) -> Option<Duration> {
         let prefill = self.pending_prefill.take()?;
         let mut state = self.upstream.lock();
-        state.waiting = state.waiting.saturating_sub(1);
+        if let Some(index) = state.waiting.iter().position(|sent| *sent == self.started) {
+            state.waiting.swap_remove(index);
+        }
         state.pending_prefill_ms =
             state.pending_prefill_ms.saturating_sub(prefill.as_millis() as u64);
         Some(self.clock.now().since(self.started).saturating_sub(prefill))
--- a/crates/gateway/src/upstream_pool.rs
+++ b/crates/gateway/src/upstream_pool.rs
@@ -15,6 +15,7 @@
 use oleander_core::limit_division::LimitWait;
 use oleander_core::place_division::PlaceRequest;
 use oleander_core::request_rate::RequestRate;
+use oleander_core::resend_choice::{ReportedWait, ResendCandidate, ResendChoice};
 use oleander_core::retry_budget::RetryBudget;
 use oleander_core::retry_turns::RetryTurns;
 use oleander_core::stable_hash::hash_parts;
@@ -431,6 +432,45 @@
         })
     }
 
+    /// The choice between a pending attempt and the untried upstreams, of which one must be expected
+    /// to finish prefilling the prompt within `limit`.
+    #[must_use]
+    pub fn resend_choice(&self, input: &ChoiceInput<'_>, limit: Duration) -> ResendChoice {
+        let permitted = input.entries.iter().filter(|entry| {
+            !input.tried.contains(&entry.name) && input.rule.permits(&entry.version)
+        });
+        let open = self.standings.open_only(permitted.collect(), input.now);
+        let open = self.limits.open_only(open, input.now);
+        let open = self.with_places(open, input);
+        let candidates = open.into_iter().filter_map(|entry| {
+            let handle = self.handle(entry);
+            let view = self.view(&handle, input.now);
+            let own = view.delay.as_duration() + input.prefill;
+            let reported = handle.reported_wait(self.typical_prefill(entry), limit, input.now);
+            let reported = reported.map(|known| ReportedWait { wait: known.wait + own, ..known });
+            let wait = view.backlog.as_duration() + own;
+            let is_free = has_free_slots(&view);
+            view.is_available().then_some(ResendCandidate { wait, reported, is_free })
+        });
+        ResendChoice::new(limit, candidates.collect())
+    }
+
+    fn typical_prefill(&self, entry: &UpstreamEntry) -> Duration {
+        lock(&self.services).get(&entry.service).map_or(Duration::ZERO, |state| state.prefill)
+    }
+
+    /// Wait for response headers at an upstream, by an answer that arrived after `sent`.
+    #[must_use]
+    pub fn wait_since(
+        &self,
+        entry: &UpstreamEntry,
+        prefill: Duration,
+        sent: Timestamp,
+    ) -> Option<Duration> {
+        let handle = lock(&self.handles).get(&entry.name).cloned();
+        handle?.lag_since(sent).map(|lag| lag + prefill)
+    }
+
     /// When the first of the upstreams that may be tried takes requests again; `None` if one does
     /// now, or none is known to.
     #[must_use]
