Refuse at once what a full service cannot begin in time

Cause: requests that could not begin before their deadline were sent and waited for it, held places in the queues of upstreams, and ended without an answer.

Change: core::room_admission is asked once, before the first attempt. The drain rate comes from running requests and the time that this host's latest requests took a slot. Metric no_room; refusals have their own reason in the access log.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -55,6 +55,7 @@
 pub mod retry_budget;
 pub mod retry_turns;
 pub mod rollout;
+pub mod room_admission;
 pub mod seat_order;
 pub mod session;
 pub mod silence_excuse;
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -217,6 +217,9 @@
     let expected = expected_request_id(&state.wire, request);
     let checked = check_refusal(connection, parts.status, &answer)
         .and_then(|()| check_answer(&parts.status, &parts.headers, &answer, expected.as_ref()));
+    if let Some(load) = answer.load.filter(|_| checked.is_ok()) {
+        permit.record_run(load);
+    }
     let is_own = answer.request == expected || (answer.not_run && answer.request.is_none());
     if !is_other && is_own {
         permit.upstream.record_limit(&answer, checked.is_ok(), now);
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -28,6 +28,7 @@
     faults: Family<FaultLabel, Counter>,
     attempts: Counter,
     kept: Counter,
+    no_room: Counter,
     carried: Family<OutcomeLabel, Counter>,
     handed_over: Counter,
     lost_services: Gauge,
@@ -53,6 +54,7 @@
             faults: Family::default(),
             attempts: Counter::default(),
             kept: Counter::default(),
+            no_room: Counter::default(),
             carried: Family::default(),
             handed_over: Counter::default(),
             lost_services: Gauge::default(),
@@ -75,6 +77,8 @@
         registry.register("attempts", "Attempts at upstreams", self.attempts.clone());
         let help = "Times that a late attempt was left at its upstream";
         registry.register("kept_attempts", help, self.kept.clone());
+        let help = "Requests refused since their service had no room in time";
+        registry.register("no_room", help, self.no_room.clone());
         registry.register("carried", "Attempts for other hosts by outcome", self.carried.clone());
         let help = "Attempts that other hosts carried";
         registry.register("handed_over", help, self.handed_over.clone());
@@ -132,6 +136,11 @@
         self.kept.inc();
     }
 
+    /// Records a request that was refused for want of room.
+    pub fn record_no_room(&self) {
+        self.no_room.inc();
+    }
+
     /// Records the time to response headers.
     pub fn record_head(&self, span: Duration) {
         self.head_seconds.observe(span.as_secs_f64());
--- a/crates/gateway/src/request_run.rs
+++ b/crates/gateway/src/request_run.rs
@@ -27,6 +27,7 @@
 use oleander_core::request_hash::RequestHash;
 use oleander_core::request_quarantine::RequestPermission;
 use oleander_core::resend_choice::PendingAttempt;
+use oleander_core::room_admission::{RequestKind, RoomRequest};
 use oleander_core::units::Timestamp;
 use std::borrow::Cow;
 use std::collections::HashSet;
@@ -69,6 +70,8 @@
     Failed(AttemptFault),
     /// Upstreams crash on the request, or on a part of its prompt.
     Blocked(Duration),
+    /// The service has no room in the time that the request has.
+    NoRoom(Duration),
 }
 
 /// The attempts of one request.
@@ -108,6 +111,8 @@
     failed_version: Option<Arc<str>>,
     /// The latest answer, which counts in a rollout.
     answer: Option<RolloutAnswer>,
+    /// Whether it was asked whether the service has room.
+    is_admitted: bool,
 }
 
 impl RequestRun {
@@ -135,6 +140,7 @@
             hash: OnceLock::new(),
             failed_version: None,
             answer: None,
+            is_admitted: false,
         }
     }
 
@@ -162,6 +168,10 @@
         resume_after: Option<u64>,
     ) -> Result<UpstreamAnswer, RunError> {
         let mut last_fault = None;
+        if let Some(wait) = self.refused_for() {
+            self.state.metrics.record_no_room();
+            return Err(RunError::NoRoom(wait));
+        }
         loop {
             notice_departure().await;
             self.renew_home_regions();
@@ -202,6 +212,24 @@
         }
     }
 
+    /// Time after which the caller should come back if the service has no room for the request. Asked
+    /// once, before the first attempt.
+    fn refused_for(&mut self) -> Option<Duration> {
+        if std::mem::replace(&mut self.is_admitted, true) {
+            return None;
+        }
+        let (request, state) = (&self.request, &self.state);
+        let snapshot = state.snapshot.load();
+        let entries = self.eligible(&snapshot);
+        let room = RoomRequest {
+            kind: RequestKind::new(Arc::clone(&request.route.name), request.priority()),
+            value: answer_value(request.head.size, request.priority()),
+            time_left: self.time_left(),
+            random: state.random.next_unit(),
+        };
+        state.pool.refused_for(&request.service, &room, &entries, state.clock.now())
+    }
+
     fn renew_home_regions(&mut self) {
         if let Some(table) = &self.state.snapshot.load().routes {
             self.request.renew_home_regions(table);
@@ -736,6 +764,10 @@
             RunError::TimedOut if self.may_have_run => {
                 Refusal::new(StatusCode::GATEWAY_TIMEOUT, "the time of the request is over")
             }
+            RunError::NoRoom(wait) => {
+                let reason = "the service has no room in the time that the request has";
+                Refusal::new(StatusCode::SERVICE_UNAVAILABLE, reason).with_retry_after(*wait)
+            }
             RunError::Blocked(wait) if !self.may_have_run => blocked_refusal(*wait),
             _ if self.may_have_run => {
                 Refusal::new(StatusCode::BAD_GATEWAY, "no upstream gave a whole answer")
--- a/crates/gateway/src/upstream_handle.rs
+++ b/crates/gateway/src/upstream_handle.rs
@@ -8,6 +8,7 @@
 use crate::wire_format::{AnswerHead, AnswerLoad};
 use http::StatusCode;
 use oleander_core::resend_choice::ReportedWait;
+use oleander_core::room_admission::ServiceLoad;
 use oleander_core::silence_excuse::SilenceExcuse;
 use oleander_core::units::{Millis, Timestamp};
 use oleander_core::upstream_choice::{ReportedLoad, UpstreamView, report_weight};
@@ -24,6 +25,8 @@
 /// Minimum delay beyond the expected time to response headers for an abandoned attempt to count as
 /// evidence of load. Shorter delays come from refused connections or callers that disconnect.
 const MIN_OVERDUE: Duration = Duration::from_millis(300);
+/// Maximum age of a report that requests are refused by: as old as hosts pass on.
+const MAX_REPORT_AGE: Duration = Duration::from_millis(1_500);
 
 struct IdleConnection {
     connection: UpstreamConnection,
@@ -53,6 +56,8 @@
     load: Option<ObservedLoad>,
     /// When this host's latest answer began, and its delay beyond the expected time.
     answered: Option<(Timestamp, Duration)>,
+    /// Time that this host's latest request there took a slot, and when it ended.
+    slot_time: Option<(Duration, Timestamp)>,
     silence: SilenceExcuse,
     idle: Vec<IdleConnection>,
 }
@@ -210,6 +215,25 @@
         pending.map(|wait| ReportedWait { wait, weight: 1.0 }).or(reported)
     }
 
+    /// Adds what is known of this open upstream to the load of its service; returns for how long this
+    /// host's latest request there took a slot, and when it ended, if there is a recent report too.
+    pub(crate) fn add_to(
+        &self,
+        load: &mut ServiceLoad,
+        now: Timestamp,
+    ) -> Option<(Duration, Timestamp)> {
+        let state = self.lock();
+        load.upstreams += 1;
+        let recent = state.load.filter(|seen| now.since(seen.at) <= MAX_REPORT_AGE);
+        let seen = recent.filter(|seen| seen.load.slots > 0)?;
+        load.reported += 1;
+        load.running += seen.load.running.min(seen.load.slots);
+        load.waiting += seen.load.waiting;
+        load.slots += seen.load.slots;
+        load.lag += seen.lag;
+        state.slot_time
+    }
+
     /// Delay of this host's latest answer beyond its expected time, if it arrived after `sent`. Reports of
     /// other hosts may come from attempts that they gave up, which do not show that the upstream works.
     pub(crate) fn lag_since(&self, sent: Timestamp) -> Option<Duration> {
@@ -245,6 +269,8 @@
     started: Timestamp,
     /// Expected prefill time of its prompt, until response headers arrive.
     pending_prefill: Option<Duration>,
+    /// Share of its time that it takes a slot rather than waits for one, once it is known to run.
+    slot_share: Option<f64>,
 }
 
 impl UpstreamPermit {
@@ -260,7 +286,7 @@
             state.waiting.push(started);
             state.pending_prefill_ms += prefill.as_millis() as u64;
         }
-        Self { upstream, started, clock, pending_prefill: Some(prefill) }
+        Self { upstream, started, clock, pending_prefill: Some(prefill), slot_share: None }
     }
 
     /// Records that response headers arrived, with the load they report.
@@ -272,6 +298,13 @@
         }
     }
 
+    /// Records that the request runs, at an upstream with this load. Where requests come and go at the
+    /// same rate, their times in slots and in the queue are as the numbers of them there.
+    pub(crate) fn record_run(&mut self, load: AnswerLoad) {
+        let all = (load.running + load.waiting).max(1);
+        self.slot_share = Some(f64::from(load.running.max(1)) / f64::from(all));
+    }
+
     /// Ends the prefill; returns the delay beyond its expected time.
     fn finish_prefill(&mut self) -> Option<Duration> {
         let prefill = self.pending_prefill.take()?;
@@ -290,7 +323,10 @@
         if let Some(lag) = self.finish_prefill().filter(|lag| *lag >= MIN_OVERDUE) {
             self.upstream.record_overdue(lag, self.clock.now());
         }
+        let now = self.clock.now();
+        let ran = self.slot_share.map(|share| now.since(self.started).mul_f64(share));
         let mut state = self.upstream.lock();
+        state.slot_time = ran.map(|ran| (ran, now)).or(state.slot_time);
         state.in_flight = state.in_flight.saturating_sub(1);
     }
 }
--- a/crates/gateway/src/upstream_pool.rs
+++ b/crates/gateway/src/upstream_pool.rs
@@ -18,6 +18,7 @@
 use oleander_core::resend_choice::{ReportedWait, ResendCandidate, ResendChoice};
 use oleander_core::retry_budget::RetryBudget;
 use oleander_core::retry_turns::RetryTurns;
+use oleander_core::room_admission::{RoomAdmission, RoomRequest, ServiceLoad};
 use oleander_core::stable_hash::hash_parts;
 use oleander_core::units::{Millis, Money, Timestamp, TokenCount};
 use oleander_core::upstream_choice::{UpstreamRule, UpstreamView, choose_upstream};
@@ -48,6 +49,11 @@
 /// Window over which the request rate is measured.
 const RATE_WINDOW: Duration = Duration::from_secs(3);
 
+/// Age at which the time that a request took a slot counts half; a host of many has one a second or
+/// so. It counts on at a thousandth, so that the time is known after a pause.
+const SLOT_TIME_HALF_LIFE: Duration = Duration::from_secs(1);
+const MAX_SLOT_TIME_AGE: f64 = 10.0;
+
 struct ServiceState {
     ejection: OutlierEjection,
     budget: RetryBudget,
@@ -62,6 +68,8 @@
     prefill: Duration,
     /// When callers come back that were refused because all upstreams have limits.
     turns: RetryTurns,
+    /// Which requests are refused for want of room.
+    admission: RoomAdmission,
 }
 
 /// All upstreams used by this host.
@@ -123,6 +131,7 @@
             reserve,
             prefill,
             turns: RetryTurns::default(),
+            admission: RoomAdmission::new(),
         }
     }
 
@@ -455,6 +464,47 @@
         ResendChoice::new(limit, candidates.collect())
     }
 
+    /// Whether a service has room for a request, by what its open upstreams report; if not, the time
+    /// after which its caller should come back.
+    pub fn refused_for(
+        &self,
+        service: &ServiceName,
+        request: &RoomRequest,
+        entries: &[Arc<UpstreamEntry>],
+        now: Timestamp,
+    ) -> Option<Duration> {
+        let load = self.service_load(service, entries, now);
+        lock(&self.services).get_mut(service)?.admission.refused_for(request, &load, now)
+    }
+
+    fn service_load(
+        &self,
+        service: &ServiceName,
+        entries: &[Arc<UpstreamEntry>],
+        now: Timestamp,
+    ) -> ServiceLoad {
+        let mut load = ServiceLoad::default();
+        let (mut slot_seconds, mut weights) = (0.0, 0.0);
+        let mut open = self.standings.open_only(entries.iter().collect(), now);
+        if let Some(state) = lock(&self.services).get(service) {
+            open.retain(|entry| !state.ejection.is_ejected(&entry.name, now));
+        }
+        for entry in open {
+            if let Some((time, at)) = self.handle(entry).add_to(&mut load, now) {
+                let age = now.since(at).as_secs_f64() / SLOT_TIME_HALF_LIFE.as_secs_f64();
+                let weight = 0.5f64.powf(age.min(MAX_SLOT_TIME_AGE));
+                slot_seconds += time.as_secs_f64() * weight;
+                weights += weight;
+            }
+        }
+        load.lag /= load.reported.max(1);
+        if weights > 0.0 {
+            load.slot_time = Duration::from_secs_f64(slot_seconds / weights);
+        }
+        load.demand = RequestRate::new(self.fleet_rate(service, now));
+        load
+    }
+
     fn typical_prefill(&self, entry: &UpstreamEntry) -> Duration {
         lock(&self.services).get(&entry.service).map_or(Duration::ZERO, |state| state.prefill)
     }
