Refuse first what an account has above its fair share of a full service

Cause: where a service has no room, one account at several times its usual rate took the room of all others.

Change: core::account_share sums the demand of accounts over this host and those heard within 5 s; each tells its eight largest in sealed datagrams. Where there is no room, the part of an account's demand above the level that can be served, and above twice what others have in the mean, is refused first. Loads of datagrams that are not authentic still rank upstreams, but no longer count for refusals.

--- a/crates/core/src/room_admission.rs
+++ b/crates/core/src/room_admission.rs
@@ -13,6 +13,7 @@
 //!
 //! Where the service has room, or too few upstreams have reported to know, everything is admitted.
 
+use crate::account_share::ShareExcess;
 use crate::request_rate::RequestRate;
 use crate::units::Timestamp;
 use std::collections::BTreeMap;
@@ -85,8 +86,6 @@
 /// Requests that are refused alike.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct RequestKind {
-    /// Whether its account is within its fair share of the demand.
-    is_within_share: bool,
     /// Urgency: 255 less the priority, so that the least urgent kind comes first.
     urgency: u8,
     route: Arc<str>,
@@ -96,14 +95,7 @@
     /// Requests of a route with a priority, where 0 is served first.
     #[must_use]
     pub const fn new(route: Arc<str>, priority: u8) -> Self {
-        Self { is_within_share: true, urgency: u8::MAX - priority, route }
-    }
-
-    /// Sets whether the account is within its fair share.
-    #[must_use]
-    pub const fn with_share(mut self, is_within_share: bool) -> Self {
-        self.is_within_share = is_within_share;
-        self
+        Self { urgency: u8::MAX - priority, route }
     }
 }
 
@@ -135,6 +127,8 @@
     pub value: f64,
     /// Time left for its answer to begin.
     pub time_left: Duration,
+    /// Demand above the fair shares of accounts, and of its own.
+    pub above: ShareExcess,
     /// A number from 0 to 1.
     pub random: f64,
 }
@@ -142,6 +136,7 @@
 /// Admits the requests of one service at one host.
 ///
 /// ```
+/// use oleander_core::account_share::ShareExcess;
 /// use oleander_core::request_rate::RequestRate;
 /// use oleander_core::room_admission::*;
 /// use oleander_core::units::Timestamp;
@@ -149,7 +144,7 @@
 ///
 /// let (mut admission, now) = (RoomAdmission::new(), Timestamp::from_millis(1_000));
 /// let (kind, time_left) = (RequestKind::new("tag".into(), 2), Duration::from_secs(4));
-/// let request = RoomRequest { kind, value: 0.4, time_left, random: 0.1 };
+/// let request = RoomRequest { kind, value: 0.4, time_left, above: ShareExcess::default(), random: 0.1 };
 /// let mut load = ServiceLoad {
 ///     upstreams: 60,
 ///     reported: 60,
@@ -187,7 +182,11 @@
             return None;
         }
         let wait = self.wait(&request.kind, load, now);
-        let chance = self.refused_share(&request.kind, load, now);
+        let above = request.above;
+        let excess = 1.0 - self.served_share(load, now);
+        let of_above = if above.total > 0.0 { (excess / above.total).min(1.0) } else { 0.0 };
+        let of_rest = self.refused_share(&request.kind, above.total, load, now);
+        let chance = above.account * of_above + (1.0 - above.account) * of_rest;
         // One draw decides, and what is left of it spreads the callers over half of the wait.
         (request.random < chance).then(|| {
             let spread = 1.0 + 0.5 * request.random / chance;
@@ -197,8 +196,8 @@
 
     fn record(&mut self, request: &RoomRequest, now: Timestamp) {
         let known = self.kinds.get(&request.kind);
-        let count = known.map_or(0.0, |kind| kind.count_at(now)) + 1.0;
-        let value = known.map_or(request.value, |kind| kind.value);
+        let count = known.map_or(0.0, |known| known.count_at(now)) + 1.0;
+        let value = known.map_or(request.value, |known| known.value);
         let value = value + (request.value - value) * VALUE_GAIN;
         let demand = KindDemand { count, time_left: request.time_left, value, at: now };
         self.kinds.insert(request.kind.clone(), demand);
@@ -233,23 +232,44 @@
         queue.max(load.lag).min(MAX_WAIT)
     }
 
-    /// Share of the requests of a kind that is refused.
+    /// Share of the demand that can be served.
     #[must_use]
-    pub fn refused_share(&self, kind: &RequestKind, load: &ServiceLoad, now: Timestamp) -> f64 {
+    pub fn served_share(&self, load: &ServiceLoad, now: Timestamp) -> f64 {
+        if load.has_room() {
+            return 1.0;
+        }
         let total: f64 = self.kinds.values().map(|demand| demand.count_at(now)).sum();
+        (1.0 - self.excess(load, now) / total.max(f64::MIN_POSITIVE)).clamp(0.0, 1.0)
+    }
+
+    /// Number of recent requests that cannot begin in their time.
+    fn excess(&self, load: &ServiceLoad, now: Timestamp) -> f64 {
         let excess = |(kind, demand): (&RequestKind, &KindDemand)| {
             let wait = self.wait(kind, load, now).as_secs_f64();
             let share = 1.0 - demand.time_left.as_secs_f64() / wait.max(f64::MIN_POSITIVE);
             share.max(0.0) * demand.count_at(now)
         };
-        let mut left: f64 = self.kinds.iter().map(excess).sum();
-        let served = (1.0 - left / total.max(f64::MIN_POSITIVE)).clamp(0.0, 1.0);
+        self.kinds.iter().map(excess).sum()
+    }
+
+    /// Share of the requests of a kind that is refused, of those within the fair share of their accounts.
+    /// `above` is the share of all demand that is above, and is refused first.
+    #[must_use]
+    pub fn refused_share(
+        &self,
+        kind: &RequestKind,
+        above: f64,
+        load: &ServiceLoad,
+        now: Timestamp,
+    ) -> f64 {
+        let served = self.served_share(load, now);
+        let total: f64 = self.kinds.values().map(|demand| demand.count_at(now)).sum();
+        let mut left = (1.0 - served - above).max(0.0) * total;
         let mut floor = FLOOR_SHARE * served;
         // Those that count least are refused first.
         let mut kinds: Vec<(&RequestKind, &KindDemand)> = self.kinds.iter().collect();
         kinds.sort_by(|(a, left), (b, right)| {
-            let rank = |kind: &RequestKind| (kind.is_within_share, kind.urgency);
-            rank(a).cmp(&rank(b)).then(left.value.total_cmp(&right.value))
+            a.urgency.cmp(&b.urgency).then(left.value.total_cmp(&right.value))
         });
         for (other, demand) in kinds {
             let count = demand.count_at(now).max(f64::MIN_POSITIVE);
--- a/crates/core/tests/resend_choice.rs
+++ b/crates/core/tests/resend_choice.rs
@@ -33,13 +33,12 @@
 /// Guards against attempts that stay at the one slow upstream while others are idle, with and without
 /// reports, and with reports from before the slowness.
 #[yare::parameterized(
-    reported = { Some(1.0) }, outdated = { Some(0.05) }, without_reports = { None },
+    reported = { upstream(40, 1.0) },
+    outdated = { upstream(40, 0.05) },
+    without_reports = { ResendCandidate { reported: None, ..upstream(40, 1.0) } },
 )]
-fn a_single_slow_upstream_among_idle_ones_is_left(weight: Option<f64>) {
-    let mut idle = vec![upstream(40, weight.unwrap_or_default()); 11];
-    if weight.is_none() {
-        idle.iter_mut().for_each(|candidate| candidate.reported = None);
-    }
+fn a_single_slow_upstream_among_idle_ones_is_left(idle: ResendCandidate) {
+    let idle = vec![idle; 11];
     assert_eq!(leaving_share(&idle, &late_by(None)), 1.0);
     assert_eq!(leaving_share(&idle, &late_by(Some(3_000))), 1.0, "others wait there even longer");
 }
--- a/crates/core/tests/room_admission.rs
+++ b/crates/core/tests/room_admission.rs
@@ -1,5 +1,6 @@
 //! Who is admitted where a service has no room, by the load that fills it.
 
+use oleander_core::account_share::ShareExcess;
 use oleander_core::request_rate::RequestRate;
 use oleander_core::room_admission::{RequestKind, RoomAdmission, RoomRequest, ServiceLoad};
 use oleander_core::stable_hash::{mix, unit_point};
@@ -54,6 +55,7 @@
             kind: kind_of(kind),
             value: kind.2 as f64,
             time_left: Duration::from_millis(kind.4),
+            above: ShareExcess::default(),
             random: unit_point(mix(bits)),
         };
         let now = Timestamp::from_millis(1_000 + number * 5);
@@ -116,17 +118,25 @@
     let (mut above, mut within) = ((0u32, 0u32), (0u32, 0u32));
     for number in 0..4_000u64 {
         let is_above = number % 2 == 0;
-        let kind = kind_of(&TAG).with_share(!is_above);
+        let kind = kind_of(&TAG);
+        // Six tenths of the one account's demand, which is half of all, are above its share.
+        let account = if is_above { 0.6 } else { 0.0 };
+        let above_share = ShareExcess { account, total: 0.3 };
         let value = if is_above { 2.0 } else { 1.0 };
         let random = unit_point(mix(number));
-        let request = RoomRequest { kind, value, time_left: Duration::from_secs(4), random };
+        let request = RoomRequest {
+            kind,
+            value,
+            time_left: Duration::from_secs(4),
+            above: above_share,
+            random,
+        };
         let now = Timestamp::from_millis(1_000 + number);
         let is_refused = admission.refused_for(&request, &service, now).is_some();
         let counts = if is_above { &mut above } else { &mut within };
         *counts = (counts.0 + 1, counts.1 + u32::from(is_refused));
     }
-    // The first requests of a host that knows nothing yet may be drawn as of the wrong account.
-    assert!(within.1 <= 2, "{within:?}");
+    assert_eq!(within.1, 0);
     assert!((200..1_500).contains(&above.1), "{above:?}");
 }
 
@@ -170,7 +180,13 @@
     for kind in [SHORT, LONG, TAG] {
         let time_left = Duration::from_millis(kind.4);
         let value = kind.2 as f64;
-        let request = RoomRequest { kind: kind_of(&kind), value, time_left, random: 1.0 };
+        let request = RoomRequest {
+            kind: kind_of(&kind),
+            value,
+            time_left,
+            above: ShareExcess::default(),
+            random: 1.0,
+        };
         assert_eq!(admission.refused_for(&request, &service, now), None, "not drawn");
     }
     let waits = [SHORT, LONG, TAG].map(|kind| admission.wait(&kind_of(&kind), &service, now));
@@ -190,6 +206,7 @@
             kind: kind_of(&TAG),
             value: 1.0,
             time_left: Duration::from_secs(4),
+            above: ShareExcess::default(),
             random,
         };
         let now = Timestamp::from_millis(1_000);
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -176,7 +176,6 @@
         for (topic, (known, heard)) in Topic::ALL.into_iter().zip(known.zip(message.heard)) {
             self.lag.record_peer_revision(topic, known.max(heard), &self.calls, now);
         }
-        self.state.pool.merge_load_reports(&message.loads, now);
         self.state.pool.merge_leaving(&message.leaving, now);
         if content.is_none() && message.sealed.is_some() && self.peers.contains(sender) {
             self.state.seal.record_unverified();
@@ -184,15 +183,23 @@
         let sealed = message.sealed.as_ref().filter(|_| content.is_some());
         let is_fresh =
             |sealed: &&SealedReport| self.state.seal.accept(&sealed.origin, SystemClock.now());
+        let sealed = sealed.filter(is_fresh);
+        if sealed.is_some() {
+            self.state.pool.merge_authentic_load_reports(&message.loads, now);
+        } else {
+            self.state.pool.merge_load_reports(&message.loads, now);
+        }
         let mut seeks = false;
-        if let Some(sealed) = sealed.filter(is_fresh) {
+        if let Some(sealed) = sealed {
             self.state.crashes.merge(&message.parts, &sealed.requests, now);
             let limits = self.state.pool.limits();
             limits.merge(&sealed.origin.host, &sealed.hosts, &sealed.limits, now);
             limits.merge_places(&message.places, now);
             self.state.evacuations.merge(&message.evacuations, &self.state.snapshot.load());
+            let host = HostHash::new(&sealed.origin.host);
+            self.state.pool.merge_demand(host, &message.demand, now);
             if let Some(reach) = &message.reach {
-                self.state.reach.merge(HostHash::new(&sealed.origin.host), reach, now);
+                self.state.reach.merge(host, reach, now);
                 seeks = reach.seeks;
             }
         }
@@ -269,8 +276,9 @@
         let address = state.carrier_load.address().filter(|_| !is_stopping);
         let reach = state.reach.report(address, state.carrier_load.carried(), now);
         let places = state.pool.limits().report_places(now);
-        // A load takes nine bytes, a reported crash up to fourteen, a host eight, a limit or a brittle
-        // upstream twelve, a reached service six, the place of the sender thirty and an end of an
+        let mut demand = state.pool.report_demand(now);
+        // A load or an account takes up to nine bytes, a reported crash up to fourteen, a host eight, a limit or
+        // a brittle upstream twelve, a reached service six, the place of the sender thirty and an end of an
         // upstream under a request up to thirty.
         let others = SEAL_LOADS
             + REACH_LOADS
@@ -278,9 +286,14 @@
             + places.len() * 4 / 3
             + parts.len() * 2
             + hosts.others.len()
+            + demand.len()
             + limits.len() * 3 / 2
             + requests.len() * 7 / 2;
         loads.truncate(MAX_LOAD_REPORTS.saturating_sub(others));
+        if others > MAX_LOAD_REPORTS {
+            // What may not be left out takes the place of all loads, and of the accounts.
+            demand.clear();
+        }
         GossipMessage {
             versions: revisions.map(|revision| revision.version),
             region: RegionHash::new(&state.settings.load().region),
@@ -299,7 +312,7 @@
             places,
             evacuations: state.evacuations.report(&snapshot),
             paces: Vec::new(),
-            demand: Vec::new(),
+            demand,
         }
     }
 }
--- a/crates/gateway/src/request_run.rs
+++ b/crates/gateway/src/request_run.rs
@@ -20,6 +20,7 @@
 use crate::upstream_pool::UpstreamPool;
 use crate::wire_format::{ModelSelection, UpstreamHead};
 use http::{HeaderValue, StatusCode};
+use oleander_core::account_share::{AccountHash, ShareExcess};
 use oleander_core::attempt_retry::FaultKind;
 use oleander_core::ids::UpstreamName;
 use oleander_core::part_quarantine::SERVED_TIME;
@@ -225,9 +226,11 @@
             kind: RequestKind::new(Arc::clone(&request.route.name), request.priority()),
             value: answer_value(request.head.size, request.priority()),
             time_left: self.time_left(),
+            above: ShareExcess::default(),
             random: state.random.next_unit(),
         };
-        state.pool.refused_for(&request.service, &room, &entries, state.clock.now())
+        let account = request.account.as_ref().map(|account| AccountHash::new(&account.name));
+        state.pool.refused_for(&request.service, room, account, &entries, state.clock.now())
     }
 
     fn renew_home_regions(&mut self) {
--- a/crates/gateway/src/upstream_handle.rs
+++ b/crates/gateway/src/upstream_handle.rs
@@ -43,6 +43,8 @@
     /// Delay of the reporting response beyond its expected time to headers.
     lag: Duration,
     at: Timestamp,
+    /// Whether it is of an answer to this host, or of an authentic datagram.
+    is_authentic: bool,
 }
 
 #[derive(Default)]
@@ -171,12 +173,23 @@
     /// Records a load report received at `at` and the response's delay beyond its expected time,
     /// unless a newer report is known.
     pub fn record_load(&self, load: AnswerLoad, lag: Duration, at: Timestamp) {
+        self.record_told_load(load, lag, at, true);
+    }
+
+    /// Records a load report of a datagram. Requests are refused only by authentic ones.
+    pub(crate) fn record_told_load(
+        &self,
+        load: AnswerLoad,
+        lag: Duration,
+        at: Timestamp,
+        is_authentic: bool,
+    ) {
         let mut state = self.lock();
         if state.load.is_some_and(|known| known.at > at) {
             return;
         }
         let (own, own_waiting) = (state.in_flight, state.waiting.len() as u32);
-        state.load = Some(ObservedLoad { load, own, own_waiting, lag, at });
+        state.load = Some(ObservedLoad { load, own, own_waiting, lag, at, is_authentic });
     }
 
     /// Records that a response is overdue by `lag`. Counts as a report made now, since the missing
@@ -225,7 +238,7 @@
         let state = self.lock();
         load.upstreams += 1;
         let recent = state.load.filter(|seen| now.since(seen.at) <= MAX_REPORT_AGE);
-        let seen = recent.filter(|seen| seen.load.slots > 0)?;
+        let seen = recent.filter(|seen| seen.load.slots > 0 && seen.is_authentic)?;
         load.reported += 1;
         load.running += seen.load.running.min(seen.load.slots);
         load.waiting += seen.load.waiting;
@@ -300,7 +313,7 @@
 
     /// Records that the request runs, at an upstream with this load. Where requests come and go at the
     /// same rate, their times in slots and in the queue are as the numbers of them there.
-    pub(crate) fn record_run(&mut self, load: AnswerLoad) {
+    pub fn record_run(&mut self, load: AnswerLoad) {
         let all = (load.running + load.waiting).max(1);
         self.slot_share = Some(f64::from(load.running.max(1)) / f64::from(all));
     }
--- a/crates/gateway/src/upstream_pool.rs
+++ b/crates/gateway/src/upstream_pool.rs
@@ -10,7 +10,9 @@
 use crate::upstream_handle::{UpstreamHandle, UpstreamPermit};
 use crate::upstream_standings::SharedStandings;
 use crate::wire_format::TokenSize;
+use oleander_core::account_share::{AccountHash, AccountShare, ReportedDemand};
 use oleander_core::ejection::OutlierEjection;
+use oleander_core::host_view::HostHash;
 use oleander_core::ids::{ServiceName, UpstreamName};
 use oleander_core::limit_division::LimitWait;
 use oleander_core::place_division::PlaceRequest;
@@ -82,6 +84,7 @@
     services: Mutex<BTreeMap<ServiceName, ServiceState>>,
     /// Number of hosts, once counted.
     hosts: Mutex<Option<usize>>,
+    accounts: Mutex<AccountShare>,
 }
 
 impl UpstreamPool {
@@ -97,6 +100,7 @@
             limits,
             services: Mutex::default(),
             hosts: Mutex::default(),
+            accounts: Mutex::default(),
         }
     }
 
@@ -268,8 +272,18 @@
         reports
     }
 
-    /// Merges load reports received from another host; unknown upstreams are ignored.
+    /// Merges load reports received from another host; unknown upstreams are ignored. They rank
+    /// upstreams.
     pub fn merge_load_reports(&self, reports: &[LoadReport], now: Timestamp) {
+        self.merge_loads(reports, false, now);
+    }
+
+    /// Merges load reports of an authentic datagram, by which requests may also be refused.
+    pub fn merge_authentic_load_reports(&self, reports: &[LoadReport], now: Timestamp) {
+        self.merge_loads(reports, true, now);
+    }
+
+    fn merge_loads(&self, reports: &[LoadReport], is_authentic: bool, now: Timestamp) {
         let by_upstream: HashMap<UpstreamHash, &LoadReport> =
             reports.iter().map(|report| (report.upstream, report)).collect();
         for handle in lock(&self.handles).values() {
@@ -277,7 +291,8 @@
                 let at = Timestamp::from_millis(
                     now.as_millis().saturating_sub(report.age().as_millis() as u64),
                 );
-                handle.record_load(report.load(handle.entry.slots), report.lag(), at);
+                let load = report.load(handle.entry.slots);
+                handle.record_told_load(load, report.lag(), at, is_authentic);
             }
         }
     }
@@ -464,17 +479,39 @@
         ResendChoice::new(limit, candidates.collect())
     }
 
-    /// Whether a service has room for a request, by what its open upstreams report; if not, the time
-    /// after which its caller should come back.
+    /// Whether a service has room for a request of an account, by what its open upstreams report; if
+    /// not, the time after which its caller should come back.
     pub fn refused_for(
         &self,
         service: &ServiceName,
-        request: &RoomRequest,
+        mut request: RoomRequest,
+        account: Option<AccountHash>,
         entries: &[Arc<UpstreamEntry>],
         now: Timestamp,
     ) -> Option<Duration> {
         let load = self.service_load(service, entries, now);
-        lock(&self.services).get_mut(service)?.admission.refused_for(request, &load, now)
+        let mut services = lock(&self.services);
+        let admission = &mut services.get_mut(service)?.admission;
+        if let Some(account) = account {
+            let mut accounts = lock(&self.accounts);
+            accounts.record(account, now);
+            if !load.has_room() {
+                let served = admission.served_share(&load, now);
+                request.above = accounts.excess(account, served, now);
+            }
+        }
+        admission.refused_for(&request, &load, now)
+    }
+
+    /// The largest client accounts of this host, for other hosts.
+    #[must_use]
+    pub fn report_demand(&self, now: Timestamp) -> Vec<ReportedDemand> {
+        lock(&self.accounts).report(now)
+    }
+
+    /// Takes over the largest client accounts of another host.
+    pub fn merge_demand(&self, host: HostHash, report: &[ReportedDemand], now: Timestamp) {
+        lock(&self.accounts).merge(host, report, now);
     }
 
     fn service_load(
