--- a/crates/gateway/src/request_run.rs
+++ b/crates/gateway/src/request_run.rs
@@ -20,12 +20,15 @@
 use crate::upstream_pool::UpstreamPool;
 use crate::wire_format::{ModelSelection, UpstreamHead};
 use http::{HeaderValue, StatusCode};
+use oleander_core::account_share::{AccountHash, ShareExcess};
 use oleander_core::attempt_retry::FaultKind;
 use oleander_core::ids::UpstreamName;
 use oleander_core::part_quarantine::SERVED_TIME;
 use oleander_core::reach_view::ServicePath;
 use oleander_core::request_hash::RequestHash;
 use oleander_core::request_quarantine::RequestPermission;
+use oleander_core::resend_choice::PendingAttempt;
+use oleander_core::room_admission::{RequestKind, RoomRequest};
 use oleander_core::units::Timestamp;
 use std::borrow::Cow;
 use std::collections::HashSet;
@@ -68,6 +71,8 @@
     Failed(AttemptFault),
     /// Upstreams crash on the request, or on a part of its prompt.
     Blocked(Duration),
+    /// The service has no room in the time that the request has.
+    NoRoom(Duration),
 }
 
 /// The attempts of one request.
@@ -107,6 +112,8 @@
     failed_version: Option<Arc<str>>,
     /// The latest answer, which counts in a rollout.
     answer: Option<RolloutAnswer>,
+    /// Whether it was asked whether the service has room.
+    is_admitted: bool,
 }
 
 impl RequestRun {
@@ -134,6 +141,7 @@
             hash: OnceLock::new(),
             failed_version: None,
             answer: None,
+            is_admitted: false,
         }
     }
 
@@ -161,6 +169,10 @@
         resume_after: Option<u64>,
     ) -> Result<UpstreamAnswer, RunError> {
         let mut last_fault = None;
+        if let Some(wait) = self.refused_for() {
+            self.state.metrics.record_no_room();
+            return Err(RunError::NoRoom(wait));
+        }
         loop {
             notice_departure().await;
             self.renew_home_regions();
@@ -204,6 +216,26 @@
         }
     }
 
+    /// Time after which the caller should come back if the service has no room for the request. Asked
+    /// once, before the first attempt.
+    fn refused_for(&mut self) -> Option<Duration> {
+        if std::mem::replace(&mut self.is_admitted, true) {
+            return None;
+        }
+        let (request, state) = (&self.request, &self.state);
+        let snapshot = state.snapshot.load();
+        let entries = self.eligible(&snapshot);
+        let room = RoomRequest {
+            kind: RequestKind::new(Arc::clone(&request.route.name), request.priority()),
+            value: answer_value(request.head.size, request.priority()),
+            time_left: self.time_left(),
+            above: ShareExcess::default(),
+            random: state.random.next_unit(),
+        };
+        let account = request.account.as_ref().map(|account| AccountHash::new(&account.name));
+        state.pool.refused_for(&request.service, room, account, &entries, state.clock.now())
+    }
+
     fn renew_home_regions(&mut self) {
         if let Some(table) = &self.state.snapshot.load().routes {
             self.request.renew_home_regions(table);
@@ -499,9 +531,10 @@
     }
 
     /// Sends an attempt. If response headers are late, another upstream is tried, provided that
-    /// retries are allowed, the budget has one and the other upstream is expected to answer sooner.
-    /// Otherwise the attempt continues, since swapping a place in one queue for the end of another
-    /// gains nothing.
+    /// retries are allowed, the budget has one and [`ResendChoice`] expects that to pay. Otherwise the
+    /// attempt continues, since swapping a place in one queue for the end of another gains nothing.
+    ///
+    /// [`ResendChoice`]: oleander_core::resend_choice::ResendChoice
     async fn send_with_timeout(
         &self,
         permit: UpstreamPermit,
@@ -514,6 +547,7 @@
         let (state, outgoing) = (&self.state, &self.request.outgoing);
         let time_left = self.time_left();
         let path = state.reach.path(&self.request.service, state.clock.now());
+        let entry = Arc::clone(&permit.upstream.entry);
         let work = send_attempt(state, permit, outgoing, head, time_left, progress);
         tokio::pin!(work);
         loop {
@@ -537,7 +571,7 @@
                     let text = "no response headers, and the service is out of reach";
                     return Err(progress.timeout_fault(text));
                 }
-                None if self.may_abandon() && self.has_faster(faster_limit) => {
+                None if self.may_abandon() && self.resend_pays(&entry, faster_limit) => {
                     let text = format!("no response headers within {timeout:?}");
                     return Err(progress.timeout_fault(&text));
                 }
@@ -546,6 +580,23 @@
         }
     }
 
+    /// Whether sending the request to another upstream, which must be expected to answer within
+    /// `limit`, pays more than waiting on at this one.
+    fn resend_pays(&self, entry: &UpstreamEntry, limit: Duration) -> bool {
+        let state = &self.state;
+        let pays = self.with_choice(|pool, input| {
+            let reported = pool.wait_since(entry, input.prefill, self.sent_at);
+            let waited = input.now.since(self.sent_at);
+            let pending = PendingAttempt { waited, reported, time_left: self.time_left() };
+            let choice = pool.resend_choice(input, limit);
+            choice.pays(&pending, state.random.next_unit())
+        });
+        if !pays {
+            state.metrics.record_kept();
+        }
+        pays
+    }
+
     /// Whether the retry policy and budget allow another attempt while this one is pending.
     fn may_abandon(&self) -> bool {
         let route = &self.request.route;
@@ -731,6 +782,10 @@
             RunError::TimedOut if self.may_have_run => {
                 Refusal::new(StatusCode::GATEWAY_TIMEOUT, "the time of the request is over")
             }
+            RunError::NoRoom(wait) => {
+                let reason = "the service has no room in the time that the request has";
+                Refusal::new(StatusCode::SERVICE_UNAVAILABLE, reason).with_retry_after(*wait)
+            }
             RunError::Blocked(wait) if !self.may_have_run => blocked_refusal(*wait),
             _ if self.may_have_run => {
                 Refusal::new(StatusCode::BAD_GATEWAY, "no upstream gave a whole answer")
--- a/crates/gateway/src/upstream_handle.rs
+++ b/crates/gateway/src/upstream_handle.rs
@@ -10,6 +10,8 @@
 use crate::wire_format::{AnswerHead, AnswerLoad};
 use http::StatusCode;
 use oleander_core::prefix_value::{PrefixUse, PromptPrefix, SentPrefixes, UpstreamMemory};
+use oleander_core::resend_choice::ReportedWait;
+use oleander_core::room_admission::ServiceLoad;
 use oleander_core::silence_excuse::SilenceExcuse;
 use oleander_core::units::{Millis, Timestamp, TokenCount};
 use oleander_core::upstream_choice::{ReportedLoad, UpstreamView, report_weight};
@@ -27,6 +29,8 @@
 /// Minimum delay beyond the expected time to response headers for an abandoned attempt to count as
 /// evidence of load. Shorter delays come from refused connections or callers that disconnect.
 const MIN_OVERDUE: Duration = Duration::from_millis(300);
+/// Maximum age of a report that requests are refused by: as old as hosts pass on.
+const MAX_REPORT_AGE: Duration = Duration::from_millis(1_500);
 
 /// Time within which a request has to be sent to a cold upstream: several round trips to the farthest
 /// region.
@@ -55,13 +59,15 @@
     /// Delay of the reporting response beyond its expected time to headers.
     lag: Duration,
     at: Timestamp,
+    /// Whether it is of an answer to this host, or of an authentic datagram.
+    is_authentic: bool,
 }
 
 #[derive(Default)]
 struct HandleState {
     in_flight: u32,
-    /// Requests in flight whose response has not begun.
-    waiting: u32,
+    /// When the requests in flight were sent whose response has not begun.
+    waiting: Vec<Timestamp>,
     /// Expected prefill time of this host's prompts that are still being prefilled, in
     /// milliseconds.
     pending_prefill_ms: u64,
@@ -72,6 +78,10 @@
     pace: UpstreamPace,
     /// The latest answer whose begin was measured.
     start_measured_at: Timestamp,
+    /// When this host's latest answer began, and its delay beyond the expected time.
+    answered: Option<(Timestamp, Duration)>,
+    /// Time that this host's latest request there took a slot, and when it ended.
+    slot_time: Option<(Duration, Timestamp)>,
     silence: SilenceExcuse,
     idle: Vec<IdleConnection>,
 }
@@ -193,6 +203,17 @@
     /// Records a load report received at `at` and the response's delay beyond its expected time,
     /// unless a newer report is known.
     pub fn record_load(&self, load: AnswerLoad, lag: Duration, at: Timestamp) {
+        self.record_told_load(load, lag, at, true);
+    }
+
+    /// Records a load report of a datagram. Requests are refused only by authentic ones.
+    pub(crate) fn record_told_load(
+        &self,
+        load: AnswerLoad,
+        lag: Duration,
+        at: Timestamp,
+        is_authentic: bool,
+    ) {
         let mut state = self.lock();
         if state.load.is_some_and(|known| known.at > at) {
             return;
@@ -200,8 +221,8 @@
         if let Some(pace) = load.pace {
             state.pace.record_stated(pace, at);
         }
-        let (own, own_waiting) = (state.in_flight, state.waiting);
-        state.load = Some(ObservedLoad { load, own, own_waiting, lag, at });
+        let (own, own_waiting) = (state.in_flight, state.waiting.len() as u32);
+        state.load = Some(ObservedLoad { load, own, own_waiting, lag, at, is_authentic });
     }
 
     /// Tokens of this host's requests in flight.
@@ -283,6 +304,53 @@
         LoadReport::new(self.hash, seen.load, seen.lag, now.since(seen.at))
     }
 
+    /// How long requests wait here for response headers, beyond their own prefill: as last reported, or
+    /// as the oldest pending one of this host shows, if that is longer than `limit`. `prefill` is the
+    /// typical prefill time here.
+    pub(crate) fn reported_wait(
+        &self,
+        prefill: Duration,
+        limit: Duration,
+        now: Timestamp,
+    ) -> Option<ReportedWait> {
+        let state = self.lock();
+        let reported = state.load.map(|seen| {
+            let waiting = f64::from(seen.load.waiting.saturating_sub(seen.own_waiting));
+            let wait = prefill.mul_f64(waiting).max(seen.lag);
+            ReportedWait { wait, weight: report_weight(now.since(seen.at)) }
+        });
+        let pending = state.waiting.iter().min().map(|sent| now.since(*sent));
+        let pending = pending.filter(|age| {
+            *age > limit && reported.is_none_or(|known| known.wait < *age || known.weight < 0.5)
+        });
+        pending.map(|wait| ReportedWait { wait, weight: 1.0 }).or(reported)
+    }
+
+    /// Adds what is known of this open upstream to the load of its service; returns for how long this
+    /// host's latest request there took a slot, and when it ended, if there is a recent report too.
+    pub(crate) fn add_to(
+        &self,
+        load: &mut ServiceLoad,
+        now: Timestamp,
+    ) -> Option<(Duration, Timestamp)> {
+        let state = self.lock();
+        load.upstreams += 1;
+        let recent = state.load.filter(|seen| now.since(seen.at) <= MAX_REPORT_AGE);
+        let seen = recent.filter(|seen| seen.load.slots > 0 && seen.is_authentic)?;
+        load.reported += 1;
+        load.running += seen.load.running.min(seen.load.slots);
+        load.waiting += seen.load.waiting;
+        load.slots += seen.load.slots;
+        load.lag += seen.lag;
+        state.slot_time
+    }
+
+    /// Delay of this host's latest answer beyond its expected time, if it arrived after `sent`. Reports of
+    /// other hosts may come from attempts that they gave up, which do not show that the upstream works.
+    pub(crate) fn lag_since(&self, sent: Timestamp) -> Option<Duration> {
+        self.lock().answered.filter(|(at, _)| *at > sent).map(|(_, lag)| lag)
+    }
+
     /// The upstream's inputs to the choice; `prefill` is the typical prefill time there.
     pub(crate) fn view(&self, prefill: Duration, now: Timestamp) -> UpstreamView {
         let state = self.lock();
@@ -329,6 +397,8 @@
     stream: Option<PermitStream>,
     /// Tokens of the request and its answer.
     tokens: u32,
+    /// Share of its time that it takes a slot rather than waits for one, once it is known to run.
+    slot_share: Option<f64>,
 }
 
 impl UpstreamPermit {
@@ -337,14 +407,24 @@
         prefill: Duration,
         clock: Arc<dyn ClockPort>,
     ) -> Self {
+        let started = clock.now();
         {
             let mut state = upstream.lock();
             state.in_flight += 1;
-            state.waiting += 1;
+            state.waiting.push(started);
             state.pending_prefill_ms += prefill.as_millis() as u64;
         }
-        let (started, pending_prefill) = (clock.now(), Some(prefill));
-        Self { upstream, clock, started, pending_prefill, load: None, stream: None, tokens: 0 }
+        let pending_prefill = Some(prefill);
+        Self {
+            upstream,
+            clock,
+            started,
+            pending_prefill,
+            load: None,
+            stream: None,
+            tokens: 0,
+            slot_share: None,
+        }
     }
 
     /// The permit of a request that takes so many tokens of the upstream's memory.
@@ -387,16 +467,26 @@
     pub fn record_head(&mut self, load: Option<AnswerLoad>) {
         let Some(lag) = self.finish_prefill() else { return };
         self.load = load;
+        self.upstream.lock().answered = Some((self.clock.now(), lag));
         if let Some(load) = load {
             self.upstream.record_load(load, lag, self.clock.now());
         }
     }
 
+    /// Records that the request runs, at an upstream with this load. Where requests come and go at the
+    /// same rate, their times in slots and in the queue are as the numbers of them there.
+    pub fn record_run(&mut self, load: AnswerLoad) {
+        let all = (load.running + load.waiting).max(1);
+        self.slot_share = Some(f64::from(load.running.max(1)) / f64::from(all));
+    }
+
     /// Ends the prefill; returns the delay beyond its expected time.
     fn finish_prefill(&mut self) -> Option<Duration> {
         let prefill = self.pending_prefill.take()?;
         let mut state = self.upstream.lock();
-        state.waiting = state.waiting.saturating_sub(1);
+        if let Some(index) = state.waiting.iter().position(|sent| *sent == self.started) {
+            state.waiting.swap_remove(index);
+        }
         state.pending_prefill_ms =
             state.pending_prefill_ms.saturating_sub(prefill.as_millis() as u64);
         Some(self.clock.now().since(self.started).saturating_sub(prefill))
@@ -411,7 +501,10 @@
         if let (Some(stream), Some(load)) = (&self.stream, self.load) {
             self.upstream.record_stream(stream, load);
         }
+        let now = self.clock.now();
+        let ran = self.slot_share.map(|share| now.since(self.started).mul_f64(share));
         let mut state = self.upstream.lock();
+        state.slot_time = ran.map(|ran| (ran, now)).or(state.slot_time);
         state.in_flight = state.in_flight.saturating_sub(1);
         state.own_tokens = state.own_tokens.saturating_sub(self.tokens.into());
     }
--- a/crates/gateway/src/upstream_pool.rs
+++ b/crates/gateway/src/upstream_pool.rs
@@ -15,15 +15,19 @@
 use crate::upstream_speeds::UpstreamSpeeds;
 use crate::upstream_standings::SharedStandings;
 use crate::wire_format::TokenSize;
+use oleander_core::account_share::{AccountHash, AccountShare, ReportedDemand};
 use oleander_core::attempt_retry::FaultKind;
 use oleander_core::ejection::OutlierEjection;
+use oleander_core::host_view::HostHash;
 use oleander_core::ids::{ServiceName, UpstreamName};
 use oleander_core::limit_division::LimitWait;
 use oleander_core::place_division::PlaceRequest;
 use oleander_core::prefix_value::{HOLDERS, PrefixDemand, PrefixUse, PromptPrefix, UpstreamMemory};
 use oleander_core::request_rate::RequestRate;
+use oleander_core::resend_choice::{ReportedWait, ResendCandidate, ResendChoice};
 use oleander_core::retry_budget::RetryBudget;
 use oleander_core::retry_turns::RetryTurns;
+use oleander_core::room_admission::{RoomAdmission, RoomRequest, ServiceLoad};
 use oleander_core::stable_hash::hash_parts;
 use oleander_core::units::{Millis, Money, Timestamp, TokenCount};
 use oleander_core::upstream_choice::{UpstreamRule, UpstreamView, choose_upstream, expected_load};
@@ -54,6 +58,11 @@
 /// Window over which the request rate is measured.
 const RATE_WINDOW: Duration = Duration::from_secs(3);
 
+/// Age at which the time that a request took a slot counts half; a host of many has one a second or
+/// so. It counts on at a thousandth, so that the time is known after a pause.
+const SLOT_TIME_HALF_LIFE: Duration = Duration::from_secs(1);
+const MAX_SLOT_TIME_AGE: f64 = 10.0;
+
 struct ServiceState {
     ejection: OutlierEjection,
     budget: RetryBudget,
@@ -70,6 +79,8 @@
     demand: PrefixDemand,
     /// When callers come back that were refused because all upstreams have limits.
     turns: RetryTurns,
+    /// Which requests are refused for want of room.
+    admission: RoomAdmission,
 }
 
 /// All upstreams used by this host.
@@ -83,6 +94,7 @@
     services: Mutex<BTreeMap<ServiceName, ServiceState>>,
     /// Number of hosts, once counted.
     hosts: Mutex<Option<usize>>,
+    accounts: Mutex<AccountShare>,
 }
 
 impl UpstreamPool {
@@ -99,6 +111,7 @@
             speeds: Arc::default(),
             services: Mutex::default(),
             hosts: Mutex::default(),
+            accounts: Mutex::default(),
         }
     }
 
@@ -141,6 +154,7 @@
             prefill,
             demand: PrefixDemand::new(),
             turns: RetryTurns::default(),
+            admission: RoomAdmission::new(),
         }
     }
 
@@ -287,8 +301,18 @@
         reports
     }
 
-    /// Merges load reports received from another host; unknown upstreams are ignored.
+    /// Merges load reports received from another host; unknown upstreams are ignored. They rank
+    /// upstreams.
     pub fn merge_load_reports(&self, reports: &[LoadReport], now: Timestamp) {
+        self.merge_loads(reports, false, now);
+    }
+
+    /// Merges load reports of an authentic datagram, by which requests may also be refused.
+    pub fn merge_authentic_load_reports(&self, reports: &[LoadReport], now: Timestamp) {
+        self.merge_loads(reports, true, now);
+    }
+
+    fn merge_loads(&self, reports: &[LoadReport], is_authentic: bool, now: Timestamp) {
         let by_upstream: HashMap<UpstreamHash, &LoadReport> =
             reports.iter().map(|report| (report.upstream, report)).collect();
         let prefills: HashMap<ServiceName, Duration> = lock(&self.services)
@@ -304,7 +328,7 @@
                     now.as_millis().saturating_sub(report.age().as_millis() as u64),
                 );
                 let (load, prefill) = (report.load(handle.entry.slots), prefill(handle));
-                handle.record_load(load, report.lag(), at);
+                handle.record_told_load(load, report.lag(), at, is_authentic);
                 handle.record_start(load, report.lag(), prefill, at);
             }
         }
@@ -577,6 +601,109 @@
         !open.is_empty() && open.iter().all(|entry| cold.rate(entry, input.now).is_some())
     }
 
+    /// The choice between a pending attempt and the untried upstreams, of which one must be expected
+    /// to finish prefilling the prompt within `limit`.
+    #[must_use]
+    pub fn resend_choice(&self, input: &ChoiceInput<'_>, limit: Duration) -> ResendChoice {
+        let permitted = input.entries.iter().filter(|entry| {
+            !input.tried.contains(&entry.name) && input.rule.permits(&entry.version)
+        });
+        let open = self.standings.open_only(permitted.collect(), input.now);
+        let open = self.limits.open_only(open, input.now);
+        let open = self.limits.cold().open_only(open, input.priority, input.now);
+        let open = self.with_places(open, input);
+        let candidates = open.into_iter().filter_map(|entry| {
+            let handle = self.handle(entry);
+            let view = self.view(&handle, input.now);
+            let own = view.delay.as_duration() + input.prefill;
+            let reported = handle.reported_wait(self.typical_prefill(entry), limit, input.now);
+            let reported = reported.map(|known| ReportedWait { wait: known.wait + own, ..known });
+            let wait = view.backlog.as_duration() + own;
+            let is_free = has_free_slots(&view);
+            view.is_available().then_some(ResendCandidate { wait, reported, is_free })
+        });
+        ResendChoice::new(limit, candidates.collect())
+    }
+
+    /// Whether a service has room for a request of an account, by what its open upstreams report; if
+    /// not, the time after which its caller should come back.
+    pub fn refused_for(
+        &self,
+        service: &ServiceName,
+        mut request: RoomRequest,
+        account: Option<AccountHash>,
+        entries: &[Arc<UpstreamEntry>],
+        now: Timestamp,
+    ) -> Option<Duration> {
+        let load = self.service_load(service, entries, now);
+        let mut services = lock(&self.services);
+        let admission = &mut services.get_mut(service)?.admission;
+        if let Some(account) = account {
+            let mut accounts = lock(&self.accounts);
+            accounts.record(account, now);
+            if !load.has_room() {
+                let served = admission.served_share(&load, now);
+                request.above = accounts.excess(account, served, now);
+            }
+        }
+        admission.refused_for(&request, &load, now)
+    }
+
+    /// The largest client accounts of this host, for other hosts.
+    #[must_use]
+    pub fn report_demand(&self, now: Timestamp) -> Vec<ReportedDemand> {
+        lock(&self.accounts).report(now)
+    }
+
+    /// Takes over the largest client accounts of another host.
+    pub fn merge_demand(&self, host: HostHash, report: &[ReportedDemand], now: Timestamp) {
+        lock(&self.accounts).merge(host, report, now);
+    }
+
+    fn service_load(
+        &self,
+        service: &ServiceName,
+        entries: &[Arc<UpstreamEntry>],
+        now: Timestamp,
+    ) -> ServiceLoad {
+        let mut load = ServiceLoad::default();
+        let (mut slot_seconds, mut weights) = (0.0, 0.0);
+        let mut open = self.standings.open_only(entries.iter().collect(), now);
+        if let Some(state) = lock(&self.services).get(service) {
+            open.retain(|entry| !state.ejection.is_ejected(&entry.name, now));
+        }
+        for entry in open {
+            if let Some((time, at)) = self.handle(entry).add_to(&mut load, now) {
+                let age = now.since(at).as_secs_f64() / SLOT_TIME_HALF_LIFE.as_secs_f64();
+                let weight = 0.5f64.powf(age.min(MAX_SLOT_TIME_AGE));
+                slot_seconds += time.as_secs_f64() * weight;
+                weights += weight;
+            }
+        }
+        load.lag /= load.reported.max(1);
+        if weights > 0.0 {
+            load.slot_time = Duration::from_secs_f64(slot_seconds / weights);
+        }
+        load.demand = RequestRate::new(self.fleet_rate(service, now));
+        load
+    }
+
+    fn typical_prefill(&self, entry: &UpstreamEntry) -> Duration {
+        lock(&self.services).get(&entry.service).map_or(Duration::ZERO, |state| state.prefill)
+    }
+
+    /// Wait for response headers at an upstream, by an answer that arrived after `sent`.
+    #[must_use]
+    pub fn wait_since(
+        &self,
+        entry: &UpstreamEntry,
+        prefill: Duration,
+        sent: Timestamp,
+    ) -> Option<Duration> {
+        let handle = lock(&self.handles).get(&entry.name).cloned();
+        handle?.lag_since(sent).map(|lag| lag + prefill)
+    }
+
     /// When the first of the upstreams that may be tried takes requests again; `None` if one does
     /// now, or none is known to.
     #[must_use]
