Count a stalled answer as silence of an upstream in the entry

Since a call can fail as stalled, and the two matches over call errors in the entry did not cover it, so the root package did not build. A stalled answer is counted like one that does not come in time.

--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -198,7 +198,7 @@
 fn call_fault(error: CallError) -> AttemptFault {
     let kind = match &error {
         CallError::Connect(_) => FaultKind::Connect,
-        CallError::Timeout(_) => FaultKind::Silent,
+        CallError::Timeout(_) | CallError::Stalled(_) => FaultKind::Silent,
         CallError::Lost(_) | CallError::Body(_) => FaultKind::Lost,
     };
     AttemptFault::new(kind, error.to_string())
--- a/crates/entry/src/service_send.rs
+++ b/crates/entry/src/service_send.rs
@@ -102,7 +102,7 @@
 fn call_fault(error: CallError) -> AttemptFault {
     let kind = match &error {
         CallError::Connect(_) => FaultKind::Connect,
-        CallError::Timeout(_) => FaultKind::Silent,
+        CallError::Timeout(_) | CallError::Stalled(_) => FaultKind::Silent,
         CallError::Lost(_) => FaultKind::Lost,
         CallError::Body(_) => FaultKind::Cut,
     };
