--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod claim;
 pub mod concurrency;
 pub mod confidence;
+pub mod connection_budget;
 pub mod deadline;
 pub mod detect;
 pub mod dispatch_guard;
--- a/crates/core/src/units.rs
+++ b/crates/core/src/units.rs
@@ -52,6 +52,57 @@
     }
 }
 
+/// A number of bytes.
+///
+/// ```
+/// use oleander_core::units::ByteCount;
+///
+/// let memory: ByteCount = "120 MB".parse().unwrap();
+/// assert_eq!(memory.get(), 120_000_000);
+/// assert_eq!(ByteCount::new(4_096).to_string(), "4096 B");
+/// ```
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct ByteCount(u64);
+
+impl ByteCount {
+    /// Creates a count.
+    #[must_use]
+    pub const fn new(bytes: u64) -> Self {
+        Self(bytes)
+    }
+
+    /// The number of bytes.
+    #[must_use]
+    pub const fn get(self) -> u64 {
+        self.0
+    }
+}
+
+/// Units of a [`ByteCount`], the largest first.
+const BYTE_UNITS: [(&str, u64); 4] =
+    [("GB", 1_000_000_000), ("MB", 1_000_000), ("kB", 1_000), ("B", 1)];
+
+impl fmt::Display for ByteCount {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let exact = BYTE_UNITS.iter().find(|(_, size)| self.0 >= *size && self.0 % size == 0);
+        let (unit, size) = exact.copied().unwrap_or(("B", 1));
+        write!(f, "{} {unit}", self.0 / size)
+    }
+}
+
+impl FromStr for ByteCount {
+    type Err = UnitError;
+
+    fn from_str(text: &str) -> Result<Self, UnitError> {
+        let error =
+            || UnitError { expected: "a number of bytes such as 120 MB", text: text.into() };
+        let (number, unit) = text.split_once(' ').ok_or_else(error)?;
+        let (_, size) = BYTE_UNITS.iter().find(|(name, _)| *name == unit).ok_or_else(error)?;
+        let number: u64 = number.parse().map_err(|_| error())?;
+        number.checked_mul(*size).map(Self).ok_or_else(error)
+    }
+}
+
 impl fmt::Display for Timestamp {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{}ms", self.0)
