Count what connections of clients hold, and notice callers that leave after sending more

Cause: connections and their headers were not counted, answers were produced for requests sent ahead although earlier answers were not taken, and the end of a connection behind unread bytes was not seen until the answer was complete. Change: ConnectionLedger applies the budget to the callers' port and the readiness and metrics endpoints. Read buffers, headers by field, bodies and buffered answers count. Receive buffers of sockets are sized by the budget. Header fields are limited by the configured size of the headers instead of 100. A request on a connection whose earlier answer was not taken waits. While bytes wait behind a request, the socket is checked for its end.

--- a/crates/adapters/src/head_timer.rs
+++ b/crates/adapters/src/head_timer.rs
@@ -2,17 +2,24 @@
 //!
 //! The time counts from the first byte of the headers, so that idle connections stay open. While a
 //! request is answered, bytes that arrive do not count: the server reads no further headers until
-//! the answer is sent.
+//! the answer is sent. The timer also tells the budget of connections what its connection does.
 
+use crate::connection_ledger::{HeldBytes, OpenConnection};
+use oleander_core::connection_budget::ConnectionPhase;
 use std::io;
 use std::pin::Pin;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, PoisonError};
 use std::task::{Context, Poll};
 use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::sync::watch;
 use tokio::time::Instant;
 
+/// Time between checks whether a caller has left that sent more than its request.
+const DEPARTURE_POLL_INTERVAL: Duration = Duration::from_millis(100);
+/// The parser's buffer may be twice as large as what it holds.
+const BUFFER_FACTOR: usize = 2;
+
 #[derive(Debug, Default)]
 struct HeadState {
     /// Arrival of the first byte of headers that are not complete yet.
@@ -21,16 +28,33 @@
     in_progress: u32,
     /// Whether the caller has yet to take bytes that were written.
     is_blocked: bool,
+    /// Whether bytes arrived that the server does not read on from, so that it does not see the end of the
+    /// connection behind them.
+    has_excess: bool,
+}
+
+impl HeadState {
+    const fn phase(&self) -> ConnectionPhase {
+        if self.in_progress > 0 || self.is_blocked {
+            ConnectionPhase::Served
+        } else if self.started.is_some() {
+            ConnectionPhase::Headers
+        } else {
+            ConnectionPhase::Idle
+        }
+    }
 }
 
 /// Knows when the headers of a connection's next request began to arrive.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Default)]
 pub struct HeadTimer {
     state: Arc<watch::Sender<HeadState>>,
+    connection: Option<Arc<OpenConnection>>,
+    /// What the headers that are arriving take.
+    held: Arc<Mutex<Option<HeldBytes>>>,
 }
 
 /// A request in progress, until dropped.
-#[derive(Debug)]
 pub struct RequestGuard(HeadTimer);
 
 impl Drop for RequestGuard {
@@ -46,32 +70,77 @@
         Self::default()
     }
 
-    /// Records that bytes arrived. They belong to headers unless an answer is being sent.
-    fn record_bytes(&self) {
-        self.state.send_if_modified(|state| {
-            let starts = state.in_progress == 0 && !state.is_blocked && state.started.is_none();
+    /// Tells the budget of connections what the connection does.
+    #[must_use]
+    pub fn with_connection(mut self, connection: Arc<OpenConnection>) -> Self {
+        self.connection = Some(connection);
+        self
+    }
+
+    /// Records that bytes arrived. They belong to headers unless an answer is being sent. Returns whether the
+    /// connection may hold them.
+    fn record_bytes(&self, bytes: usize) -> bool {
+        let mut is_head = false;
+        self.modify(|state| {
+            let may_start = state.in_progress == 0 && !state.is_blocked;
+            let starts = may_start && state.started.is_none();
             if starts {
                 state.started = Some(Instant::now());
             }
-            starts
+            is_head = may_start;
+            let is_new = !state.has_excess;
+            state.has_excess = true;
+            starts || is_new
         });
+        let Some(connection) = self.connection.as_ref().filter(|_| is_head) else { return true };
+        let mut held = self.held.lock().unwrap_or_else(PoisonError::into_inner);
+        let added = bytes * BUFFER_FACTOR;
+        match &mut *held {
+            Some(held) => held.grow_to(held.bytes() + added),
+            None => {
+                *held = connection.hold(added);
+                held.is_some()
+            }
+        }
+    }
+
+    /// Records that all bytes that arrived were read.
+    fn record_drained(&self) {
+        self.modify(|state| std::mem::take(&mut state.has_excess));
     }
 
     /// Records whether a write has to wait for the caller or failed.
     fn record_write(&self, is_blocked: bool) {
-        self.state.send_if_modified(|state| {
+        self.modify(|state| {
+            let changes = state.is_blocked != is_blocked;
             state.is_blocked = is_blocked;
             // Bytes that arrived before the answer was sent are not read as headers yet.
-            is_blocked && state.started.take().is_some()
+            changes | (is_blocked && state.started.take().is_some())
         });
     }
 
     /// Records that the headers of a request are complete.
     pub fn begin_request(&self) {
-        self.state.send_modify(|state| {
+        self.modify(|state| {
             state.in_progress += 1;
             state.started = None;
+            true
         });
+        self.held.lock().unwrap_or_else(PoisonError::into_inner).take();
+    }
+
+    /// Changes the state, and tells the budget of a new phase.
+    fn modify(&self, change: impl FnOnce(&mut HeadState) -> bool) {
+        let mut next = None;
+        self.state.send_if_modified(|state| {
+            let before = state.phase();
+            let is_modified = change(state);
+            next = Some(state.phase()).filter(|phase| *phase != before);
+            is_modified
+        });
+        if let (Some(phase), Some(connection)) = (next, &self.connection) {
+            connection.set_phase(phase);
+        }
     }
 
     /// Records that the headers of a request are complete; the guard ends the request.
@@ -83,7 +152,32 @@
 
     /// Records that the answer to a request ended.
     pub fn end_request(&self) {
-        self.state.send_modify(|state| state.in_progress = state.in_progress.saturating_sub(1));
+        self.modify(|state| {
+            state.in_progress = state.in_progress.saturating_sub(1);
+            true
+        });
+    }
+
+    /// Waits until the caller has taken what was written, so that answers to requests sent ahead do not
+    /// accumulate.
+    pub async fn written(&self) {
+        // Cannot fail, since this timer keeps the sender.
+        let _ = self.state.subscribe().wait_for(|state| !state.is_blocked).await;
+    }
+
+    /// Resolves when `is_closed` holds while a request is in progress whose caller sent more than it. Otherwise
+    /// the server itself reads the end of the connection.
+    pub async fn departed(&self, is_closed: impl Fn() -> bool) {
+        let mut changes = self.state.subscribe();
+        let may_be_missed = |state: &HeadState| state.has_excess && state.in_progress > 0;
+        loop {
+            // Cannot fail, since this timer keeps the sender.
+            let _ = changes.wait_for(may_be_missed).await;
+            tokio::time::sleep(DEPARTURE_POLL_INTERVAL).await;
+            if may_be_missed(&self.state.borrow()) && is_closed() {
+                return;
+            }
+        }
     }
 
     /// Resolves when headers are incomplete `timeout` after their first byte.
@@ -122,7 +216,6 @@
 }
 
 /// A connection that tells its timer when bytes arrive.
-#[derive(Debug)]
 pub struct WatchedIo<T> {
     inner: T,
     timer: HeadTimer,
@@ -136,8 +229,13 @@
     ) -> Poll<io::Result<()>> {
         let before = buffer.filled().len();
         let polled = Pin::new(&mut self.inner).poll_read(context, buffer);
-        if buffer.filled().len() > before {
-            self.timer.record_bytes();
+        let length = buffer.filled().len() - before;
+        if length > 0 && !self.timer.record_bytes(length) {
+            let text = "no memory for the headers of a request";
+            return Poll::Ready(Err(io::Error::new(io::ErrorKind::OutOfMemory, text)));
+        }
+        if polled.is_pending() {
+            self.timer.record_drained();
         }
         polled
     }
--- a/crates/adapters/src/http_server.rs
+++ b/crates/adapters/src/http_server.rs
@@ -1,20 +1,25 @@
 //! A small HTTP/1.1 server on hyper with graceful shutdown, and helpers for bounded bodies.
 
-use anyhow::Context;
+use crate::connection_ledger::ConnectionLedger;
+use crate::head_timer::{HeadTimer, RequestGuard};
+use anyhow::Context as _;
 use bytes::Bytes;
 use http::{Request, Response, StatusCode};
 use http_body_util::combinators::UnsyncBoxBody;
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
-use hyper::body::Incoming;
+use hyper::body::{Body, Frame, Incoming, SizeHint};
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use hyper_util::server::graceful::GracefulShutdown;
+use oleander_core::connection_budget::ClientClass;
 use oleander_ports::PortFuture;
 use serde::Serialize;
 use std::convert::Infallible;
 use std::future::Future;
 use std::net::SocketAddr;
+use std::pin::Pin;
 use std::sync::Arc;
+use std::task::{Context, Poll};
 use std::time::Duration;
 use tokio::net::TcpListener;
 
@@ -23,6 +28,11 @@
 /// Maximum size of a request's head, in bytes.
 pub const MAX_HEAD_BYTES: usize = 64 * 1024;
 
+/// The same limits for ports whose requests are small. Probes and scrapes come every few seconds.
+const PROBE_HEAD_TIMEOUT: Duration = Duration::from_secs(3);
+const PROBE_IDLE_TIMEOUT: Duration = Duration::from_secs(60);
+const MAX_PROBE_HEAD_BYTES: usize = 16 * 1024;
+
 /// Error that ends a body early.
 pub type BodyError = Box<dyn std::error::Error + Send + Sync>;
 /// The body of a response, buffered or streamed.
@@ -38,6 +48,7 @@
 pub struct HttpServer {
     listener: TcpListener,
     handler: HttpHandler,
+    ledger: Option<Arc<ConnectionLedger>>,
 }
 
 impl HttpServer {
@@ -49,7 +60,16 @@
     pub async fn bind(address: SocketAddr, handler: HttpHandler) -> anyhow::Result<Self> {
         let listener = TcpListener::bind(address).await;
         let listener = listener.with_context(|| format!("cannot listen on {address}"))?;
-        Ok(Self { listener, handler })
+        Ok(Self { listener, handler, ledger: None })
+    }
+
+    /// Lets all connections be counted in the budget of the process, for a port whose requests are small. Headers must
+    /// be small and complete soon, and answers to requests sent ahead wait until earlier ones were taken.
+    #[must_use]
+    pub fn with_ledger(mut self, ledger: Arc<ConnectionLedger>) -> Self {
+        ledger.size_buffers(&self.listener);
+        self.ledger = Some(ledger);
+        self
     }
 
     /// The bound address, with the actual port.
@@ -70,7 +90,10 @@
                 accepted = self.listener.accept() => match accepted {
                     Ok((socket, peer)) => {
                         let _ = socket.set_nodelay(true);
-                        spawn_connection(socket, peer, &self.handler, &graceful);
+                        match &self.ledger {
+                            Some(ledger) => spawn_counted(socket, peer, &self.handler, ledger),
+                            None => spawn_connection(socket, peer, &self.handler, &graceful),
+                        }
                     }
                     Err(_) => tokio::time::sleep(Duration::from_millis(50)).await,
                 },
@@ -106,6 +129,75 @@
     });
 }
 
+/// Serves a connection that counts in the budget of the process, and that is closed with the server.
+fn spawn_counted(
+    socket: tokio::net::TcpStream,
+    peer: SocketAddr,
+    handler: &HttpHandler,
+    ledger: &Arc<ConnectionLedger>,
+) {
+    let Some(open) = ledger.open(ClientClass::Probe) else { return };
+    let timer = HeadTimer::new().with_connection(Arc::clone(&open));
+    let (handler, requests) = (Arc::clone(handler), timer.clone());
+    let service = service_fn(move |request: Request<Incoming>| {
+        let (handler, timer) = (Arc::clone(&handler), requests.clone());
+        let guard = timer.guard_request();
+        async move {
+            timer.written().await;
+            let response = handler(request, peer).await;
+            Ok::<_, Infallible>(response.map(|body| CountedBody::new(body, guard)))
+        }
+    });
+    let connection = hyper::server::conn::http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(PROBE_IDLE_TIMEOUT)
+        .max_buf_size(MAX_PROBE_HEAD_BYTES)
+        .serve_connection(TokioIo::new(timer.clone().watch(socket)), service);
+    tokio::spawn(async move {
+        tokio::select! {
+            ended = connection => if let Err(error) = ended {
+                log::debug!("connection from {peer} ended: {error}");
+            },
+            () = timer.expired(PROBE_HEAD_TIMEOUT) => {}
+            _ = open.closing() => {}
+        }
+    });
+}
+
+/// The body of a response; ends its request when dropped.
+pub struct CountedBody {
+    inner: ResponseBody,
+    _request: RequestGuard,
+}
+
+impl CountedBody {
+    /// Creates the body of the response to a request.
+    #[must_use]
+    pub const fn new(inner: ResponseBody, request: RequestGuard) -> Self {
+        Self { inner, _request: request }
+    }
+}
+
+impl Body for CountedBody {
+    type Data = Bytes;
+    type Error = BodyError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        Pin::new(&mut self.inner).poll_frame(context)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.inner.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.inner.size_hint()
+    }
+}
+
 /// Reason why a body could not be read.
 #[derive(Debug, thiserror::Error)]
 pub enum BodyReadError {
@@ -124,7 +216,7 @@
 /// [`BodyReadError`] when the body is larger or ends early.
 pub async fn read_body<B>(body: B, limit: usize) -> Result<Bytes, BodyReadError>
 where
-    B: hyper::body::Body<Data = Bytes>,
+    B: Body<Data = Bytes>,
     B::Error: Into<BodyError>,
 {
     match Limited::new(body, limit).collect().await {
--- a/crates/adapters/src/lib.rs
+++ b/crates/adapters/src/lib.rs
@@ -4,6 +4,9 @@
 
 pub mod admin;
 pub mod bounded_log;
+pub mod client_socket;
+pub mod connection_ledger;
+pub mod head_timer;
 pub mod http_client;
 pub mod http_server;
 pub mod logs;
--- a/crates/gateway/src/admitted.rs
+++ b/crates/gateway/src/admitted.rs
@@ -12,9 +12,11 @@
 use bytes::{Bytes, BytesMut};
 use http::header::{EXPECT, HOST};
 use http::request::Parts;
-use http::{HeaderValue, Request, StatusCode};
+use http::{HeaderMap, HeaderValue, Request, StatusCode};
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
+use oleander_adapters::connection_ledger::{HeldBytes, OpenConnection};
+use oleander_core::connection_budget::ConnectionPhase;
 use oleander_core::home_regions::HomeRegions;
 use oleander_core::ids::ServiceName;
 use oleander_core::part_quarantine::PartHash;
@@ -35,6 +37,12 @@
 const OVERLOAD_RETRY_AFTER: Duration = Duration::from_millis(700);
 /// Request bodies may take this fraction (1/n) of the process's memory.
 const BUFFER_MEMORY_DIVISOR: u64 = 4;
+/// Size from which a body is read into one buffer of its stated size, in bytes.
+const LARGE_BODY_BYTES: usize = 64 * 1024;
+/// What a header field takes in a map beside its bytes.
+const FIELD_COST: usize = 128;
+/// Headers as received, and as sent to an upstream.
+const HEADER_COPIES: usize = 2;
 /// Maximum time and size for which the rest of a refused request's body is read and discarded.
 const DISCARD_TIMEOUT: Duration = Duration::from_secs(1);
 const MAX_DISCARDED_BYTES: usize = 1024 * 1024;
@@ -67,8 +75,12 @@
     pub deadline: Timestamp,
     /// Version of the configuration that its home regions are of.
     homes_version: u64,
+    /// Connection of its caller, whose budget counts what the request holds.
+    pub connection: Option<Arc<OpenConnection>>,
     /// Buffered bytes, released on drop.
     _reservation: BufferReservation,
+    /// Bytes of the headers, released on drop.
+    _headers: Option<HeldBytes>,
 }
 
 impl AdmittedRequest {
@@ -118,15 +130,22 @@
 pub(crate) struct BufferReservation {
     state: Arc<GatewayState>,
     bytes: i64,
+    /// The same bytes in the budget of a caller's connection.
+    held: Option<HeldBytes>,
 }
 
 impl BufferReservation {
     pub(crate) fn reserve(state: &Arc<GatewayState>, bytes: i64) -> Result<Self, Refusal> {
-        let mut reservation = Self { state: Arc::clone(state), bytes: 0 };
+        let mut reservation = Self { state: Arc::clone(state), bytes: 0, held: None };
         reservation.grow_to(bytes)?;
         Ok(reservation)
     }
 
+    /// Counts nothing yet, for bytes that a caller sends.
+    fn on_connection(state: &Arc<GatewayState>, held: Option<HeldBytes>) -> Self {
+        Self { state: Arc::clone(state), bytes: 0, held }
+    }
+
     /// Counts at least `bytes` in all.
     fn grow_to(&mut self, bytes: i64) -> Result<(), Refusal> {
         let added = bytes - self.bytes;
@@ -136,11 +155,14 @@
         let before = self.state.metrics.add_buffered(added);
         let others = before - self.bytes;
         self.bytes = bytes;
+        if let Some(held) = &mut self.held {
+            let fits = held.grow_to(usize::try_from(bytes).unwrap_or(usize::MAX));
+            return if fits { Ok(()) } else { Err(overload_refusal()) };
+        }
         let memory = self.state.settings.load().memory_bytes;
         let max_bytes = i64::try_from(memory / BUFFER_MEMORY_DIVISOR).unwrap_or(i64::MAX);
         if others > 0 && others.saturating_add(bytes) > max_bytes {
-            let refusal = Refusal::new(StatusCode::SERVICE_UNAVAILABLE, "too many bytes are held");
-            return Err(refusal.with_retry_after(OVERLOAD_RETRY_AFTER));
+            return Err(overload_refusal());
         }
         Ok(())
     }
@@ -157,12 +179,25 @@
     incoming: Incoming,
     /// Whether the rest is worth waiting for.
     is_expected: bool,
+    connection: Option<Arc<OpenConnection>>,
 }
 
 impl CallerBody {
+    fn set_phase(&self, phase: ConnectionPhase) {
+        if let Some(connection) = &self.connection {
+            connection.set_phase(phase);
+        }
+    }
+
+    /// Lets the connection hold bytes, if there is a budget.
+    fn hold(&self, bytes: usize) -> Result<Option<HeldBytes>, Refusal> {
+        let Some(connection) = &self.connection else { return Ok(None) };
+        connection.hold(bytes).map(Some).ok_or_else(overload_refusal)
+    }
+
     /// Discards what is left, so that the caller gets its answer: closing a connection with unread
     /// bytes resets it, and the answer may be lost.
-    async fn discard(mut self, state: &GatewayState) {
+    async fn discard(&mut self, state: &GatewayState) {
         let left = self.incoming.size_hint().lower();
         if !self.is_expected || left > MAX_DISCARDED_BYTES as u64 {
             return;
@@ -190,13 +225,16 @@
     request: Request<Incoming>,
     record: &mut RequestRecord,
 ) -> Result<AdmittedRequest, Refusal> {
-    let (parts, incoming) = request.into_parts();
+    let (mut parts, incoming) = request.into_parts();
+    let connection = parts.extensions.remove::<Arc<OpenConnection>>();
     // A caller that waits for permission to send its body gets the answer instead.
     let is_expected = !parts.headers.contains_key(EXPECT);
-    let mut body = CallerBody { incoming, is_expected };
+    let mut body = CallerBody { incoming, is_expected, connection };
     let admitted = admit_parts(state, parts, &mut body, record).await;
     if admitted.is_err() {
+        body.set_phase(ConnectionPhase::Body);
         body.discard(state).await;
+        body.set_phase(ConnectionPhase::Served);
     }
     admitted
 }
@@ -204,10 +242,11 @@
 async fn admit_parts(
     state: &Arc<GatewayState>,
     parts: Parts,
-    body: &mut CallerBody,
+    caller: &mut CallerBody,
     record: &mut RequestRecord,
 ) -> Result<AdmittedRequest, Refusal> {
     let started = state.clock.now();
+    let held_headers = caller.hold(headers_cost(&parts.headers))?;
     let snapshot = wait_for_snapshot(state).await;
     let no_config = Refusal::new(StatusCode::SERVICE_UNAVAILABLE, "no configuration is known yet")
         .with_retry_after(NO_CONFIG_RETRY_AFTER);
@@ -232,7 +271,7 @@
         return Err(blocked_refusal(wait));
     }
     let limit = table.limits().max_body_bytes;
-    let (body, reservation) = read_request(state, body, limit, deadline).await?;
+    let (body, reservation) = read_request(state, caller, limit, deadline).await?;
     let session = session_of(&head);
     record.set_session(&session);
     let shared_prefix = shared_prefix_of(&head);
@@ -257,7 +296,9 @@
         started,
         deadline,
         homes_version,
+        connection: caller.connection.take(),
         _reservation: reservation,
+        _headers: held_headers,
     })
 }
 
@@ -267,6 +308,11 @@
     Refusal::new(StatusCode::SERVICE_UNAVAILABLE, reason).with_retry_after(wait)
 }
 
+const fn overload_refusal() -> Refusal {
+    Refusal::new(StatusCode::SERVICE_UNAVAILABLE, "too many bytes are held")
+        .with_retry_after(OVERLOAD_RETRY_AFTER)
+}
+
 const fn stopping_refusal() -> Refusal {
     Refusal::new(StatusCode::SERVICE_UNAVAILABLE, "this host is stopping")
         .with_retry_after(STOPPING_RETRY_AFTER)
@@ -323,12 +369,12 @@
     if stated.is_some_and(|bytes| bytes > limit as u64) {
         return Err(Refusal::new(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large"));
     }
-    // A body of unknown length is counted as a tenth of the limit until more of it was read.
-    let counted = stated.unwrap_or(limit as u64 / 10);
-    let mut reservation =
-        BufferReservation::reserve(state, i64::try_from(counted).unwrap_or(i64::MAX))?;
-    let read = read_body(&mut body.incoming, limit, &mut reservation);
+    let mut reservation = BufferReservation::on_connection(state, body.hold(0)?);
+    body.set_phase(ConnectionPhase::Body);
+    let connection = body.connection.clone();
+    let read = read_body(&mut body.incoming, limit, &mut reservation, connection.as_deref());
     let read = state.within_time(deadline, read).await;
+    body.set_phase(ConnectionPhase::Served);
     body.is_expected &= read.is_some();
     match read {
         Some(read) => read.map(|body| (body, reservation)),
@@ -341,21 +387,37 @@
     body: &mut Incoming,
     limit: usize,
     reservation: &mut BufferReservation,
+    connection: Option<&OpenConnection>,
 ) -> Result<Bytes, Refusal> {
+    let stated = body.size_hint().exact().and_then(|bytes| usize::try_from(bytes).ok());
     let mut buffer = BytesMut::new();
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|_| Refusal::new(StatusCode::BAD_REQUEST, "the body was cut"))?;
         let Ok(bytes) = frame.into_data() else { continue };
+        if let Some(connection) = connection {
+            connection.receive(bytes.len());
+        }
         let length = buffer.len() + bytes.len();
         if length > limit {
             return Err(Refusal::new(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large"));
         }
         reservation.grow_to(i64::try_from(length).unwrap_or(i64::MAX))?;
+        // One buffer of the stated size leaves no copies of earlier ones behind. A caller that sends little of a
+        // large body does not get it.
+        if let Some(stated) = stated.filter(|_| length > LARGE_BODY_BYTES) {
+            buffer.reserve(stated.saturating_sub(buffer.len()));
+        }
         buffer.extend_from_slice(&bytes);
     }
     Ok(buffer.freeze())
 }
 
+/// Memory that the headers of a request take: the map and a copy of it for the upstream.
+fn headers_cost(headers: &HeaderMap) -> usize {
+    let bytes: usize = headers.iter().map(|(name, value)| name.as_str().len() + value.len()).sum();
+    HEADER_COPIES * (bytes + headers.len() * FIELD_COST)
+}
+
 /// Regions in which a request may be served: homes of the route and of the account both bind.
 fn home_regions(route: &Route, account: Option<&Arc<AccountSpec>>) -> HomeRegions {
     let homes = account.map(|account| &account.home_regions);
--- a/crates/gateway/src/answer_buffer.rs
+++ b/crates/gateway/src/answer_buffer.rs
@@ -3,6 +3,7 @@
 use crate::fault::AttemptFault;
 use crate::state::GatewayState;
 use bytes::{Bytes, BytesMut};
+use oleander_adapters::connection_ledger::{HeldBytes, OpenConnection};
 use oleander_core::attempt_retry::FaultKind;
 use std::sync::Arc;
 
@@ -19,13 +20,22 @@
     bytes: BytesMut,
     /// Counted bytes, released on drop.
     counted: i64,
+    /// The same bytes in the budget of the caller's connection.
+    held: Option<HeldBytes>,
 }
 
 impl AnswerBuffer {
     /// Creates an empty buffer.
     #[must_use]
     pub fn new(state: &Arc<GatewayState>) -> Self {
-        Self { state: Arc::clone(state), bytes: BytesMut::new(), counted: 0 }
+        Self { state: Arc::clone(state), bytes: BytesMut::new(), counted: 0, held: None }
+    }
+
+    /// Counts the bytes in the budget of the caller's connection as well.
+    #[must_use]
+    pub fn with_connection(mut self, connection: Option<&Arc<OpenConnection>>) -> Self {
+        self.held = connection.and_then(|connection| connection.hold(0));
+        self
     }
 
     /// Appends received bytes.
@@ -45,7 +55,12 @@
         self.counted += added;
         let memory = self.state.settings.load().memory_bytes;
         let max_total = i64::try_from(memory / BUFFER_MEMORY_DIVISOR).unwrap_or(i64::MAX);
-        if length > SMALL_ANSWER_BYTES && total > max_total {
+        let fits = self.held.as_mut().is_none_or(|held| {
+            let fits = held.grow_to(length);
+            held.force_to(length);
+            fits
+        });
+        if length > SMALL_ANSWER_BYTES && (total > max_total || !fits) {
             let text = format!("no memory for a body of {length} bytes or more");
             return Err(AttemptFault::new(FaultKind::Wrong, text));
         }
--- a/crates/gateway/src/caller_server.rs
+++ b/crates/gateway/src/caller_server.rs
@@ -1,6 +1,5 @@
 //! Caller connections: served until the process stops, then closed without cutting a request.
 
-use crate::answer_body::AnswerBody;
 use crate::connection_end::{ConnectionEnd, EndCause};
 use crate::exchange::answer;
 use crate::head_timer::HeadTimer;
@@ -11,7 +10,11 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
+use oleander_adapters::client_socket::ClientSocket;
+use oleander_adapters::connection_ledger::OpenConnection;
+use oleander_adapters::http_server::CountedBody;
 use oleander_adapters::socket_keepalive::SocketKeepalive;
+use oleander_core::connection_budget::{ClientClass, CloseReason};
 use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -20,9 +23,12 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 
-/// Maximum size of request headers that are read, in bytes; the configured limit is lower and
-/// decides.
-const MAX_HEAD_BYTES: usize = 64 * 1024;
+/// What the first line of a request may take beside its headers, in bytes.
+const REQUEST_LINE_BYTES: usize = 8 * 1024;
+/// Minimum size of a header field as the limit counts it: a name of one byte and the separators.
+const MIN_FIELD_BYTES: usize = 5;
+/// Fields that are read in any case, the default of hyper.
+const MIN_FIELDS: usize = 100;
 /// Multiple of the configured idle timeout after which a connection is closed. Callers may use
 /// nearly all of that timeout, so closing later avoids races with their next request.
 const IDLE_FACTOR: f64 = 1.5;
@@ -66,6 +72,7 @@
     /// Creates a server for a bound listener.
     #[must_use]
     pub fn new(state: Arc<GatewayState>, listener: TcpListener) -> Self {
+        state.connections.size_buffers(&listener);
         Self {
             state,
             listener,
@@ -123,10 +130,11 @@
 
     fn spawn(&self, socket: TcpStream) {
         let state = Arc::clone(&self.state);
+        let Some(connection) = state.connections.open(ClientClass::Caller) else { return };
         let phase = self.phase.subscribe();
         let open = OpenCount::new(&self.open);
         tokio::spawn(async move {
-            serve(state, socket, phase).await;
+            serve(state, socket, connection, phase).await;
             drop(open);
         });
     }
@@ -148,9 +156,19 @@
     }
 }
 
+/// Reason for the log lines of requests on a connection that the budget closed.
+const fn closed_reason(reason: CloseReason) -> &'static str {
+    match reason {
+        CloseReason::UnfinishedHeaders => "no memory is left for unfinished headers",
+        CloseReason::Idle => "no memory is left for idle connections",
+        CloseReason::StalledBody => "no memory is left for unfinished bodies",
+    }
+}
+
 async fn serve(
     state: Arc<GatewayState>,
     socket: TcpStream,
+    open: Arc<OpenConnection>,
     mut phase: watch::Receiver<ServerPhase>,
 ) {
     set_options(&socket, &CALLER_KEEPALIVE);
@@ -158,23 +176,31 @@
     let limits = state.snapshot.load().routes.as_ref().map(|table| *table.limits());
     let idle = limits.unwrap_or_default().idle_timeout.mul_f64(IDLE_FACTOR);
     let head_timeout = limits.unwrap_or_default().head_timeout;
-    let timer = HeadTimer::new();
-    let watched = TokioIo::new(timer.clone().watch(socket));
+    let max_head_bytes = limits.unwrap_or_default().max_head_bytes;
+    let timer = HeadTimer::new().with_connection(Arc::clone(&open));
+    let socket = ClientSocket::new(socket);
+    let watched = TokioIo::new(timer.clone().watch(socket.clone()));
     let requests = timer.clone();
     let end = ConnectionEnd::default();
     let request_end = end.clone();
-    let service = service_fn(move |request: Request<Incoming>| {
+    let counted = Arc::clone(&open);
+    let service = service_fn(move |mut request: Request<Incoming>| {
         let (state, end) = (Arc::clone(&state), request_end.clone());
-        let guard = requests.guard_request();
-        async move {
+        let timer = requests.clone();
+        let guard = timer.guard_request();
+        request.extensions_mut().insert(Arc::clone(&counted));
+        // An idle connection does not take the memory of a request.
+        Box::pin(async move {
+            timer.written().await;
             let response = answer(state, end, request).await;
-            Ok::<_, Infallible>(response.map(|body| AnswerBody::new(body, guard)))
-        }
+            Ok::<_, Infallible>(response.map(|body| CountedBody::new(body, guard)))
+        })
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(idle)
-        .max_buf_size(MAX_HEAD_BYTES)
+        .max_buf_size(max_head_bytes + REQUEST_LINE_BYTES)
+        .max_headers((max_head_bytes / MIN_FIELD_BYTES).max(MIN_FIELDS))
         .serve_connection(watched, service);
     tokio::pin!(connection);
     // Waiting cannot fail, since the sender outlives every connection.
@@ -192,7 +218,9 @@
         closing_timer.complete().await;
     };
     let expired = timer.expired(head_timeout);
-    tokio::pin!(cut, closing, expired);
+    let departed = timer.departed(|| socket.is_read_closed());
+    let unaffordable = open.closing();
+    tokio::pin!(cut, closing, expired, departed, unaffordable);
     let mut is_open = true;
     let cause = loop {
         tokio::select! {
@@ -206,6 +234,10 @@
             _ = &mut cut => {
                 break EndCause::Closed("this process exits");
             }
+            () = &mut departed => {
+                break EndCause::Lost("the caller left while its request was served".into());
+            }
+            reason = &mut unaffordable => break EndCause::Closed(closed_reason(reason)),
             () = &mut closing, if is_open => {
                 is_open = false;
                 connection.as_mut().graceful_shutdown();
--- a/crates/gateway/src/carrier_server.rs
+++ b/crates/gateway/src/carrier_server.rs
@@ -265,7 +265,7 @@
     let no_room = |refusal: Refusal| refused(refusal.reason);
     let counted = i64::try_from(stated).unwrap_or(i64::MAX);
     let mut reservation = BufferReservation::reserve(state, counted).map_err(no_room)?;
-    let read = crate::admitted::read_body(&mut body, limit, &mut reservation);
+    let read = crate::admitted::read_body(&mut body, limit, &mut reservation, None);
     Ok((read.await.map_err(no_room)?, reservation))
 }
 
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -91,7 +91,7 @@
     mut answer: UpstreamAnswer,
 ) -> Result<Response<ResponseBody>, AttemptFault> {
     let stated = answer.headers.get(CONTENT_LENGTH).cloned();
-    let read = read_answer(&run.state, &mut answer);
+    let read = read_answer(run, &mut answer);
     let body =
         run.state.within_time(run.request.deadline, read).await.unwrap_or_else(|| {
             Err(AttemptFault::new(FaultKind::Silent, "response body timed out"))
@@ -108,11 +108,9 @@
     Ok(response)
 }
 
-async fn read_answer(
-    state: &Arc<GatewayState>,
-    answer: &mut UpstreamAnswer,
-) -> Result<Bytes, AttemptFault> {
-    let mut buffer = AnswerBuffer::new(state);
+async fn read_answer(run: &RequestRun, answer: &mut UpstreamAnswer) -> Result<Bytes, AttemptFault> {
+    let buffer = AnswerBuffer::new(&run.state);
+    let mut buffer = buffer.with_connection(run.request.connection.as_ref());
     while let Some(frame) = answer.body.frame().await {
         let frame = frame.map_err(|error| AttemptFault::new(FaultKind::Cut, error.to_string()))?;
         if let Ok(bytes) = frame.into_data() {
--- a/crates/gateway/src/gateway_process.rs
+++ b/crates/gateway/src/gateway_process.rs
@@ -33,6 +33,7 @@
 use arc_swap::ArcSwap;
 use kameo::actor::{ActorRef, Spawn};
 use oleander_adapters::admin::{AdminPort, ProcessHealth};
+use oleander_adapters::connection_ledger::ConnectionLedger;
 use oleander_adapters::http_server::{HttpHandler, HttpServer, text_response};
 use oleander_core::ids::Incarnation;
 use oleander_core::stable_hash::hash_parts;
@@ -104,6 +105,7 @@
         let listener = listener.with_context(|| format!("cannot listen on {address}"))?;
         let callers = CallerServer::new(Arc::clone(&state), listener);
         let ready = HttpServer::bind(ready, ready_handler(&state)).await?;
+        let ready = ready.with_ledger(Arc::clone(&state.connections));
         let metrics = bind_metrics(&state, registry).await?;
         let publisher =
             SnapshotPublisher::new(Arc::clone(&state.snapshot), Arc::clone(&state.clock));
@@ -215,6 +217,7 @@
     registry: &mut Registry,
 ) -> Arc<GatewayState> {
     let host = settings.host.clone();
+    let connections = ConnectionLedger::new(settings.connection_limits()).with_metrics(registry);
     let settings: SharedSettings = Arc::new(ArcSwap::from_pointee(settings));
     // The clock starts at one second, so that no time lies before the start.
     let clock: Arc<dyn ClockPort> = Arc::new(RuntimeClock::new(Timestamp::from_millis(1_000)));
@@ -238,6 +241,7 @@
         seal: GossipSeal::new(host, Incarnation::new(incarnation)),
         random: SeededRandom::new(seed),
         metrics: GatewayMetrics::new(registry),
+        connections: Arc::new(connections),
         stop: StopState::default(),
         settings,
     })
@@ -250,6 +254,7 @@
         if publisher.tell(ExpiryDue).await.is_err() {
             return;
         }
+        state.connections.set_limits(state.settings.load().connection_limits());
         state.metrics.set_lost_services(state.reach.lost_count());
         state.crashes.expire(state.clock.now());
         state.pool.limits().divide(state.clock.now());
@@ -286,9 +291,9 @@
     registry: Registry,
 ) -> anyhow::Result<Option<HttpServer>> {
     let Some(address): Option<SocketAddr> = state.settings.load().metrics else { return Ok(None) };
-    let state = Arc::clone(state);
+    let (state, ledger) = (Arc::clone(state), Arc::clone(&state.connections));
     let admin = AdminPort::new(registry, Arc::new(move || health(&state)));
-    admin.bind(address).await.map(Some)
+    Ok(Some(admin.bind(address).await?.with_ledger(ledger)))
 }
 
 async fn bind_gossip(settings: &GatewaySettings) -> anyhow::Result<Option<UdpSocket>> {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -8,7 +8,6 @@
 #![warn(clippy::unwrap_used)]
 
 pub mod admitted;
-pub mod answer_body;
 pub mod answer_buffer;
 pub mod answer_times;
 pub mod attempt;
@@ -30,7 +29,6 @@
 pub mod gateway_process;
 pub mod gossip;
 pub mod gossip_seal;
-pub mod head_timer;
 pub mod host_count;
 pub mod latency_tracker;
 pub mod load_report;
@@ -70,3 +68,5 @@
 pub mod upstream_socket;
 pub mod upstream_standings;
 pub mod wire_format;
+
+pub use oleander_adapters::head_timer;
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -2,7 +2,9 @@
 
 use crate::control_cache::EXPIRY_GRACE;
 use arc_swap::ArcSwap;
+use oleander_core::connection_budget::BudgetLimits;
 use oleander_core::ids::{DomainName, HostId, RegionName};
+use oleander_core::units::ByteCount;
 use serde::Deserialize;
 use std::collections::BTreeMap;
 use std::net::{IpAddr, SocketAddr};
@@ -120,6 +122,12 @@
 }
 
 impl GatewaySettings {
+    /// What the connections of clients may use.
+    #[must_use]
+    pub const fn connection_limits(&self) -> BudgetLimits {
+        BudgetLimits::new(ByteCount::new(self.memory_bytes), self.max_descriptors)
+    }
+
     /// Region of a failure domain; `None` if the settings do not list it.
     #[must_use]
     pub fn region_of(&self, domain: &DomainName) -> Option<&RegionName> {
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -19,6 +19,7 @@
 use crate::upstream_pool::UpstreamPool;
 use crate::upstream_reach::UpstreamReach;
 use crate::wire_format::WireFormat;
+use oleander_adapters::connection_ledger::ConnectionLedger;
 use oleander_core::units::Timestamp;
 use oleander_ports::clock::ClockPort;
 use std::future::Future;
@@ -65,6 +66,8 @@
     pub random: SeededRandom,
     /// Metrics.
     pub metrics: GatewayMetrics,
+    /// Budget of the connections of clients.
+    pub connections: Arc<ConnectionLedger>,
     /// Whether the process is stopping.
     pub stop: StopState,
 }
