Bound memory while clients misbehave, and give it back

Cause: small bodies were read into buffers that grow and leave free parts in the heap, which shrinks only at its end; reads let the parser's buffers grow to 24 kB for each connection; a body of a misbehaving client closed connections that had just been opened. Change: a small body gets a buffer of its size; reads are at most 8 kB on small hosts; the binary sets the allocator's thresholds; large requests close only what did nothing for a second. tests/misbehaving_clients runs ten attacks, each alone and all together, against the binary with 120 MB and 3,075 descriptors, and the largest legal request.

--- a/crates/adapters/src/connection_ledger.rs
+++ b/crates/adapters/src/connection_ledger.rs
@@ -109,8 +109,11 @@
         };
         let (signal, closing) = watch::channel(None);
         state.signals.insert(id, signal);
+        let max_read = state.budget.limits().max_read();
         drop(state);
-        Some(Arc::new(OpenConnection { ledger: Arc::clone(self), id, closing }))
+        let max_read = max_read.and_then(|size| usize::try_from(size.get()).ok());
+        let ledger = Arc::clone(self);
+        Some(Arc::new(OpenConnection { ledger, id, max_read, closing }))
     }
 
     fn lock(&self) -> MutexGuard<'_, LedgerState> {
@@ -159,6 +162,7 @@
 pub struct OpenConnection {
     ledger: Arc<ConnectionLedger>,
     id: ConnectionId,
+    max_read: Option<usize>,
     closing: watch::Receiver<Option<CloseReason>>,
 }
 
@@ -168,6 +172,12 @@
         self.ledger.lock().budget.set_phase(self.id, phase, self.ledger.now());
     }
 
+    /// Maximum size of one read; `None` if any is fine.
+    #[must_use]
+    pub const fn max_read(&self) -> Option<usize> {
+        self.max_read
+    }
+
     /// Records that bytes of a body arrived.
     pub fn receive(&self, bytes: usize) {
         let bytes = ByteCount::new(bytes as u64);
--- a/crates/adapters/src/head_timer.rs
+++ b/crates/adapters/src/head_timer.rs
@@ -227,8 +227,18 @@
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
+        let max_read = self.timer.connection.as_ref().and_then(|connection| connection.max_read());
         let before = buffer.filled().len();
-        let polled = Pin::new(&mut self.inner).poll_read(context, buffer);
+        let polled = match max_read.filter(|max_read| *max_read < buffer.remaining()) {
+            Some(max_read) => {
+                let mut part = ReadBuf::new(buffer.initialize_unfilled_to(max_read));
+                let polled = Pin::new(&mut self.inner).poll_read(context, &mut part);
+                let length = part.filled().len();
+                buffer.advance(length);
+                polled
+            }
+            None => Pin::new(&mut self.inner).poll_read(context, buffer),
+        };
         let length = buffer.filled().len() - before;
         if length > 0 && !self.timer.record_bytes(length) {
             let text = "no memory for the headers of a request";
--- a/crates/core/src/connection_budget.rs
+++ b/crates/core/src/connection_budget.rs
@@ -34,12 +34,17 @@
 const FREED_DIVISOR: u64 = 32;
 /// Time without a byte after which an unfinished body makes no progress. Senders on long paths pause for a round trip.
 const STALL_TIME: Duration = Duration::from_millis(250);
+/// The same for the sake of a large request, which can wait rather than small ones. Only connections that do nothing
+/// for this long are closed for it.
+const LONG_STALL_TIME: Duration = Duration::from_secs(1);
 /// Time for which the rate of a body is not compared.
 const RATE_GRACE: Duration = Duration::from_secs(1);
 /// Minimum size of a socket's receive buffer: an ordinary request fits.
 const MIN_SOCKET_BUFFER: u64 = 16 * 1024;
 /// Receive buffers that the operating system chooses are about this large; larger ones are left to it.
 const USUAL_SOCKET_BUFFER: u64 = 128 * 1024;
+/// Just less than the smallest buffer of the parser.
+const MAX_SMALL_READ: ByteCount = ByteCount::new(8 * 1024 - 1);
 /// Minimum rate of a body that makes progress, in bytes a second.
 const MIN_BODY_RATE: u64 = 16 * 1024;
 
@@ -128,6 +133,13 @@
         if size < USUAL_SOCKET_BUFFER { Some(ByteCount::new(size)) } else { None }
     }
 
+    /// Maximum size of one read from a connection, where connections have small buffers. The parser doubles its buffer
+    /// after each read that fills it, and keeps it.
+    #[must_use]
+    pub const fn max_read(&self) -> Option<ByteCount> {
+        if self.socket_buffer().is_some() { Some(MAX_SMALL_READ) } else { None }
+    }
+
     /// Connections of a class that may be open.
     const fn connections(&self, class: ClientClass) -> u32 {
         let share = self.connections / PROBES_DIVISOR;
@@ -169,21 +181,24 @@
     }
 
     /// Why the connection may be closed, and since when; `None` if it may not.
-    fn closable(&self, now: Timestamp) -> Option<(CloseReason, Timestamp)> {
+    fn closable(&self, for_large: bool, now: Timestamp) -> Option<(CloseReason, Timestamp)> {
+        let is_fresh = for_large && now.since(self.since) < LONG_STALL_TIME;
         match self.phase {
+            _ if is_fresh => None,
             ConnectionPhase::Headers => Some((CloseReason::UnfinishedHeaders, self.since)),
             ConnectionPhase::Idle => Some((CloseReason::Idle, self.since)),
-            ConnectionPhase::Body if self.is_stalled(now) => {
+            ConnectionPhase::Body if self.is_stalled(for_large, now) => {
                 Some((CloseReason::StalledBody, self.last_received))
             }
             ConnectionPhase::Body | ConnectionPhase::Served => None,
         }
     }
 
-    fn is_stalled(&self, now: Timestamp) -> bool {
+    fn is_stalled(&self, for_large: bool, now: Timestamp) -> bool {
+        let stall_time = if for_large { LONG_STALL_TIME } else { STALL_TIME };
         let age = now.since(self.since).saturating_sub(RATE_GRACE);
         let expected = MIN_BODY_RATE.saturating_mul(age.as_millis() as u64) / 1_000;
-        now.since(self.last_received) >= STALL_TIME || self.received < expected
+        now.since(self.last_received) >= stall_time || self.received < expected
     }
 }
 
@@ -354,7 +369,7 @@
     /// Closes the least valuable connection of a class.
     fn close_one(&mut self, class: ClientClass, now: Timestamp) -> Option<()> {
         let of_class = self.entries.iter().filter(|(_, entry)| entry.class == class);
-        let closable = of_class.filter_map(|(id, entry)| Some((entry.closable(now)?, *id)));
+        let closable = of_class.filter_map(|(id, entry)| Some((entry.closable(false, now)?, *id)));
         let ((reason, _), id) = closable.min()?;
         self.begin_close(id, reason);
         Some(())
@@ -374,7 +389,7 @@
             return true;
         }
         let others = self.entries.iter().filter(|(id, _)| Some(**id) != asking);
-        let closable = others.filter_map(|(id, entry)| Some((entry.closable(now)?, *id)));
+        let closable = others.filter_map(|(id, entry)| Some((entry.closable(is_large, now)?, *id)));
         let mut closable: Vec<_> = closable.collect();
         // Nothing is closed in vain.
         let most: u64 = closable.iter().map(|(_, id)| self.entries[id].cost()).sum();
--- a/crates/gateway/src/admitted.rs
+++ b/crates/gateway/src/admitted.rs
@@ -390,7 +390,11 @@
     connection: Option<&OpenConnection>,
 ) -> Result<Bytes, Refusal> {
     let stated = body.size_hint().exact().and_then(|bytes| usize::try_from(bytes).ok());
-    let mut buffer = BytesMut::new();
+    // A small body is counted as soon as its size is known. It gets one buffer of that size, since a buffer that grows
+    // leaves free parts behind that fit nothing else.
+    let small = stated.filter(|stated| *stated <= LARGE_BODY_BYTES).unwrap_or_default();
+    reservation.grow_to(i64::try_from(small).unwrap_or(i64::MAX))?;
+    let mut buffer = BytesMut::with_capacity(small);
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|_| Refusal::new(StatusCode::BAD_REQUEST, "the body was cut"))?;
         let Ok(bytes) = frame.into_data() else { continue };
@@ -402,8 +406,7 @@
             return Err(Refusal::new(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large"));
         }
         reservation.grow_to(i64::try_from(length).unwrap_or(i64::MAX))?;
-        // One buffer of the stated size leaves no copies of earlier ones behind. A caller that sends little of a
-        // large body does not get it.
+        // A caller that sends little of a large body does not get its buffer.
         if let Some(stated) = stated.filter(|_| length > LARGE_BODY_BYTES) {
             buffer.reserve(stated.saturating_sub(buffer.len()));
         }
--- a/src/bin/oleander-gateway/main.rs
+++ b/src/bin/oleander-gateway/main.rs
@@ -1,5 +1,6 @@
 //! Routes opaque requests to services and model engines, on one host.
 
+mod allocator;
 mod cli;
 mod exit_codes;
 
@@ -24,8 +25,13 @@
 /// Extension of settings files in JSON with comments; others have the platform's format.
 const JSONC_EXTENSION: &str = "jsonc";
 
+fn main() -> ExitCode {
+    allocator::apply_settings();
+    run()
+}
+
 #[tokio::main(flavor = "current_thread")]
-async fn main() -> ExitCode {
+async fn run() -> ExitCode {
     let cli = Cli::parse();
     let exit = match serve(&cli).await {
         Ok(stop) => GatewayExit::from(stop),
