Read large headers one after the other

Cause: 500 requests of 2,700 fields that arrive at once kept the process from its readiness endpoint for more than 1 s. Change: on small hosts, headers above 8 kB are read on in turns of 5 ms. The allocator maps buffers from 8 kB on.

--- a/crates/adapters/src/connection_ledger.rs
+++ b/crates/adapters/src/connection_ledger.rs
@@ -19,6 +19,8 @@
 
 /// Minimum time between log lines about closed and refused connections. A crowd would fill the log.
 const LOG_INTERVAL: Duration = Duration::from_secs(1);
+/// Time between large headers that are read. The smallest hosts need about a millisecond for each.
+const LARGE_HEADERS_INTERVAL: Duration = Duration::from_millis(5);
 
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct ReasonLabel {
@@ -51,6 +53,8 @@
     signals: HashMap<ConnectionId, watch::Sender<Option<CloseReason>>>,
     /// Connections closed or refused since the last log line, and when that was written.
     unlogged: HashMap<&'static str, u64>,
+    /// When the next large headers may be read on.
+    next_large: Instant,
     logged: Option<Instant>,
 }
 
@@ -62,6 +66,7 @@
             budget: ConnectionBudget::new(limits),
             signals: HashMap::new(),
             unlogged: HashMap::new(),
+            next_large: Instant::now(),
             logged: None,
         };
         Self {
@@ -178,6 +183,16 @@
         self.max_read
     }
 
+    /// When large headers of the connection may be read on. A crowd of them, each of thousands of fields, would keep
+    /// the process from everything else.
+    #[must_use]
+    pub fn large_headers_turn(&self) -> Instant {
+        let mut state = self.ledger.lock();
+        let turn = state.next_large.max(Instant::now());
+        state.next_large = turn + LARGE_HEADERS_INTERVAL;
+        turn
+    }
+
     /// Records that bytes of a body arrived.
     pub fn receive(&self, bytes: usize) {
         let bytes = ByteCount::new(bytes as u64);
--- a/crates/adapters/src/head_timer.rs
+++ b/crates/adapters/src/head_timer.rs
@@ -8,12 +8,13 @@
 use oleander_core::connection_budget::ConnectionPhase;
 use std::io;
 use std::pin::Pin;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
-use std::task::{Context, Poll};
+use std::task::{Context, Poll, ready};
 use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::sync::watch;
-use tokio::time::Instant;
+use tokio::time::{Instant, Sleep, sleep_until};
 
 /// Time between checks whether a caller has left that sent more than its request.
 const DEPARTURE_POLL_INTERVAL: Duration = Duration::from_millis(100);
@@ -52,6 +53,8 @@
     connection: Option<Arc<OpenConnection>>,
     /// What the headers that are arriving take.
     held: Arc<Mutex<Option<HeldBytes>>>,
+    /// Whether the headers that are arriving are large and had their turn.
+    had_turn: Arc<AtomicBool>,
 }
 
 /// A request in progress, until dropped.
@@ -104,6 +107,17 @@
         }
     }
 
+    /// When to read on headers that have just exceeded one read.
+    fn large_headers_turn(&self, max_read: usize) -> Option<Instant> {
+        let held = self.held.lock().unwrap_or_else(PoisonError::into_inner);
+        let read = held.as_ref().map_or(0, HeldBytes::bytes) / BUFFER_FACTOR;
+        let had_turn = self.had_turn.swap(read >= max_read, Ordering::Relaxed);
+        if read < max_read || had_turn {
+            return None;
+        }
+        self.connection.as_ref().map(|connection| connection.large_headers_turn())
+    }
+
     /// Records that all bytes that arrived were read.
     fn record_drained(&self) {
         self.modify(|state| std::mem::take(&mut state.has_excess));
@@ -190,7 +204,7 @@
                 let _ = changes.changed().await;
                 continue;
             };
-            tokio::time::sleep_until(started + timeout).await;
+            sleep_until(started + timeout).await;
             if changes.borrow().started == Some(started) {
                 return;
             }
@@ -210,8 +224,8 @@
     }
 
     /// Watches the bytes that arrive on a connection.
-    pub const fn watch<T>(self, inner: T) -> WatchedIo<T> {
-        WatchedIo { inner, timer: self }
+    pub fn watch<T>(self, inner: T) -> WatchedIo<T> {
+        WatchedIo { inner, timer: self, pause: None }
     }
 }
 
@@ -219,6 +233,8 @@
 pub struct WatchedIo<T> {
     inner: T,
     timer: HeadTimer,
+    /// Ends when large headers may be read on.
+    pause: Option<Pin<Box<Sleep>>>,
 }
 
 impl<T: AsyncRead + Unpin> AsyncRead for WatchedIo<T> {
@@ -227,6 +243,10 @@
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
+        if let Some(pause) = &mut self.pause {
+            ready!(pause.as_mut().poll(context));
+            self.pause = None;
+        }
         let max_read = self.timer.connection.as_ref().and_then(|connection| connection.max_read());
         let before = buffer.filled().len();
         let polled = match max_read.filter(|max_read| *max_read < buffer.remaining()) {
@@ -244,6 +264,9 @@
             let text = "no memory for the headers of a request";
             return Poll::Ready(Err(io::Error::new(io::ErrorKind::OutOfMemory, text)));
         }
+        if let Some(turn) = max_read.and_then(|max_read| self.timer.large_headers_turn(max_read)) {
+            self.pause = Some(Box::pin(sleep_until(turn)));
+        }
         if polled.is_pending() {
             self.timer.record_drained();
         }
--- a/src/bin/oleander-gateway/allocator.rs
+++ b/src/bin/oleander-gateway/allocator.rs
@@ -9,7 +9,7 @@
 use std::process::Command;
 
 /// Buffers from this size on are mapped by themselves, and given back when they are freed.
-const MAP_VARIABLE: (&str, &str) = ("MALLOC_MMAP_THRESHOLD_", "16384");
+const MAP_VARIABLE: (&str, &str) = ("MALLOC_MMAP_THRESHOLD_", "8192");
 /// Free bytes at the end of the heap from which on it shrinks.
 const TRIM_VARIABLE: (&str, &str) = ("MALLOC_TRIM_THRESHOLD_", "131072");
 /// Threads of the log share the heap of the main thread.
