Read streams ahead of slow callers within the budget

Cause: an upstream cuts off an answer that stays unread for some seconds, and waited for callers that read slowly. The budget searches for connections to close in one pass.

--- a/crates/adapters/src/connection_ledger.rs
+++ b/crates/adapters/src/connection_ledger.rs
@@ -206,6 +206,13 @@
         held.grow_to(bytes).then_some(held)
     }
 
+    /// Lets the connection hold bytes if they fit without closing others.
+    #[must_use]
+    pub fn hold_spare(self: &Arc<Self>, bytes: usize) -> Option<HeldBytes> {
+        let fits = self.ledger.lock().budget.hold_spare(self.id, ByteCount::new(bytes as u64));
+        fits.then(|| HeldBytes { connection: Arc::clone(self), bytes })
+    }
+
     /// Resolves when the budget wants the connection closed.
     pub async fn closing(&self) -> CloseReason {
         let mut closing = self.closing.clone();
--- a/crates/core/src/connection_budget.rs
+++ b/crates/core/src/connection_budget.rs
@@ -31,7 +31,7 @@
 /// What an open connection costs in any case: its task, timers and the smallest read buffer.
 pub const CONNECTION_COST: ByteCount = ByteCount::new(12 * 1024);
 /// Parts (1/n) of the budget that are freed at once, so that not each arrival searches for a connection to close.
-const FREED_DIVISOR: u64 = 32;
+const FREED_DIVISOR: u64 = 16;
 /// Time without a byte after which an unfinished body makes no progress. Senders on long paths pause for a round trip.
 const STALL_TIME: Duration = Duration::from_millis(250);
 /// The same for the sake of a large request, which can wait rather than small ones. Only connections that do nothing
@@ -310,6 +310,17 @@
         true
     }
 
+    /// Lets a connection hold more bytes if they fit into the part for large requests, without closing others.
+    #[must_use]
+    pub fn hold_spare(&mut self, id: ConnectionId, added: ByteCount) -> bool {
+        let Some(entry) = self.entries.get(&id) else { return false };
+        let fits = self.used + added.get() <= self.limits.bytes(entry.class, true);
+        if fits {
+            self.add(id, added);
+        }
+        fits
+    }
+
     /// Records that a connection holds more bytes, whether they fit or not.
     pub fn add(&mut self, id: ConnectionId, added: ByteCount) {
         if let Some(entry) = self.entries.get_mut(&id) {
@@ -388,11 +399,14 @@
         if self.used + added <= limit {
             return true;
         }
-        let others = self.entries.iter().filter(|(id, _)| Some(**id) != asking);
-        let closable = others.filter_map(|(id, entry)| Some((entry.closable(is_large, now)?, *id)));
-        let mut closable: Vec<_> = closable.collect();
+        let (mut closable, mut most) = (Vec::new(), 0);
+        for (id, entry) in self.entries.iter().filter(|(id, _)| Some(**id) != asking) {
+            if let Some(found) = entry.closable(is_large, now) {
+                closable.push((found, *id));
+                most += entry.cost();
+            }
+        }
         // Nothing is closed in vain.
-        let most: u64 = closable.iter().map(|(_, id)| self.entries[id].cost()).sum();
         if self.used - most + added > limit {
             return false;
         }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -36,6 +36,7 @@
 pub mod path_trials;
 pub mod peer_table;
 pub mod placement;
+pub mod read_ahead;
 pub mod refusal;
 pub mod request_record;
 pub mod request_run;
--- a/crates/gateway/src/stream_relay.rs
+++ b/crates/gateway/src/stream_relay.rs
@@ -3,14 +3,14 @@
 use crate::attempt::UpstreamAnswer;
 use crate::event_splitter::EventSplitter;
 use crate::fault::AttemptFault;
+use crate::read_ahead::read_ahead;
 use crate::request_run::{RequestRun, RunError};
 use crate::upstream_entry::UpstreamEntry;
 use bytes::Bytes;
 use futures_util::stream;
 use http::HeaderMap;
 use http::header::CONTENT_TYPE;
-use http_body_util::{BodyExt, StreamBody};
-use hyper::body::Frame;
+use http_body_util::BodyExt;
 use oleander_adapters::http_server::{BodyError, ResponseBody};
 use oleander_core::attempt_retry::FaultKind;
 use oleander_core::units::Timestamp;
@@ -257,22 +257,20 @@
     /// The response body for the caller, which begins with `first`.
     #[must_use]
     pub fn into_body(self, first: Bytes) -> ResponseBody {
-        let states = stream::unfold((Some(self), Some(first)), |(relay, first)| async move {
+        let connection = self.run.request.connection.clone();
+        let source = stream::unfold(Some(self), |relay| async move {
             let mut relay = relay?;
-            if let Some(first) = first {
-                return Some((Ok(Frame::data(first)), (Some(relay), None)));
-            }
             match relay.next().await {
-                Ok(Some(events)) => Some((Ok(Frame::data(events)), (Some(relay), None))),
+                Ok(Some(events)) => Some((Ok(events), Some(relay))),
                 Ok(None) => None,
                 Err(run_error) => {
                     let refusal = relay.run.refusal(&run_error);
                     relay.run.record.set_outcome("broken_off", 200, format!("{run_error:?}"));
                     let error: BodyError = refusal.reason.into();
-                    Some((Err(error), (None, None)))
+                    Some((Err(error), None))
                 }
             }
         });
-        BodyExt::boxed_unsync(StreamBody::new(states))
+        read_ahead(first, source, connection)
     }
 }
