--- a/crates/adapters/src/connection_ledger.rs
+++ b/crates/adapters/src/connection_ledger.rs
@@ -2,6 +2,7 @@
 
 use oleander_core::connection_budget::{
     BudgetLimits, ClientClass, CloseReason, ConnectionBudget, ConnectionId, ConnectionPhase,
+    USUAL_SOCKET_BUFFER,
 };
 use oleander_core::units::{ByteCount, Timestamp};
 use prometheus_client::encoding::EncodeLabelSet;
@@ -213,6 +214,16 @@
         fits.then(|| HeldBytes { connection: Arc::clone(self), bytes })
     }
 
+    /// Holds what the socket's receive buffer may contain, which cannot be refused.
+    #[must_use]
+    pub fn hold_unread(self: &Arc<Self>) -> HeldBytes {
+        let size = self.ledger.lock().budget.limits().socket_buffer();
+        let size = size.unwrap_or(USUAL_SOCKET_BUFFER).get();
+        let mut held = HeldBytes { connection: Arc::clone(self), bytes: 0 };
+        held.force_to(usize::try_from(size).unwrap_or(usize::MAX));
+        held
+    }
+
     /// Resolves when the budget wants the connection closed.
     pub async fn closing(&self) -> CloseReason {
         let mut closing = self.closing.clone();
--- a/crates/adapters/src/head_timer.rs
+++ b/crates/adapters/src/head_timer.rs
@@ -184,12 +184,21 @@
     pub async fn departed(&self, is_closed: impl Fn() -> bool) {
         let mut changes = self.state.subscribe();
         let may_be_missed = |state: &HeadState| state.has_excess && state.in_progress > 0;
+        // Bytes that wait to be read are in the socket's buffer, and count as memory of the process.
+        let mut unread: Option<HeldBytes> = None;
         loop {
+            if !may_be_missed(&self.state.borrow()) {
+                unread = None;
+            }
             // Cannot fail, since this timer keeps the sender.
             let _ = changes.wait_for(may_be_missed).await;
             tokio::time::sleep(DEPARTURE_POLL_INTERVAL).await;
-            if may_be_missed(&self.state.borrow()) && is_closed() {
-                return;
+            if may_be_missed(&self.state.borrow()) {
+                if is_closed() {
+                    return;
+                }
+                let connection = self.connection.as_ref().filter(|_| unread.is_none());
+                unread = connection.map(OpenConnection::hold_unread).or(unread);
             }
         }
     }
--- a/crates/core/src/connection_budget.rs
+++ b/crates/core/src/connection_budget.rs
@@ -42,7 +42,7 @@
 /// Minimum size of a socket's receive buffer: an ordinary request fits.
 const MIN_SOCKET_BUFFER: u64 = 16 * 1024;
 /// Receive buffers that the operating system chooses are about this large; larger ones are left to it.
-const USUAL_SOCKET_BUFFER: u64 = 128 * 1024;
+pub const USUAL_SOCKET_BUFFER: ByteCount = ByteCount::new(128 * 1024);
 /// Just less than the smallest buffer of the parser.
 const MAX_SMALL_READ: ByteCount = ByteCount::new(8 * 1024 - 1);
 /// Minimum rate of a body that makes progress, in bytes a second.
@@ -130,7 +130,7 @@
         let share =
             self.bytes.get() / if self.connections == 0 { 1 } else { self.connections as u64 };
         let size = if share < MIN_SOCKET_BUFFER { MIN_SOCKET_BUFFER } else { share };
-        if size < USUAL_SOCKET_BUFFER { Some(ByteCount::new(size)) } else { None }
+        if size < USUAL_SOCKET_BUFFER.get() { Some(ByteCount::new(size)) } else { None }
     }
 
     /// Maximum size of one read from a connection, where connections have small buffers. The parser doubles its buffer
--- a/crates/core/src/units.rs
+++ b/crates/core/src/units.rs
@@ -84,7 +84,8 @@
 
 impl fmt::Display for ByteCount {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let exact = BYTE_UNITS.iter().find(|(_, size)| self.0 >= *size && self.0 % size == 0);
+        let exact =
+            BYTE_UNITS.iter().find(|(_, size)| self.0 >= *size && self.0.is_multiple_of(*size));
         let (unit, size) = exact.copied().unwrap_or(("B", 1));
         write!(f, "{} {unit}", self.0 / size)
     }
