Read accepted connections before more than the budget allows are accepted

Cause (supposed): a poll accepts up to 128 connections; a probe among them was closed as the longest idle one before its request was read. Change: HttpServer yields after 16 accepted connections.

--- a/crates/adapters/src/http_server.rs
+++ b/crates/adapters/src/http_server.rs
@@ -28,6 +28,9 @@
 /// Maximum size of a request's head, in bytes.
 pub const MAX_HEAD_BYTES: usize = 64 * 1024;
 
+/// Connections that are accepted before those accepted earlier are read. With more than the budget allows, each would
+/// be closed as the longest idle one before its request is read.
+const MAX_ACCEPTED_AT_ONCE: u32 = 16;
 /// The same limits for ports whose requests are small. Probes and scrapes come every few seconds.
 const PROBE_HEAD_TIMEOUT: Duration = Duration::from_secs(3);
 const PROBE_IDLE_TIMEOUT: Duration = Duration::from_secs(60);
@@ -85,6 +88,7 @@
     pub async fn serve(self, stop: impl Future<Output = ()>) {
         let graceful = GracefulShutdown::new();
         tokio::pin!(stop);
+        let mut accepted_at_once = 0;
         loop {
             tokio::select! {
                 accepted = self.listener.accept() => match accepted {
@@ -94,6 +98,10 @@
                             Some(ledger) => spawn_counted(socket, peer, &self.handler, ledger),
                             None => spawn_connection(socket, peer, &self.handler, &graceful),
                         }
+                        accepted_at_once = (accepted_at_once + 1) % MAX_ACCEPTED_AT_ONCE;
+                        if accepted_at_once == 0 {
+                            tokio::task::yield_now().await;
+                        }
                     }
                     Err(_) => tokio::time::sleep(Duration::from_millis(50)).await,
                 },
