--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod cold_division;
 pub mod concurrency;
 pub mod confidence;
+pub mod connection_budget;
 pub mod deadline;
 pub mod detect;
 pub mod dispatch_guard;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -8,7 +8,6 @@
 #![warn(clippy::unwrap_used)]
 
 pub mod admitted;
-pub mod answer_body;
 pub mod answer_buffer;
 pub mod answer_times;
 pub mod attempt;
@@ -33,7 +32,6 @@
 pub mod gateway_process;
 pub mod gossip;
 pub mod gossip_seal;
-pub mod head_timer;
 pub mod host_count;
 pub mod latency_tracker;
 pub mod load_report;
@@ -41,6 +39,7 @@
 pub mod path_trials;
 pub mod peer_table;
 pub mod placement;
+pub mod read_ahead;
 pub mod refusal;
 pub mod request_record;
 pub mod request_run;
@@ -74,3 +73,5 @@
 pub mod upstream_speeds;
 pub mod upstream_standings;
 pub mod wire_format;
+
+pub use oleander_adapters::head_timer;
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -2,7 +2,9 @@
 
 use crate::control_cache::EXPIRY_GRACE;
 use arc_swap::ArcSwap;
+use oleander_core::connection_budget::BudgetLimits;
 use oleander_core::ids::{DomainName, HostId, RegionName};
+use oleander_core::units::ByteCount;
 use serde::Deserialize;
 use std::collections::BTreeMap;
 use std::net::{IpAddr, SocketAddr};
@@ -44,8 +46,9 @@
     /// File descriptors that the process may use.
     #[serde(default = "default_descriptors")]
     pub max_descriptors: u32,
-    /// Whether upstreams are chosen by how much of a prompt they are expected to have cached, where a
-    /// service states its memory. Without it a fixed upstream is expected to have half of the prompt.
+    /// Whether upstreams are chosen by how much of a prompt they are expected to have cached and by whether it
+    /// fits into their memory, where a service states it. Otherwise a fixed upstream is expected to have half of the
+    /// prompt.
     #[serde(default)]
     pub prefix_weighing: bool,
     /// Limits set by the deployment.
@@ -124,6 +127,12 @@
 }
 
 impl GatewaySettings {
+    /// What the connections of clients may use.
+    #[must_use]
+    pub const fn connection_limits(&self) -> BudgetLimits {
+        BudgetLimits::new(ByteCount::new(self.memory_bytes), self.max_descriptors)
+    }
+
     /// Region of a failure domain; `None` if the settings do not list it.
     #[must_use]
     pub fn region_of(&self, domain: &DomainName) -> Option<&RegionName> {
--- a/crates/gateway/src/upstream_pool.rs
+++ b/crates/gateway/src/upstream_pool.rs
@@ -452,13 +452,14 @@
             });
         }
         let prefix = input.prompt.prefix();
-        let memories = self.memories(&handles, &views, input);
+        let is_weighed = self.settings.load().prefix_weighing;
+        let memories = if is_weighed { self.memories(&handles, &views, input) } else { None };
         if let Some(memories) = &memories {
             keep_within_memory(&mut views, memories, input.size);
         }
-        let is_weighed = memories.is_some() && self.settings.load().prefix_weighing;
+        let is_weighed = memories.is_some();
         match &memories {
-            Some(memories) if is_weighed => {
+            Some(memories) => {
                 self.weigh_prefix(&mut views, &handles, (&prefix, memories), input);
             }
             _ => expect_half_cached(&mut views, input),
--- a/crates/gateway/tests/store_silence.rs
+++ b/crates/gateway/tests/store_silence.rs
@@ -4,6 +4,7 @@
 
 use arc_swap::ArcSwap;
 use kameo::actor::Spawn;
+use oleander_adapters::connection_ledger::ConnectionLedger;
 use oleander_core::ids::{Incarnation, ServiceName};
 use oleander_core::store_era::{StoreEra, StoreRevision};
 use oleander_core::units::Timestamp;
@@ -256,6 +257,7 @@
         crashes: Arc::new(CrashGuard::new(&format!("host-{index}").parse().unwrap(), seed)),
         random: SeededRandom::new(seed),
         metrics: GatewayMetrics::new(&mut prometheus_client::registry::Registry::default()),
+        connections: Arc::new(ConnectionLedger::new(settings.load().connection_limits())),
         stop: StopState::default(),
         settings,
     })
