--- a/crates/gateway/src/shared_limits.rs
+++ b/crates/gateway/src/shared_limits.rs
@@ -221,6 +221,13 @@
             && (division.is_empty() || division.try_take(key(entry), now))
     }
 
+    /// Takes the permission to send a request to an upstream as if it was warm.
+    #[must_use]
+    pub fn try_take_warm(&self, entry: &UpstreamEntry, now: Timestamp) -> bool {
+        let mut division = lock(&self.division);
+        division.is_empty() || division.try_take(key(entry), now)
+    }
+
     /// The upstreams whose limits, if any, allow a request now.
     #[must_use]
     pub fn open_only<'a>(
--- a/crates/gateway/src/upstream_pool.rs
+++ b/crates/gateway/src/upstream_pool.rs
@@ -343,7 +343,13 @@
         // Another request may take the last one of an upstream meanwhile.
         (0..=input.entries.len()).find_map(|_| {
             let permit = self.choose_open(input)?;
-            let is_taken = self.limits.try_take(&permit.upstream.entry, input.priority, input.now);
+            let entry = &permit.upstream.entry;
+            let is_exempt = is_canary(input.rule) && input.rule.prefers(&entry.version);
+            let is_taken = if is_exempt {
+                self.limits.try_take_warm(entry, input.now)
+            } else {
+                self.limits.try_take(entry, input.priority, input.now)
+            };
             is_taken.then_some(permit)
         })
     }
@@ -359,13 +365,16 @@
         let usable = self.standings.open_only(usable, input.now);
         let usable = self.limits.open_only(usable, input.now);
         let usable = self.with_places(usable, input);
-        let usable = self.limits.cold().open_only(usable, input.priority, input.now);
+        let open = self.limits.cold().open_only(usable.clone(), input.priority, input.now);
+        // A canary is small, and its sessions would change their version back and forth if upstreams that
+        // have just started were closed to it.
+        let usable = if is_canary(input.rule) { usable } else { open.clone() };
         let preferred: Vec<&Arc<UpstreamEntry>> =
             usable.iter().copied().filter(|entry| input.rule.prefers(&entry.version)).collect();
         let loaded = self.canary_upstreams(&preferred, input);
         let chosen = self.choose_among(&loaded, input);
         let chosen = chosen.or_else(|| self.choose_among(&preferred, input));
-        chosen.or_else(|| self.choose_among(&usable, input))
+        chosen.or_else(|| self.choose_among(&open, input))
     }
 
     /// The upstreams at which this host has a free place, if they are brittle.
@@ -852,6 +861,10 @@
     }
 }
 
+const fn is_canary(rule: &VersionRule) -> bool {
+    matches!(rule, VersionRule::Canary { .. })
+}
+
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
