Review case 1: a crowd of unfinished bodies takes a process past its machine's memory

Each request that is read or served costs 65 to 70 kB beside its body, of which the budget of connections counts 12 kB. 1,700 clients whose bodies stop just short of their end take a host of 110 MB past it within a second, 2,850 to 206 MB.

--- a/review/standin/false_refusal.rs
+++ b/review/standin/false_refusal.rs
@@ -15,6 +15,7 @@
 use std::time::{Duration, Instant};
 
 const RUNNERS: usize = 3;
+const RAM_MB: u64 = 260;
 const WORK: Duration = Duration::from_millis(60);
 const DEADLINE: Duration = Duration::from_millis(6_000);
 /// Orders a second of all clients, and for how long they are sent.
@@ -51,8 +52,8 @@
     }
     store.put("op", "config", CONFIG);
     let gateways = [
-        Gateway::start(1, store.address, folder)?,
-        Gateway::start(2, store.address, folder)?,
+        Gateway::start(1, store.address, RAM_MB, folder)?,
+        Gateway::start(2, store.address, RAM_MB, folder)?,
     ];
     gateways.iter().try_for_each(Gateway::wait_until_ready)?;
     let started = Instant::now();
--- a/review/standin/gateway.rs
+++ b/review/standin/gateway.rs
@@ -34,7 +34,8 @@
 }
 
 impl Gateway {
-    pub fn start(number: u8, store: SocketAddr, folder: &Path) -> io::Result<Self> {
+    /// Starts a gateway on a machine with so much memory.
+    pub fn start(number: u8, store: SocketAddr, ram_mb: u64, folder: &Path) -> io::Result<Self> {
         let address = loopback_address(number);
         let name = format!("edge-puget-a-{number}");
         let ports = free_ports(address, 4)?;
@@ -64,7 +65,7 @@
 [limits]
 cpu_share = 0.25
 cpus = 1
-ram_mb = 260
+ram_mb = {ram_mb}
 max_fds = 4100
 link_mbps = 1000.0
 disk_mb = 0
@@ -139,6 +140,17 @@
         Command::new("kill").args(["-s", signal, &id]).status().map(drop)
     }
 
+    /// Memory of the process that no file backs, in bytes; received bytes that it has not read are
+    /// not in it.
+    #[allow(dead_code)]
+    pub fn anonymous_memory(&self) -> u64 {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id()));
+        let status = status.unwrap_or_default();
+        let line = status.lines().find_map(|line| line.strip_prefix("RssAnon:"));
+        let kilobytes = line.and_then(|line| line.trim().strip_suffix(" kB")?.parse().ok());
+        kilobytes.unwrap_or(0u64) * 1024
+    }
+
     /// Whether the process has exited.
     #[allow(dead_code)]
     pub fn has_exited(&mut self) -> bool {
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -1,6 +1,7 @@
 //! Plays a case of the review: `standin CASE FOLDER`. Exits with 1 if the rule was broken, 0 if it
 //! held and 2 if the case could not run. `TROUBLE=0` leaves the disruption out.
 
+mod crowd;
 mod false_refusal;
 mod gateway;
 mod http;
@@ -24,6 +25,7 @@
     let played = std::fs::create_dir_all(&temporary).and_then(|()| {
         let record = Record::new(&PathBuf::from(folder).join("record.txt"))?;
         match case.as_str() {
+            "crowd" => crowd::play(&record, &temporary, has_trouble),
             "false_refusal" => false_refusal::play(&record, &temporary, has_trouble),
             _ => Err(std::io::Error::other(format!("no case {case}"))),
         }
