Pass on no promise "not run" for what has run

What callers saw: an order that an upstream had run and then failed with 503 was answered 503, which promises that it has not run. A sealed 421 was taken for a refusal: the order ran at three upstreams and was answered 503.

Cause: check_answer decides whether a request ran; nothing decided whether the status of a run's answer may be told to its caller.

Why it works: RequestRun::pass_on is the one place where an answer of a run leaves the attempts. If the request must not run twice and the status promises the opposite of what happened, the caller gets 502. A 421 is a refusal only without the seal, or with Not-Run.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -412,7 +412,9 @@
     if answer.request.is_some() && answer.request.as_ref() != expected {
         return of_other();
     }
-    if *status == StatusCode::MISDIRECTED_REQUEST || answer.not_run {
+    let is_misdirected = *status == StatusCode::MISDIRECTED_REQUEST;
+    // An upstream seals what it ran.
+    if answer.not_run || (is_misdirected && !answer.sealed) {
         return Err(AttemptFault::new(
             FaultKind::NotRun,
             format!("upstream did not run the request, status {status}"),
@@ -421,6 +423,9 @@
     if answer.request.as_ref() != expected {
         return of_other();
     }
+    if is_misdirected {
+        return wrong(format!("response of a run has status {status}"));
+    }
     if !answer.sealed {
         return wrong(format!("response with status {status} lacks the upstream's seal"));
     }
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -8,7 +8,7 @@
 /// An error response of the gateway.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Refusal {
-    /// Response status. 408, 421, 429 and 503 guarantee that the request has not run.
+    /// Response status; see [`promises_not_run`].
     pub status: StatusCode,
     /// Reason for the caller and the log.
     pub reason: &'static str,
@@ -16,6 +16,21 @@
     pub retry_after: Option<Duration>,
 }
 
+/// Whether a status guarantees callers that their request has not run and never will, so that they may
+/// repeat it, whatever it is.
+///
+/// ```
+/// use http::StatusCode;
+/// use oleander_gateway::refusal::promises_not_run;
+///
+/// assert!(promises_not_run(StatusCode::SERVICE_UNAVAILABLE));
+/// assert!(!promises_not_run(StatusCode::BAD_GATEWAY));
+/// ```
+#[must_use]
+pub const fn promises_not_run(status: StatusCode) -> bool {
+    matches!(status.as_u16(), 408 | 421 | 429 | 503)
+}
+
 impl Refusal {
     /// Creates a refusal.
     #[must_use]
--- a/crates/gateway/src/request_run.rs
+++ b/crates/gateway/src/request_run.rs
@@ -9,7 +9,7 @@
 use crate::fault::AttemptFault;
 use crate::latency_tracker::LatencyKey;
 use crate::placement::{ChoiceInput, PromptInput};
-use crate::refusal::Refusal;
+use crate::refusal::{Refusal, promises_not_run};
 use crate::request_record::RequestRecord;
 use crate::rollout_answer::{AnswerStart, RolloutAnswer};
 use crate::rollout_counters::CounterLabels;
@@ -196,11 +196,11 @@
                     let fault = AttemptFault::new(FaultKind::Failed, reason);
                     self.record_fault(&answer.permit.upstream.entry, &fault);
                     if !self.may_retry(&fault) {
-                        return Ok(answer);
+                        return self.pass_on(answer);
                     }
                     last_fault = Some(fault);
                 }
-                Ok(answer) => return Ok(answer),
+                Ok(answer) => return self.pass_on(answer),
                 Err(fault) => {
                     if !self.may_retry(&fault) {
                         let is_over = self.time_left() < MIN_TIME_LEFT;
@@ -216,6 +216,16 @@
         }
     }
 
+    /// An answer of a run for the caller, unless its status would have the caller repeat what must not
+    /// run again.
+    fn pass_on(&self, answer: UpstreamAnswer) -> Result<UpstreamAnswer, RunError> {
+        if self.request.route.retry_policy.allows_retry() || !promises_not_run(answer.status) {
+            return Ok(answer);
+        }
+        let reason = format!("status {} after a run", answer.status);
+        Err(RunError::Failed(AttemptFault::new(FaultKind::Failed, reason)))
+    }
+
     /// Time after which the caller should come back if the service has no room for the request. Asked
     /// once, before the first attempt.
     fn refused_for(&mut self) -> Option<Duration> {
