Count unfinished events in the budget of their caller's connection

What callers saw: as before this change, the host of an upstream that sends an event without end runs out of memory, and others' requests end.

Cause: a stream may hold 256 KiB until an event is complete, and nothing added these up over streams, while whole bodies are counted.

Why it works: above 16 KiB an unfinished event is held, twice, in the budget that refuses what does not fit; such a stream goes on elsewhere or ends, and its buffers are free.

--- a/crates/gateway/src/event_splitter.rs
+++ b/crates/gateway/src/event_splitter.rs
@@ -142,6 +142,12 @@
         self.passed
     }
 
+    /// Number of bytes received since the last new event.
+    #[must_use]
+    pub const fn unfinished_bytes(&self) -> usize {
+        self.pending
+    }
+
     /// Whether a partial event is buffered.
     #[must_use]
     pub fn has_partial(&self) -> bool {
--- a/crates/gateway/src/stream_relay.rs
+++ b/crates/gateway/src/stream_relay.rs
@@ -11,6 +11,7 @@
 use http::HeaderMap;
 use http::header::CONTENT_TYPE;
 use http_body_util::BodyExt;
+use oleander_adapters::connection_ledger::HeldBytes;
 use oleander_adapters::http_server::{BodyError, ResponseBody};
 use oleander_core::attempt_retry::FaultKind;
 use oleander_core::units::Timestamp;
@@ -26,11 +27,18 @@
 /// Maximum time for which a silent upstream may still work on a stream that another one takes over.
 const MAX_OVERLAP: Duration = Duration::from_millis(300);
 
+/// Size up to which an unfinished event is held in any case.
+const SMALL_EVENT_BYTES: usize = 16 * 1024;
+/// A buffer that grows takes up to this multiple of its content.
+const BUFFER_FACTOR: usize = 2;
+
 /// A stream being relayed.
 pub struct StreamRelay {
     run: RequestRun,
     answer: Option<UpstreamAnswer>,
     splitter: EventSplitter,
+    /// An unfinished event that is not small, in the budget of the caller's connection.
+    held: Option<HeldBytes>,
     event_timeout: Duration,
     /// Media type of the first answer, which an answer that goes on with the stream must have.
     media_type: Option<String>,
@@ -66,6 +74,7 @@
             run,
             answer: Some(answer),
             splitter: EventSplitter::after(last_event),
+            held: None,
             event_timeout: max_gap.saturating_mul(EVENT_GAP_FACTOR),
         }
     }
@@ -94,8 +103,7 @@
             }
             match self.next_chunk().await? {
                 StreamChunk::Bytes(bytes) => {
-                    if let Err(error) = self.splitter.push(&bytes) {
-                        let fault = AttemptFault::new(FaultKind::Wrong, error.to_string());
+                    if let Err(fault) = self.push(&bytes) {
                         self.resume(fault).await?;
                     }
                 }
@@ -116,6 +124,27 @@
         }
     }
 
+    /// Takes received bytes, and holds them until their event is complete.
+    fn push(&mut self, bytes: &[u8]) -> Result<(), AttemptFault> {
+        let wrong = |text: String| AttemptFault::new(FaultKind::Wrong, text);
+        self.splitter.push(bytes).map_err(|error| wrong(error.to_string()))?;
+        let length = self.splitter.unfinished_bytes();
+        if length <= SMALL_EVENT_BYTES {
+            self.held = None;
+            return Ok(());
+        }
+        let Some(connection) = &self.run.request.connection else { return Ok(()) };
+        let size = length * BUFFER_FACTOR;
+        let fits = match &mut self.held {
+            Some(held) => held.grow_to(size),
+            None => {
+                self.held = connection.hold(size);
+                self.held.is_some()
+            }
+        };
+        if fits { Ok(()) } else { Err(wrong(format!("no memory for an event of {length} bytes"))) }
+    }
+
     async fn next_chunk(&mut self) -> Result<StreamChunk, RunError> {
         loop {
             let left = self.run.time_to_deadline();
@@ -235,6 +264,7 @@
             return Err(RunError::Failed(AttemptFault::new(FaultKind::Failed, text)));
         }
         let splitter = EventSplitter::after(last);
+        self.held = None;
         self.splitter = if last.is_some() { splitter.with_ids() } else { splitter };
         self.run.state.metrics.record_resumption();
         self.answer = Some(answer);
