Refuse at a stop what might not be answered whole in the time left

What callers saw: late in the grace period of a stopping host, orders and repeatable requests were taken, ran, and got 504 as the host ended (other operators report the same, cut without an answer).

Cause: whether a request is taken was decided when its headers came, by whether it is a stream and whether 1.5 s were left, not by what it needs.

Why it works: the decision is made again where an attempt is sent, by the time to the deadline (orders, streams) or four times the typical answer (repeatable requests), and only while nothing may have run, so 503 is true.

--- a/crates/gateway/src/admitted.rs
+++ b/crates/gateway/src/admitted.rs
@@ -7,7 +7,6 @@
 use crate::request_record::RequestRecord;
 use crate::routes::{AccountSpec, Route, RouteTable};
 use crate::state::GatewayState;
-use crate::stop_state::accepts_request;
 use crate::wire_format::CallerHead;
 use bytes::{Bytes, BytesMut};
 use http::header::{EXPECT, HOST};
@@ -255,16 +254,12 @@
     };
     let head = (state.wire.read_caller)(&parts.headers);
     let route = find_route(&table, &parts)?;
-    let stopping = state.stop.since(started);
-    let grace_period = state.settings.load().bounds.grace_period();
-    if stopping
-        .is_some_and(|since| !accepts_request(since, grace_period, route.retry_policy.is_stream()))
-    {
+    let timeout = head.timeout.unwrap_or(DEFAULT_TIMEOUT).min(route.timeout);
+    if !state.accepts_request(route.retry_policy.needed_time(timeout, None)) {
         return Err(stopping_refusal());
     }
     let account = find_account(&table, &route, &head)?;
     record.set_route(&route.name, account.as_ref().map(|account| &account.name), table.version());
-    let timeout = head.timeout.unwrap_or(DEFAULT_TIMEOUT).min(route.timeout);
     let deadline = started + timeout;
     let prompt_parts = shared_parts(&head);
     if let Some(wait) = state.crashes.blocked_for(&prompt_parts, started) {
@@ -313,7 +308,8 @@
         .with_retry_after(OVERLOAD_RETRY_AFTER)
 }
 
-const fn stopping_refusal() -> Refusal {
+/// Refusal of a request whose answer might not be complete before this host ends.
+pub(crate) const fn stopping_refusal() -> Refusal {
     Refusal::new(StatusCode::SERVICE_UNAVAILABLE, "this host is stopping")
         .with_retry_after(STOPPING_RETRY_AFTER)
 }
--- a/crates/gateway/src/request_run.rs
+++ b/crates/gateway/src/request_run.rs
@@ -1,6 +1,6 @@
 //! The attempts of one request: picks the next upstream and model, and decides when to stop.
 
-use crate::admitted::{AdmittedRequest, blocked_refusal};
+use crate::admitted::{AdmittedRequest, blocked_refusal, stopping_refusal};
 use crate::attempt::{SendProgress, UpstreamAnswer, notice_departure, send_attempt};
 use crate::cascade::{CascadeModel, CascadeRequest, CascadeStep, plan_steps};
 use crate::choice_price::{ChoicePrices, PLAIN_ANSWER_VALUE, PricedRequest, answer_value, prices};
@@ -73,6 +73,8 @@
     Blocked(Duration),
     /// The service has no room in the time that the request has.
     NoRoom(Duration),
+    /// This host ends before the answer might be complete.
+    Stopping,
 }
 
 /// The attempts of one request.
@@ -179,6 +181,9 @@
             if self.time_left() < MIN_TIME_LEFT {
                 return Err(RunError::TimedOut);
             }
+            if !self.may_have_run && !self.state.accepts_request(self.needed_time()) {
+                return Err(RunError::Stopping);
+            }
             let now = self.state.clock.now();
             if let Some(wait) = self.blocked_for(now) {
                 return Err(RunError::Blocked(wait));
@@ -632,6 +637,13 @@
         }
     }
 
+    /// Time that must be left before this host ends for another attempt.
+    fn needed_time(&self) -> Duration {
+        let typical = self.state.latencies.typical(&self.latency_key(self.model().as_ref()));
+        let expected = typical.map(|typical| typical.saturating_mul(SLOW_ANSWER_FACTOR));
+        self.request.route.retry_policy.needed_time(self.time_to_deadline(), expected)
+    }
+
     /// How long one attempt waits for response headers before alternatives are considered.
     fn attempt_timeout(&self, model: Option<&Arc<str>>) -> Duration {
         let (time_left, route) = (self.time_left(), &self.request.route);
@@ -797,6 +809,7 @@
                 Refusal::new(StatusCode::SERVICE_UNAVAILABLE, reason).with_retry_after(*wait)
             }
             RunError::Blocked(wait) if !self.may_have_run => blocked_refusal(*wait),
+            RunError::Stopping => stopping_refusal(),
             _ if self.may_have_run => {
                 Refusal::new(StatusCode::BAD_GATEWAY, "no upstream gave a whole answer")
             }
--- a/crates/gateway/src/routes.rs
+++ b/crates/gateway/src/routes.rs
@@ -29,6 +29,17 @@
         matches!(self, Self::Retryable | Self::Stream { resumable: true })
     }
 
+    /// Time that must be left for a request before this host ends, of the `time_left` to its deadline. One that
+    /// is given up may have run, and a stream that is cut cannot go on from another host, so both get all of it;
+    /// a request that may be repeated gets what it takes, if that is known.
+    #[must_use]
+    pub fn needed_time(self, time_left: Duration, expected: Option<Duration>) -> Duration {
+        match self {
+            Self::Retryable => expected.unwrap_or_default().min(time_left),
+            Self::AtMostOnce | Self::Stream { .. } => time_left,
+        }
+    }
+
     /// Whether answers are event streams.
     #[must_use]
     pub const fn is_stream(self) -> bool {
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -15,7 +15,7 @@
 use crate::shared_evacuations::SharedEvacuations;
 use crate::snapshot_publisher::SharedSnapshot;
 use crate::socket_dialer::SocketDialer;
-use crate::stop_state::StopState;
+use crate::stop_state::{StopState, accepts_request};
 use crate::upstream_pool::UpstreamPool;
 use crate::upstream_reach::UpstreamReach;
 use crate::wire_format::WireFormat;
@@ -90,6 +90,15 @@
         until_exit.map_or(left, |until_exit| left.min(until_exit))
     }
 
+    /// Whether a request whose answer may take `needed` is sent to an upstream, which is so unless this process
+    /// stops.
+    #[must_use]
+    pub fn accepts_request(&self, needed: Duration) -> bool {
+        let grace_period = self.settings.load().bounds.grace_period();
+        let since = self.stop.since(self.clock.now());
+        since.is_none_or(|since| accepts_request(since, grace_period, needed))
+    }
+
     /// Runs `work` for the time that [`GatewayState::time_left`] states, also when the stop signal
     /// comes meanwhile; `None` when the time is over.
     pub async fn within_time<T>(
--- a/crates/gateway/src/stop_state.rs
+++ b/crates/gateway/src/stop_state.rs
@@ -9,8 +9,8 @@
 pub const BALANCER_LAG: Duration = Duration::from_millis(2_500);
 /// Time before the process is killed at which it exits by itself.
 pub const SHUTDOWN_MARGIN: Duration = Duration::from_millis(500);
-/// Time that must be left for a plain request to be accepted during a stop: several times the 99th
-/// percentile of latency.
+/// Time that must be left for any request to be accepted during a stop: several times the 99th percentile
+/// of the latency of plain requests.
 const MIN_REQUEST_TIME: Duration = Duration::from_millis(1_500);
 /// Time before connections are cut at which requests without an answer get a final one.
 const ANSWER_MARGIN: Duration = Duration::from_millis(200);
@@ -47,24 +47,23 @@
     }
 }
 
-/// Whether a process that got the stop signal `since` ago accepts a request. A request that might
-/// be cut at the end of the grace period is refused, since another host can answer it completely.
+/// Whether a process that got the stop signal `since` ago sends a request to an upstream. One whose answer
+/// might not be complete when the grace period ends is refused, since another host can answer it. `needed` is the
+/// time that the answer may take; it does not count while the load balancer may still send new connections.
 ///
 /// ```
 /// use oleander_gateway::stop_state::accepts_request;
 /// use std::time::Duration;
 ///
-/// let grace_period = Duration::from_secs(8);
-/// assert!(accepts_request(Duration::from_secs(1), grace_period, true));
-/// assert!(!accepts_request(Duration::from_secs(3), grace_period, true));
-/// assert!(accepts_request(Duration::from_secs(3), grace_period, false));
-/// assert!(!accepts_request(Duration::from_secs(7), grace_period, false));
+/// let (grace_period, needed) = (Duration::from_secs(8), Duration::from_secs(3));
+/// assert!(accepts_request(Duration::from_secs(1), grace_period, needed));
+/// assert!(accepts_request(Duration::from_secs(4), grace_period, needed));
+/// assert!(!accepts_request(Duration::from_secs(5), grace_period, needed));
+/// assert!(!accepts_request(Duration::from_secs(7), grace_period, Duration::ZERO));
 /// ```
 #[must_use]
-pub fn accepts_request(since: Duration, grace_period: Duration, is_stream: bool) -> bool {
-    if since < BALANCER_LAG {
-        return true;
-    }
-    let left = grace_period.saturating_sub(SHUTDOWN_MARGIN).saturating_sub(since);
-    !is_stream && left >= MIN_REQUEST_TIME
+pub fn accepts_request(since: Duration, grace_period: Duration, needed: Duration) -> bool {
+    let needed = if since < BALANCER_LAG { Duration::ZERO } else { needed };
+    let left = grace_period.saturating_sub(SHUTDOWN_MARGIN + ANSWER_MARGIN).saturating_sub(since);
+    left >= needed.max(MIN_REQUEST_TIME)
 }
