Accept connections while a stopping host finishes what it carries

What callers saw: a stopping host whose own connections had ended waited for the requests that it carried for other hosts, listened and did not accept; connections opened meanwhile were closed without an answer.

Cause: the end of accepting and the end of what is carried were awaited side by side; accepting ended with the last connection.

Why it works: the host accepts until no connection is open and nothing is carried.

--- a/crates/gateway/src/caller_server.rs
+++ b/crates/gateway/src/caller_server.rs
@@ -104,7 +104,8 @@
     }
 
     /// Closes idle connections now and the others after their request, and waits at most `timeout`
-    /// until none is open, then cuts the rest. Returns how many were cut.
+    /// until none is open and no request is carried for another host, then cuts the rest. Returns how many
+    /// were cut.
     pub async fn close(&self, timeout: Duration) -> usize {
         self.phase.send_replace(ServerPhase::Closing);
         tokio::select! {
@@ -112,7 +113,7 @@
             // that were opened already are accepted before it is found that none is open.
             biased;
             () = self.accept() => {}
-            () = self.none_open() => {}
+            () = self.all_ended() => {}
             () = tokio::time::sleep(timeout) => {}
         }
         let left = self.open.load(Ordering::Relaxed);
@@ -122,6 +123,12 @@
         left
     }
 
+    async fn all_ended(&self) {
+        while self.open.load(Ordering::Relaxed) > 0 || self.state.carrier_load.carried() > 0 {
+            tokio::time::sleep(STOP_POLL_INTERVAL).await;
+        }
+    }
+
     async fn none_open(&self) {
         while self.open.load(Ordering::Relaxed) > 0 {
             tokio::time::sleep(STOP_POLL_INTERVAL).await;
--- a/crates/gateway/src/carrier_server.rs
+++ b/crates/gateway/src/carrier_server.rs
@@ -43,8 +43,6 @@
 const MAX_HEAD_BYTES: usize = 128 * 1024;
 /// Delay after a failed accept, for example when file descriptors run out.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
-/// Time between checks for carried requests while stopping.
-const STOP_POLL_INTERVAL: Duration = Duration::from_millis(20);
 
 /// How much this host carries for others.
 #[derive(Debug, Default)]
@@ -73,13 +71,6 @@
     pub fn carried(&self) -> u16 {
         self.carried.load(Ordering::Relaxed)
     }
-
-    /// Waits until no request is carried.
-    pub async fn none_carried(&self) {
-        while self.carried() > 0 {
-            tokio::time::sleep(STOP_POLL_INTERVAL).await;
-        }
-    }
 }
 
 /// Counts something in a load while it lasts.
--- a/crates/gateway/src/gateway_process.rs
+++ b/crates/gateway/src/gateway_process.rs
@@ -196,9 +196,7 @@
         .grace_period()
         .saturating_sub(BALANCER_LAG)
         .saturating_sub(SHUTDOWN_MARGIN);
-    // What this host carries for others is finished as well.
-    let carried = tokio::time::timeout(timeout, state.carrier_load.none_carried());
-    let (left, _) = tokio::join!(callers.close(timeout), carried);
+    let left = callers.close(timeout).await;
     match left + usize::from(state.carrier_load.carried()) {
         0 => GatewayStop::Finished,
         left => GatewayStop::Cut(left),
