Refuse streams late in a stop, as before

Cause: needed_time gave streams the rule of requests that must not run twice. A stream that is cut cannot go on from another host, so no time that is left is enough.

--- a/crates/gateway/src/routes.rs
+++ b/crates/gateway/src/routes.rs
@@ -30,13 +30,23 @@
     }
 
     /// Time that must be left for a request before this host ends, of the `time_left` to its deadline. One that
-    /// is given up may have run, and a stream that is cut cannot go on from another host, so both get all of it;
-    /// a request that may be repeated gets what it takes, if that is known.
+    /// must not run twice and is given up may have run, so it gets all of it; one that may be repeated gets what it
+    /// takes, if that is known. A stream that is cut cannot go on from another host, so no time is enough.
+    ///
+    /// ```
+    /// use oleander_gateway::routes::RetryPolicy;
+    /// use std::time::Duration;
+    ///
+    /// let (time_left, expected) = (Duration::from_secs(3), Some(Duration::from_secs(1)));
+    /// assert_eq!(RetryPolicy::AtMostOnce.needed_time(time_left, expected), time_left);
+    /// assert_eq!(RetryPolicy::Retryable.needed_time(time_left, expected), Duration::from_secs(1));
+    /// ```
     #[must_use]
     pub fn needed_time(self, time_left: Duration, expected: Option<Duration>) -> Duration {
         match self {
             Self::Retryable => expected.unwrap_or_default().min(time_left),
-            Self::AtMostOnce | Self::Stream { .. } => time_left,
+            Self::AtMostOnce => time_left,
+            Self::Stream { .. } => Duration::MAX,
         }
     }
 
