--- a/review/standin-2/clients.rs
+++ b/review/standin-2/clients.rs
@@ -107,6 +107,32 @@
     call().map_err(|error| error.to_string())
 }
 
+/// Sends a request on a new connection and reads its answer to the end; its status, or what went wrong. An
+/// answer whose last chunk is missing is no answer.
+pub fn send(front: SocketAddr, request: &str) -> Result<u16, String> {
+    let call = || -> std::io::Result<u16> {
+        let mut socket = TcpStream::connect_timeout(&front, CONNECT_TIMEOUT)?;
+        socket.set_read_timeout(Some(Duration::from_secs(25)))?;
+        socket.write_all(request.as_bytes())?;
+        let mut answer = Vec::new();
+        let mut buffer = [0; 2_048];
+        loop {
+            let length = socket.read(&mut buffer)?;
+            answer.extend_from_slice(&buffer[..length]);
+            let text = String::from_utf8_lossy(&answer);
+            let status = text.split(' ').nth(1).and_then(|status| status.parse().ok()).unwrap_or(0);
+            let is_whole =
+                if status == 200 { text.ends_with("0\r\n\r\n") } else { text.contains("\r\n\r\n") };
+            match (is_whole, length) {
+                (true, _) => return Ok(status),
+                (false, 0) => return Err(std::io::ErrorKind::UnexpectedEof.into()),
+                _ => {}
+            }
+        }
+    };
+    call().map_err(|error| error.to_string())
+}
+
 /// Connections of a crowd, each of which has sent the same bytes and keeps open.
 pub struct Crowd {
     open: Vec<TcpStream>,
--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -5,6 +5,7 @@
 //! its folder. Exit code 0: the rule held; 1: it was broken; 2: the case could not run.
 
 mod clients;
+mod crashing;
 mod platform;
 mod record;
 mod runner;
--- a/review/standin-2/scenarios.rs
+++ b/review/standin-2/scenarios.rs
@@ -1,14 +1,16 @@
 //! The scenarios of `review/6` and above.
 
-use crate::clients::{Crowd, OrdinaryClients, head};
+use crate::clients::{Crowd, OrdinaryClients, head, send};
+use crate::crashing::{BAD_PART, CrashLog, start_crashing};
 use crate::platform::{Machine, MachineSpec, ReadyProbe};
 use crate::record::Record;
-use crate::runner::{Runner, RunnerSpec, Work};
+use crate::runner::{Runner, RunnerSpec, Work, spawn};
 use crate::store::Store;
 use std::io::{Error, Result};
 use std::net::Ipv4Addr;
 use std::path::PathBuf;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering::Relaxed};
 use std::time::Duration;
 
 const START_TIMEOUT: Duration = Duration::from_secs(20);
@@ -34,6 +36,7 @@
         "unfinished-bodies" => exceed_memory(&record, has_trouble, 2_400, unfinished_body),
         "held-requests" => exceed_memory(&record, has_trouble, 1_600, whole_request),
         "used-descriptors" => use_descriptors(&record, has_trouble),
+        "forgotten-part" => forget_part(&record, has_trouble),
         other => Err(Error::other(format!("no scenario {other}"))),
     }
 }
@@ -104,6 +107,15 @@
 
 impl Deployment {
     fn start(site: &'static SiteSpec, record: &Record) -> Result<Self> {
+        Self::start_with(site, record, None)
+    }
+
+    /// Starts a deployment, with engines that crash if there is a log for them.
+    fn start_with(
+        site: &'static SiteSpec,
+        record: &Record,
+        crashes: Option<&Arc<CrashLog>>,
+    ) -> Result<Self> {
         let process = std::process::id();
         // Addresses that no other run on this machine uses.
         let ip = |host: u8| {
@@ -124,6 +136,10 @@
                 RunnerSpec { service: "desk", zone, slots: 6, queue: 24, work: LOOK_UP }
             };
             let name = format!("i-{index:02}");
+            if let Some(log) = crashes.filter(|_| is_engine) {
+                start_crashing(name, zone, ip(2), &store, log, record)?;
+                continue;
+            }
             let runner = Runner::start(name.clone(), ip(2), spec)?;
             store.put("servers", &name, &runner.row());
             runners.push(runner);
@@ -220,9 +236,7 @@
     ordinary.iter().for_each(OrdinaryClients::stop);
     for (machine, clients) in deployment.machines.iter().zip(&ordinary) {
         let (node, ends, most) = (machine.spec.node, machine.ends, machine.most_memory);
-        let load = |count: &std::sync::atomic::AtomicUsize| {
-            count.load(std::sync::atomic::Ordering::Relaxed)
-        };
+        let load = |count: &AtomicUsize| count.load(Relaxed);
         record.tell(&format!(
             "{node}: {ends} ends, at most {most} bytes; ordinary clients: {} served, {} failed",
             load(&clients.tally.served),
@@ -240,9 +254,7 @@
 
 fn tell_runs(record: &Record, runners: &[Arc<Runner>]) {
     for runner in runners {
-        let load = |count: &std::sync::atomic::AtomicUsize| {
-            count.load(std::sync::atomic::Ordering::Relaxed)
-        };
+        let load = |count: &AtomicUsize| count.load(Relaxed);
         record.add(&format!(
             "runner at {}: {} runs, at most {} requests at once",
             runner.address,
@@ -266,8 +278,7 @@
     std::thread::sleep(Duration::from_secs(2));
     let mut crowd = Crowd::new(if has_trouble { CROWD } else { 0 }, whole_request);
     record.tell(&format!("a crowd of {CROWD} clients comes: {has_trouble}"));
-    let load =
-        |count: &std::sync::atomic::AtomicU64| count.load(std::sync::atomic::Ordering::Relaxed);
+    let load = |count: &AtomicU64| count.load(Relaxed);
     let end = record.seconds() + TIME;
     let (mut ready_since, mut longest) = (None, 0.0f64);
     while record.seconds() < end {
@@ -296,8 +307,7 @@
     }
     clients.stop();
     let is_running = machine.is_running();
-    let count =
-        |count: &std::sync::atomic::AtomicUsize| count.load(std::sync::atomic::Ordering::Relaxed);
+    let count = |count: &AtomicUsize| count.load(Relaxed);
     record.tell(&format!(
         "ordinary clients: {} served, {} failed; process runs: {is_running}",
         count(&clients.tally.served),
@@ -310,3 +320,113 @@
     ));
     Ok(holds)
 }
+
+/// Prompts that share their caller, their first and their second part; the last one is their own.
+fn prompt(is_bad: bool, index: usize) -> String {
+    let bad = if is_bad { format!("{BAD_PART}:50,") } else { String::new() };
+    format!("aa01c3d4:400,{bad}bb02e5f6:120,{:08x}:30", 0x1000_0000 + index)
+}
+
+fn draft(is_bad: bool, index: usize) -> String {
+    let more = format!(
+        "Token-Count: 600,120\r\nPrefix-Hash: {}\r\nContent-Length: 8\r\n",
+        prompt(is_bad, index)
+    );
+    // No two requests are alike.
+    head("POST", "/draft/one", 25_000, &more) + &format!("{index:08}")
+}
+
+/// Whether at most three requests with a part that crashes runners reach them, later than `contact_ms`
+/// after the fifth crash, by machines in touch. The trouble is a kill of all processes at once.
+fn forget_part(record: &Record, has_trouble: bool) -> Result<bool> {
+    /// Crashes after which the bound begins.
+    const FIRST_CRASHES: usize = 5;
+    const MAX_LATER: usize = 3;
+    const BAD_INTERVAL: Duration = Duration::from_millis(700);
+    const SOUND_INTERVAL: Duration = Duration::from_millis(150);
+    const MARGIN: Duration = Duration::from_secs(1);
+    let log = Arc::new(CrashLog::default());
+    let mut deployment = Deployment::start_with(&TBD_HOLLOW, record, Some(&log))?;
+    let fronts: Vec<_> = deployment.machines.iter().map(|machine| machine.front).collect();
+    let contact = Duration::from_secs_f64(CONTACT_SECONDS);
+    let (running, tallies) =
+        (Arc::new(AtomicBool::new(true)), Arc::new([const { AtomicUsize::new(0) }; 2]));
+    for (number, front) in fronts.iter().copied().enumerate() {
+        let (running, tallies, record) =
+            (Arc::clone(&running), Arc::clone(&tallies), record.clone());
+        spawn(move || {
+            for index in 0.. {
+                if !running.load(Relaxed) {
+                    return;
+                }
+                let (tallies, record) = (Arc::clone(&tallies), record.clone());
+                spawn(move || {
+                    let result = send(front, &draft(false, number * 100_000 + index));
+                    let is_served = matches!(result, Ok(200));
+                    tallies[usize::from(is_served)].fetch_add(1, Relaxed);
+                    if !is_served {
+                        record.add(&format!("a sound client gets {result:?}"));
+                    }
+                });
+                std::thread::sleep(SOUND_INTERVAL);
+            }
+        });
+    }
+    std::thread::sleep(Duration::from_secs(2));
+    let mut index = 500_000;
+    let mut send_bad = |time: Duration| {
+        let end = record.seconds() + time.as_secs_f64();
+        while record.seconds() < end {
+            let (front, text, record) =
+                (fronts[index % fronts.len()], draft(true, index), record.clone());
+            index += 1;
+            spawn(move || {
+                let result = send(front, &text);
+                record.add(&format!("a client with the bad part gets {result:?}"));
+            });
+            std::thread::sleep(BAD_INTERVAL);
+        }
+    };
+    record.tell("requests with the bad part begin to come");
+    send_bad(Duration::from_secs(8));
+    std::thread::sleep(contact);
+    let crashes = log.crashes.lock().unwrap().clone();
+    record.tell(&format!("crashes so far: {crashes:.1?}"));
+    let fifth =
+        *crashes.get(FIRST_CRASHES - 1).unwrap_or(&crashes[crashes.len().saturating_sub(1)]);
+    if has_trouble {
+        record.tell("all processes are killed, and start again after two seconds");
+        deployment.machines.iter_mut().for_each(Machine::stop);
+        std::thread::sleep(Duration::from_secs(2));
+        for machine in &mut deployment.machines {
+            machine.start()?;
+        }
+        for machine in &mut deployment.machines {
+            machine.wait_until_ready(START_TIMEOUT)?;
+        }
+        record.tell("all machines are ready again");
+    }
+    // From here on the machines are in touch.
+    std::thread::sleep(contact + MARGIN);
+    let from = record.seconds();
+    record.tell("requests with the bad part come again");
+    send_bad(Duration::from_secs(12));
+    std::thread::sleep(Duration::from_secs(3));
+    running.store(false, Relaxed);
+    let arrivals = log.arrivals.lock().unwrap().clone();
+    let later = arrivals.iter().filter(|arrival| arrival.at > from.max(fifth + CONTACT_SECONDS));
+    let later: Vec<String> =
+        later.map(|arrival| format!("{} at {:.1}", arrival.id, arrival.at)).collect();
+    let broken_off = log.broken_off.lock().unwrap().len();
+    record.tell(&format!(
+        "sound clients: {} served, {} not; sound streams broken off by crashes: {broken_off}",
+        tallies[1].load(Relaxed),
+        tallies[0].load(Relaxed)
+    ));
+    let holds = later.len() <= MAX_LATER;
+    record.tell(&format!(
+        "requests with the bad part that reached runners in touch, later than {CONTACT_SECONDS} s after the fifth crash: {} ({later:?}); the rule held: {holds}",
+        later.len()
+    ));
+    Ok(holds)
+}
