--- a/review/standin-2/clients.rs
+++ b/review/standin-2/clients.rs
@@ -4,6 +4,7 @@
 use crate::runner::spawn;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
+use std::os::fd::FromRawFd;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
@@ -181,3 +182,49 @@
         Err(error) => error.kind() == std::io::ErrorKind::WouldBlock,
     }
 }
+
+/// Has `count` clients send bytes at once, each on a connection that stays open and is not read.
+pub fn flood(front: SocketAddr, count: usize, bytes: fn() -> Vec<u8>) {
+    for _ in 0..count {
+        spawn(move || {
+            let Ok(mut socket) = connect_narrow(front) else { return };
+            let _ = socket.write_all(&bytes());
+            // The connection is open for as long as the process runs.
+            std::mem::forget(socket);
+        });
+    }
+}
+
+unsafe extern "C" {
+    fn socket(domain: i32, kind: i32, protocol: i32) -> i32;
+    fn setsockopt(socket: i32, level: i32, name: i32, value: *const i32, length: u32) -> i32;
+    fn connect(socket: i32, address: *const u8, length: u32) -> i32;
+}
+
+/// A connection with the smallest receive buffer, as of a client that takes little at a time. The standard
+/// library has no option for it, and it counts from the opening of a connection.
+fn connect_narrow(front: SocketAddr) -> std::io::Result<TcpStream> {
+    const AF_INET: u16 = 2;
+    const SOCK_STREAM: i32 = 1;
+    const SOL_SOCKET: i32 = 1;
+    const SO_RCVBUF: i32 = 8;
+    const SIZE: i32 = 2_048;
+    let SocketAddr::V4(front) = front else { return Err(std::io::ErrorKind::Unsupported.into()) };
+    let mut address = [0u8; 16];
+    address[..2].copy_from_slice(&AF_INET.to_ne_bytes());
+    address[2..4].copy_from_slice(&front.port().to_be_bytes());
+    address[4..8].copy_from_slice(&front.ip().octets());
+    // SAFETY: the address is a `sockaddr_in` of its size, and the descriptor belongs to nobody else.
+    unsafe {
+        let narrow = socket(i32::from(AF_INET), SOCK_STREAM, 0);
+        if narrow < 0 {
+            return Err(std::io::Error::last_os_error());
+        }
+        let stream = TcpStream::from_raw_fd(narrow);
+        setsockopt(narrow, SOL_SOCKET, SO_RCVBUF, &SIZE, 4);
+        if connect(narrow, address.as_ptr(), 16) < 0 {
+            return Err(std::io::Error::last_os_error());
+        }
+        Ok(stream)
+    }
+}
--- a/review/standin-2/scenarios.rs
+++ b/review/standin-2/scenarios.rs
@@ -1,13 +1,13 @@
 //! The scenarios of `review/6` and above.
 
-use crate::clients::{Crowd, OrdinaryClients, head, send};
+use crate::clients::{Crowd, OrdinaryClients, flood, head, send};
 use crate::crashing::{BAD_PART, CrashLog, start_crashing};
 use crate::platform::{Machine, MachineSpec, ReadyProbe};
 use crate::record::Record;
 use crate::runner::{Runner, RunnerSpec, Work, spawn};
 use crate::store::Store;
 use std::io::{Error, Result};
-use std::net::Ipv4Addr;
+use std::net::{Ipv4Addr, SocketAddr};
 use std::path::PathBuf;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering::Relaxed};
@@ -35,7 +35,13 @@
     match scenario {
         "unfinished-bodies" => exceed_memory(&record, has_trouble, 2_400, unfinished_body),
         "held-requests" => exceed_memory(&record, has_trouble, 1_600, whole_request),
-        "used-descriptors" => use_descriptors(&record, has_trouble),
+        "used-descriptors" => stay_reachable(&record, has_trouble, |front| {
+            Visitors::Crowd(Crowd::new(HELD_REQUESTS, whole_request), front)
+        }),
+        "sent-ahead" => stay_reachable(&record, has_trouble, |front| {
+            flood(front, FLOOD_CLIENTS, requests_ahead);
+            Visitors::Flood
+        }),
         "forgotten-part" => forget_part(&record, has_trouble),
         other => Err(Error::other(format!("no scenario {other}"))),
     }
@@ -264,10 +270,32 @@
     }
 }
 
-/// Whether a machine that says it is ready answers new connections within `contact_ms`, while a crowd holds
-/// requests at sound runners.
-fn use_descriptors(record: &Record, has_trouble: bool) -> Result<bool> {
-    const CROWD: usize = 2_700;
+/// Clients of the crowd that holds requests at runners.
+const HELD_REQUESTS: usize = 2_700;
+/// Clients that send requests ahead, and how many each of them sends.
+const FLOOD_CLIENTS: usize = 400;
+const REQUESTS_AHEAD: usize = 1_500;
+
+/// Requests of a client that sends them one after the other and does not read the answers.
+fn requests_ahead() -> Vec<u8> {
+    let requests = (0..REQUESTS_AHEAD).map(|_| head("GET", "/nowhere/", 1_200, ""));
+    requests.collect::<String>().into_bytes()
+}
+
+/// Who comes beside the ordinary clients.
+enum Visitors {
+    /// A crowd that comes again when it is sent away.
+    Crowd(Crowd, SocketAddr),
+    /// Clients that came once.
+    Flood,
+}
+
+/// Whether a machine that says it is ready answers new connections within `contact_ms`, while others come too.
+fn stay_reachable(
+    record: &Record,
+    has_trouble: bool,
+    visit: impl FnOnce(SocketAddr) -> Visitors,
+) -> Result<bool> {
     const CLIENTS: usize = 8;
     const TIME: f64 = 25.0;
     let mut deployment = Deployment::start(&CCKC_ROUTER, record)?;
@@ -276,14 +304,20 @@
     let clients = OrdinaryClients::start(machine.front, CLIENTS, ORDINARY_INTERVAL, record);
     record.tell(&format!("{CLIENTS} ordinary clients ask {}", machine.spec.node));
     std::thread::sleep(Duration::from_secs(2));
-    let mut crowd = Crowd::new(if has_trouble { CROWD } else { 0 }, whole_request);
-    record.tell(&format!("a crowd of {CROWD} clients comes: {has_trouble}"));
+    record.tell(&format!("others come: {has_trouble}"));
+    let mut visitors = has_trouble.then(|| visit(machine.front));
     let load = |count: &AtomicU64| count.load(Relaxed);
     let end = record.seconds() + TIME;
     let (mut ready_since, mut longest) = (None, 0.0f64);
     while record.seconds() < end {
         let filled = record.seconds();
-        crowd.fill(machine.front, Duration::from_millis(700));
+        let crowd = match &mut visitors {
+            Some(Visitors::Crowd(crowd, front)) => {
+                crowd.fill(*front, Duration::from_millis(700));
+                format!("; crowd: {} open, {} answered", crowd.len(), crowd.answered())
+            }
+            _ => String::new(),
+        };
         let asked = record.seconds();
         let is_ready = probe.is_ready();
         let now = record.seconds();
@@ -297,10 +331,8 @@
         let (descriptors, memory) =
             (machine.descriptors().unwrap_or(0), machine.memory().unwrap_or(0));
         record.add(&format!(
-            "ready: {is_ready}; last answer to an ordinary client {:.1} s ago; {descriptors} descriptors, {memory} bytes; crowd: {} open, {} answered",
-            now - answered,
-            crowd.len(),
-            crowd.answered()
+            "ready: {is_ready}; last answer to an ordinary client {:.1} s ago; {descriptors} descriptors, {memory} bytes{crowd}",
+            now - answered
         ));
         let left = 1.0 - (record.seconds() - filled);
         std::thread::sleep(Duration::from_secs_f64(left.max(0.0)));
