--- a/review/standin-2/crashing.rs
+++ b/review/standin-2/crashing.rs
@@ -1,5 +1,5 @@
-//! Runners that crash when they begin to answer a request with a certain part in its prompt, and are back
-//! after some seconds as new processes.
+//! Runners that crash when they begin to answer a request with a certain part in its prompt, or a certain
+//! request, and are back after some seconds as new processes.
 
 use crate::record::Record;
 use crate::runner::{read_head, spawn};
@@ -12,6 +12,8 @@
 
 /// The part that crashes runners. It is never the last one of a prompt.
 pub const BAD_PART: &str = "6b1d07e2";
+/// Body of the request that crashes runners.
+pub const BAD_BODY: &str = "deadbeef";
 const DOWN_TIME: Duration = Duration::from_secs(3);
 /// Time from a request to the beginning of its answer, and between the events of a stream.
 const FIRST_EVENT: Duration = Duration::from_millis(60);
@@ -19,7 +21,7 @@
 const EVENTS: usize = 20;
 const POLL_INTERVAL: Duration = Duration::from_millis(2);
 
-/// A request with the bad part that reached a runner.
+/// A bad request that reached a runner.
 #[derive(Clone)]
 pub struct BadArrival {
     pub at: f64,
@@ -127,13 +129,16 @@
         socket.set_nodelay(true)?;
         let mut reader = BufReader::with_capacity(2_048, socket.try_clone()?);
         while let Some(head) = read_head(&mut reader)? {
-            std::io::copy(&mut (&mut reader).take(head.length() as u64), &mut std::io::sink())?;
+            let mut body = vec![0; head.length()];
+            reader.read_exact(&mut body)?;
             let id = head.field("attempt-id").unwrap_or_default().to_owned();
             let parts = head.field("prefix-hash").unwrap_or_default();
-            let is_bad = parts.split(',').any(|part| part.split(':').next() == Some(BAD_PART));
+            let has_bad_part =
+                parts.split(',').any(|part| part.split(':').next() == Some(BAD_PART));
+            let is_bad = has_bad_part || body == BAD_BODY.as_bytes();
             if is_bad {
                 let at = self.record.seconds();
-                self.record.add(&format!("request {id} with the bad part reaches {}", self.name));
+                self.record.add(&format!("bad request {id} reaches {}", self.name));
                 self.log.arrivals.lock().unwrap().push(BadArrival { at, id: id.clone() });
             }
             std::thread::sleep(FIRST_EVENT);
--- a/review/standin-2/scenarios.rs
+++ b/review/standin-2/scenarios.rs
@@ -1,7 +1,7 @@
 //! The scenarios of `review/6` and above.
 
 use crate::clients::{Crowd, OrdinaryClients, flood, head, send};
-use crate::crashing::{BAD_PART, CrashLog, start_crashing};
+use crate::crashing::{BAD_BODY, BAD_PART, CrashLog, start_crashing};
 use crate::platform::{Machine, MachineSpec, ReadyProbe};
 use crate::record::Record;
 use crate::runner::{Runner, RunnerSpec, Work, spawn};
@@ -35,7 +35,8 @@
             flood(front, FLOOD_CLIENTS, requests_ahead);
             Visitors::Flood
         }),
-        "forgotten-part" => forget_part(&record, has_trouble),
+        "forgotten-part" => forget(&record, has_trouble, BadKind::Part),
+        "forgotten-request" => forget(&record, has_trouble, BadKind::Request),
         other => Err(Error::other(format!("no scenario {other}"))),
     }
 }
@@ -50,6 +51,7 @@
 /// A deployment: store, runners and machines, each at a loopback address of its own.
 struct Deployment {
     folder: PathBuf,
+    store: Arc<Store>,
     runners: Vec<Arc<Runner>>,
     machines: Vec<Machine>,
 }
@@ -159,7 +161,7 @@
             machine.wait_until_ready(START_TIMEOUT)?;
         }
         std::thread::sleep(Duration::from_secs(2));
-        Ok(Self { folder, runners, machines })
+        Ok(Self { folder, store, runners, machines })
     }
 }
 
@@ -272,26 +274,41 @@
     Ok(holds)
 }
 
-/// Prompts that share their caller, their first and their second part; the last one is their own.
-fn prompt(is_bad: bool, index: usize) -> String {
-    let bad = if is_bad { format!("{BAD_PART}:50,") } else { String::new() };
-    format!("aa01c3d4:400,{bad}bb02e5f6:120,{:08x}:30", 0x1000_0000 + index)
+/// What crashes the runners.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum BadKind {
+    /// A part of prompts; no two requests with it are alike.
+    Part,
+    /// One request, which comes again as it was.
+    Request,
 }
 
-fn draft(is_bad: bool, index: usize) -> String {
+/// A request of a prompt of its own, or the one that crashes runners.
+fn draft(bad: Option<BadKind>, index: usize) -> String {
+    let bad_part =
+        if bad == Some(BadKind::Part) { format!("{BAD_PART}:50,") } else { String::new() };
+    let index = if bad == Some(BadKind::Request) { BAD_INDEX } else { index };
+    let prompt = format!("aa01c3d4:400,{bad_part}bb02e5f6:120,{:08x}:30", 0x1000_0000 + index);
     let more = format!(
-        "Token-Count: 600,120\r\nPrefix-Hash: {}\r\nContent-Length: 8\r\n",
-        prompt(is_bad, index)
+        "Token-Count: 600,120\r\nPrefix-Hash: {prompt}\r\nContent-Length: {}\r\n",
+        BAD_BODY.len()
     );
-    // No two requests are alike.
-    head("POST", "/draft/one", 25_000, &more) + &format!("{index:08}")
+    let body =
+        if bad == Some(BadKind::Request) { BAD_BODY.to_owned() } else { format!("{index:08}") };
+    head("POST", "/draft/one", 25_000, &more) + &body
 }
 
-/// Whether at most three requests with a part that crashes runners reach them, later than `contact_ms`
-/// after the fifth crash, by machines in touch. The trouble is a kill of all processes at once.
-fn forget_part(record: &Record, has_trouble: bool) -> Result<bool> {
-    /// Crashes after which the bound begins.
-    const FIRST_CRASHES: usize = 5;
+/// Index of the request that crashes runners.
+const BAD_INDEX: usize = 900_000;
+
+/// Whether at most three requests that crash runners reach them, later than `contact_ms` after the crash
+/// from which the bound counts, by machines in touch. The trouble is a kill of all processes at once; for
+/// one request, also an outage of the store while it crashes its first runners.
+fn forget(record: &Record, has_trouble: bool, kind: BadKind) -> Result<bool> {
+    /// Time for which the store is away.
+    const OUTAGE: Duration = Duration::from_millis(4_500);
+    // Crashes after which the bound begins.
+    let first_crashes = if kind == BadKind::Part { 5 } else { 3 };
     const MAX_LATER: usize = 3;
     const BAD_INTERVAL: Duration = Duration::from_millis(700);
     const SOUND_INTERVAL: Duration = Duration::from_millis(150);
@@ -312,7 +329,7 @@
                 }
                 let (tallies, record) = (Arc::clone(&tallies), record.clone());
                 spawn(move || {
-                    let result = send(front, &draft(false, number * 100_000 + index));
+                    let result = send(front, &draft(None, number * 100_000 + index));
                     let is_served = matches!(result, Ok(200));
                     tallies[usize::from(is_served)].fetch_add(1, Relaxed);
                     if !is_served {
@@ -329,22 +346,33 @@
         let end = record.seconds() + time.as_secs_f64();
         while record.seconds() < end {
             let (front, text, record) =
-                (fronts[index % fronts.len()], draft(true, index), record.clone());
+                (fronts[index % fronts.len()], draft(Some(kind), index), record.clone());
             index += 1;
             spawn(move || {
                 let result = send(front, &text);
-                record.add(&format!("a client with the bad part gets {result:?}"));
+                record.add(&format!("a client with a bad request gets {result:?}"));
             });
             std::thread::sleep(BAD_INTERVAL);
         }
     };
-    record.tell("requests with the bad part begin to come");
-    send_bad(Duration::from_secs(8));
+    let has_outage = has_trouble && kind == BadKind::Request;
+    if has_outage {
+        record.tell("the store answers 503");
+        deployment.store.set_busy(true);
+        std::thread::sleep(Duration::from_millis(500));
+    }
+    record.tell("bad requests begin to come");
+    send_bad(OUTAGE - Duration::from_millis(500));
+    if has_outage {
+        deployment.store.set_busy(false);
+        record.tell("the store is back");
+    }
+    send_bad(Duration::from_secs(4));
     std::thread::sleep(contact);
     let crashes = log.crashes.lock().unwrap().clone();
     record.tell(&format!("crashes so far: {crashes:.1?}"));
-    let fifth =
-        *crashes.get(FIRST_CRASHES - 1).unwrap_or(&crashes[crashes.len().saturating_sub(1)]);
+    let counted =
+        *crashes.get(first_crashes - 1).unwrap_or(&crashes[crashes.len().saturating_sub(1)]);
     if has_trouble {
         record.tell("all processes are killed, and start again after two seconds");
         deployment.machines.iter_mut().for_each(Machine::stop);
@@ -360,12 +388,12 @@
     // From here on the machines are in touch.
     std::thread::sleep(contact + MARGIN);
     let from = record.seconds();
-    record.tell("requests with the bad part come again");
+    record.tell("bad requests come again");
     send_bad(Duration::from_secs(12));
     std::thread::sleep(Duration::from_secs(3));
     running.store(false, Relaxed);
     let arrivals = log.arrivals.lock().unwrap().clone();
-    let later = arrivals.iter().filter(|arrival| arrival.at > from.max(fifth + CONTACT_SECONDS));
+    let later = arrivals.iter().filter(|arrival| arrival.at > from.max(counted + CONTACT_SECONDS));
     let later: Vec<String> =
         later.map(|arrival| format!("{} at {:.1}", arrival.id, arrival.at)).collect();
     let broken_off = log.broken_off.lock().unwrap().len();
@@ -376,7 +404,7 @@
     ));
     let holds = later.len() <= MAX_LATER;
     record.tell(&format!(
-        "requests with the bad part that reached runners in touch, later than {CONTACT_SECONDS} s after the fifth crash: {} ({later:?}); the rule held: {holds}",
+        "bad requests that reached runners in touch, later than {CONTACT_SECONDS} s after crash {first_crashes}: {} ({later:?}); the rule held: {holds}",
         later.len()
     ));
     Ok(holds)
--- a/review/standin-2/store.rs
+++ b/review/standin-2/store.rs
@@ -6,6 +6,7 @@
 use std::collections::BTreeMap;
 use std::io::{BufReader, Read, Write};
 use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::time::{Duration, Instant};
 
@@ -30,6 +31,8 @@
     changed: Condvar,
     started: Instant,
     pub address: SocketAddr,
+    /// Whether it answers each call with 503.
+    is_busy: AtomicBool,
 }
 
 impl Store {
@@ -37,8 +40,13 @@
         let listener = TcpListener::bind((ip, 0))?;
         let rows = Mutex::new(Rows { rows: BTreeMap::new(), version: 1 });
         let address = listener.local_addr()?;
-        let store =
-            Arc::new(Self { rows, changed: Condvar::new(), started: Instant::now(), address });
+        let store = Arc::new(Self {
+            rows,
+            changed: Condvar::new(),
+            started: Instant::now(),
+            address,
+            is_busy: AtomicBool::new(false),
+        });
         let served = Arc::clone(&store);
         spawn(move || {
             for socket in listener.incoming().flatten() {
@@ -60,6 +68,12 @@
         self.changed.notify_all();
     }
 
+    /// Has each call answered with 503, or as usual again. Calls that wait are answered at once.
+    pub fn set_busy(&self, is_busy: bool) {
+        self.is_busy.store(is_busy, Ordering::SeqCst);
+        self.changed.notify_all();
+    }
+
     fn serve(&self, mut socket: TcpStream) -> std::io::Result<()> {
         socket.set_nodelay(true)?;
         let mut reader = BufReader::new(socket.try_clone()?);
@@ -78,6 +92,9 @@
 
     fn answer(&self, target: &str, body: &str) -> (u16, String) {
         let (path, query) = target.split_once('?').unwrap_or((target, ""));
+        if self.is_busy.load(Ordering::SeqCst) {
+            return (503, "{}".to_owned());
+        }
         let parameter = |name: &str| {
             let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
             pairs.find(|(found, _)| *found == name).map(|(_, value)| decode_percent(value))
@@ -121,7 +138,7 @@
             let mut found: Vec<(&RowKey, &Row)> = rows.rows.iter().filter(is_newer).collect();
             found.sort_by_key(|(_, row)| row.version);
             let left = end.saturating_duration_since(Instant::now());
-            if !found.is_empty() || left.is_zero() {
+            if !found.is_empty() || left.is_zero() || self.is_busy.load(Ordering::SeqCst) {
                 let found: Vec<String> = found.iter().map(|(key, row)| text_of(key, row)).collect();
                 return self.page(&found, rows.version);
             }
