--- /dev/null
+++ b/review/standin-2/clients.rs
@@ -0,0 +1,157 @@
+//! Clients: ordinary ones, each request on a new connection, and crowds that behave in one way.
+
+use crate::record::Record;
+use crate::runner::spawn;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+/// Clients allow a new connection a second to be established.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+
+static LAST_ID: AtomicU64 = AtomicU64::new(1);
+
+fn new_id() -> String {
+    format!("{:016x}", LAST_ID.fetch_add(1, Ordering::Relaxed) | 0x5a00_0000_0000_0000)
+}
+
+/// The head of a request of a client that holds a key.
+pub fn head(method: &str, path: &str, deadline_ms: u64, more: &str) -> String {
+    let id = new_id();
+    format!(
+        "{method} {path} HTTP/1.1\r\nHost: desk.example\r\nAttempt-Id: {id}\r\nDeadline-Ms: {deadline_ms}\r\nApi-Key: key-of-one\r\n{more}\r\n"
+    )
+}
+
+/// What ordinary clients got.
+#[derive(Default)]
+pub struct Tally {
+    pub served: AtomicUsize,
+    pub failed: AtomicUsize,
+    /// When the last answer of any status came, in milliseconds since the start.
+    pub last_answer_ms: AtomicU64,
+    /// Longest time without an answer to any client, and when it ended.
+    pub longest_gap_ms: AtomicU64,
+}
+
+/// Ordinary clients of one machine, until stopped.
+pub struct OrdinaryClients {
+    pub tally: Arc<Tally>,
+    stop: Arc<AtomicBool>,
+}
+
+impl OrdinaryClients {
+    /// Starts `count` clients, each of which looks something up each `interval`.
+    pub fn start(front: SocketAddr, count: usize, interval: Duration, record: &Record) -> Self {
+        let (tally, stop) = (Arc::new(Tally::default()), Arc::new(AtomicBool::new(false)));
+        let gap = Arc::new(Mutex::new(()));
+        for _ in 0..count {
+            let (tally, stop, gap) = (Arc::clone(&tally), Arc::clone(&stop), Arc::clone(&gap));
+            let record = record.clone();
+            spawn(move || {
+                while !stop.load(Ordering::Relaxed) {
+                    let result = look_up(front);
+                    let _one_at_a_time = gap.lock().unwrap();
+                    note(&tally, &result, &record);
+                    drop(_one_at_a_time);
+                    std::thread::sleep(interval);
+                }
+            });
+        }
+        Self { tally, stop }
+    }
+
+    pub fn stop(&self) {
+        self.stop.store(true, Ordering::Relaxed);
+    }
+}
+
+fn note(tally: &Tally, result: &Result<u16, String>, record: &Record) {
+    match result {
+        Ok(200) => {
+            tally.served.fetch_add(1, Ordering::Relaxed);
+        }
+        other => {
+            tally.failed.fetch_add(1, Ordering::Relaxed);
+            record.add(&format!("an ordinary client gets {other:?}"));
+        }
+    }
+    let now_ms = (record.seconds() * 1_000.0) as u64;
+    if result.is_ok() {
+        let last = tally.last_answer_ms.swap(now_ms, Ordering::Relaxed);
+        if last > 0 {
+            tally.longest_gap_ms.fetch_max(now_ms.saturating_sub(last), Ordering::Relaxed);
+        }
+    }
+}
+
+/// One request on a new connection; its status, or what went wrong.
+pub fn look_up(front: SocketAddr) -> Result<u16, String> {
+    let call = || -> std::io::Result<u16> {
+        let mut socket = TcpStream::connect_timeout(&front, CONNECT_TIMEOUT)?;
+        socket.set_read_timeout(Some(Duration::from_millis(1_200)))?;
+        socket.write_all(head("GET", "/look/one", 1_200, "").as_bytes())?;
+        let mut answer = Vec::new();
+        let mut buffer = [0; 2_048];
+        while !answer.windows(4).any(|end| end == b"\r\n\r\n") {
+            match socket.read(&mut buffer)? {
+                0 => return Err(std::io::ErrorKind::UnexpectedEof.into()),
+                length => answer.extend_from_slice(&buffer[..length]),
+            }
+        }
+        let text = String::from_utf8_lossy(&answer);
+        Ok(text.split(' ').nth(1).and_then(|status| status.parse().ok()).unwrap_or(0))
+    };
+    call().map_err(|error| error.to_string())
+}
+
+/// Connections of a crowd, each of which has sent the same bytes and keeps open.
+pub struct Crowd {
+    open: Vec<TcpStream>,
+    size: usize,
+    /// What one of them sends; each gets an id of its own.
+    bytes: fn() -> Vec<u8>,
+}
+
+impl Crowd {
+    pub fn new(size: usize, bytes: fn() -> Vec<u8>) -> Self {
+        Self { open: Vec::new(), size, bytes }
+    }
+
+    /// Opens connections until the crowd has its size, for at most `time`. Clients whose connection was
+    /// closed come again.
+    pub fn fill(&mut self, front: SocketAddr, time: Duration) {
+        let started = Instant::now();
+        self.open.retain(is_open);
+        while self.open.len() < self.size && started.elapsed() < time {
+            let opened = TcpStream::connect_timeout(&front, Duration::from_millis(200));
+            let sent = opened.and_then(|mut socket| {
+                socket.write_all(&(self.bytes)())?;
+                socket.set_nonblocking(true)?;
+                Ok(socket)
+            });
+            match sent {
+                Ok(socket) => self.open.push(socket),
+                Err(_) => return,
+            }
+        }
+    }
+
+    pub fn len(&self) -> usize {
+        self.open.len()
+    }
+
+    /// Number of connections on which an answer has begun.
+    pub fn answered(&self) -> usize {
+        self.open.iter().filter(|socket| matches!(socket.peek(&mut [0; 1]), Ok(1))).count()
+    }
+}
+
+fn is_open(socket: &TcpStream) -> bool {
+    match socket.peek(&mut [0; 1]) {
+        Ok(length) => length > 0,
+        Err(error) => error.kind() == std::io::ErrorKind::WouldBlock,
+    }
+}
--- /dev/null
+++ b/review/standin-2/scenarios.rs
@@ -0,0 +1,312 @@
+//! The scenarios of `review/6` and above.
+
+use crate::clients::{Crowd, OrdinaryClients, head};
+use crate::platform::{Machine, MachineSpec, ReadyProbe};
+use crate::record::Record;
+use crate::runner::{Runner, RunnerSpec, Work};
+use crate::store::Store;
+use std::io::{Error, Result};
+use std::net::Ipv4Addr;
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::time::Duration;
+
+const START_TIMEOUT: Duration = Duration::from_secs(20);
+/// A process that was killed is restarted after a short delay.
+const RESTART_DELAY: Duration = Duration::from_secs(1);
+/// `contact_ms` of the sheets.
+const CONTACT_SECONDS: f64 = 4.0;
+/// Ends of a process that the rule on faults counts, and machines that must have as many.
+const COUNTED_ENDS: usize = 3;
+const COUNTED_MACHINES: usize = 2;
+/// Time between attempts of one ordinary client.
+const ORDINARY_INTERVAL: Duration = Duration::from_millis(250);
+
+/// The limits of the sites' configurations, as `fleetbench wire` shows them.
+const LIMITS: &str =
+    r#"{"max_hdr_bytes":16384,"max_body_bytes":4194304,"hdr_timeout_ms":3000,"idle_ms":15000}"#;
+
+/// Runs a scenario; whether the rule held.
+pub fn run(scenario: &str, folder: &str, has_trouble: bool) -> Result<bool> {
+    let record = Record::create(folder)?;
+    record.tell(&format!("{scenario}, with trouble: {has_trouble}"));
+    match scenario {
+        "unfinished-bodies" => exceed_memory(&record, has_trouble, 2_400, unfinished_body),
+        "held-requests" => exceed_memory(&record, has_trouble, 1_600, whole_request),
+        "used-descriptors" => use_descriptors(&record, has_trouble),
+        other => Err(Error::other(format!("no scenario {other}"))),
+    }
+}
+
+/// A body of 200 bytes without its last one.
+fn unfinished_body() -> Vec<u8> {
+    let head = head("POST", "/draft/one", 25_000, "Content-Length: 200\r\n");
+    [head.as_bytes(), &[b'x'; 199]].concat()
+}
+
+/// A whole request of a client that does not read its answer yet.
+fn whole_request() -> Vec<u8> {
+    let more = "Token-Count: 1460,80\r\nContent-Length: 200\r\n";
+    let head = head("POST", "/draft/one", 25_000, more);
+    [head.as_bytes(), &[b'x'; 200]].concat()
+}
+
+/// A deployment: store, runners and machines, each at a loopback address of its own.
+struct Deployment {
+    folder: PathBuf,
+    runners: Vec<Arc<Runner>>,
+    machines: Vec<Machine>,
+}
+
+/// What differs between the deployments of the sheets.
+struct SiteSpec {
+    zones: [(&'static str, &'static str); 3],
+    nodes: [&'static str; 3],
+    ram_mb: u64,
+    retry_extra: u32,
+    engines: usize,
+    engine_queue: usize,
+    /// Time limits and goals of the plain route, in milliseconds.
+    look_timeout_ms: u64,
+    look_goal_ms: u64,
+}
+
+/// `sites/tbd-hollow.toml`.
+const TBD_HOLLOW: SiteSpec = SiteSpec {
+    zones: [("dkr-a", "dakar"), ("ths-b", "thies"), ("stl-c", "saint-louis")],
+    nodes: ["edge-dkr-a-1", "edge-ths-b-1", "edge-stl-c-1"],
+    ram_mb: 110,
+    retry_extra: 52,
+    engines: 12,
+    engine_queue: 192,
+    look_timeout_ms: 1_200,
+    look_goal_ms: 200,
+};
+
+/// `sites/cckc-router.toml`.
+const CCKC_ROUTER: SiteSpec = SiteSpec {
+    zones: [("puget-a", "puget"), ("willamette-a", "willamette"), ("inland-a", "inland")],
+    nodes: ["edge-puget-a-1", "edge-willamette-a-1", "edge-inland-a-1"],
+    ram_mb: 260,
+    retry_extra: 54,
+    engines: 9,
+    engine_queue: 134,
+    look_timeout_ms: 6_000,
+    look_goal_ms: 400,
+};
+
+const MAX_FDS: u32 = 4_100;
+const ENGINE_SLOTS: usize = 64;
+/// A generation of 64 events, the mean of the longest kind of request on the sheets, by a busy runner. The
+/// sheets allow pauses of a second.
+const GENERATION: Work = Work::Stream { events: 64, pause: Duration::from_millis(150) };
+const LOOK_UP: Work = Work::Plain { bytes: 800, time: Duration::from_millis(15) };
+
+impl Deployment {
+    fn start(site: &'static SiteSpec, record: &Record) -> Result<Self> {
+        let process = std::process::id();
+        // Addresses that no other run on this machine uses.
+        let ip = |host: u8| {
+            Ipv4Addr::new(127, 64 + (process % 128) as u8, (process / 128 % 250) as u8 + 1, host)
+        };
+        let folder = std::env::temp_dir().join(format!("oleander-review-{process}"));
+        std::fs::create_dir_all(&folder)?;
+        let store = Store::start(ip(1))?;
+        store.put("op", "config", &configuration(site));
+        let mut runners = Vec::new();
+        for index in 0..site.engines + 3 {
+            let zone = site.zones[index % 3].0;
+            let is_engine = index < site.engines;
+            let spec = if is_engine {
+                let queue = site.engine_queue;
+                RunnerSpec { service: "engine", zone, slots: ENGINE_SLOTS, queue, work: GENERATION }
+            } else {
+                RunnerSpec { service: "desk", zone, slots: 6, queue: 24, work: LOOK_UP }
+            };
+            let name = format!("i-{index:02}");
+            let runner = Runner::start(name.clone(), ip(2), spec)?;
+            store.put("servers", &name, &runner.row());
+            runners.push(runner);
+        }
+        let zones: &'static str = Box::leak(
+            site.zones
+                .map(|(zone, region)| format!("{zone} = \"{region}\""))
+                .join("\n")
+                .into_boxed_str(),
+        );
+        let mut machines = Vec::new();
+        for (index, node) in site.nodes.into_iter().enumerate() {
+            let (zone, region) = site.zones[index];
+            let SiteSpec { ram_mb, retry_extra, .. } = *site;
+            let spec =
+                MachineSpec { node, zone, region, zones, ram_mb, max_fds: MAX_FDS, retry_extra };
+            let machine = Machine::new(spec, ip(11 + index as u8), store.address, &folder, record)?;
+            machines.push(machine);
+        }
+        for machine in &mut machines {
+            machine.start()?;
+        }
+        for machine in &mut machines {
+            machine.wait_until_ready(START_TIMEOUT)?;
+        }
+        std::thread::sleep(Duration::from_secs(2));
+        Ok(Self { folder, runners, machines })
+    }
+}
+
+impl Drop for Deployment {
+    fn drop(&mut self) {
+        self.machines.clear();
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+fn configuration(site: &SiteSpec) -> String {
+    let SiteSpec { look_timeout_ms, look_goal_ms, .. } = site;
+    format!(
+        r#"{{"version":3,"routes":[{{"name":"draft","host":"desk.example","prefix":"/draft/","type":"stream","timeout_ms":25000,"goal_ms":4000,"priority":1,"service":"engine","attempts":3,"public":false,"sticky":true,"resumable":true,"itl_target_ms":1000}},{{"name":"look","host":"desk.example","prefix":"/look/","type":"safe","timeout_ms":{look_timeout_ms},"goal_ms":{look_goal_ms},"priority":2,"service":"desk","attempts":2,"public":false}}],"services":[{{"name":"engine","health_path":"/health","max_conns":360,"proto":"h1","tls":false}},{{"name":"desk","health_path":"/health","max_conns":96,"proto":"h1","tls":false}}],"limits":{LIMITS},"tenants":[{{"name":"one","keys":["key-of-one"],"priority":1}}]}}"#
+    )
+}
+
+/// Whether no two machines lose their process three times since a crowd makes it exceed its memory.
+fn exceed_memory(
+    record: &Record,
+    has_trouble: bool,
+    crowd_size: usize,
+    bytes: fn() -> Vec<u8>,
+) -> Result<bool> {
+    const TIME: Duration = Duration::from_secs(60);
+    const CALM_TIME: Duration = Duration::from_secs(20);
+    let mut deployment = Deployment::start(&TBD_HOLLOW, record)?;
+    let ordinary: Vec<OrdinaryClients> = deployment
+        .machines
+        .iter()
+        .map(|machine| OrdinaryClients::start(machine.front, 4, ORDINARY_INTERVAL, record))
+        .collect();
+    record.tell("ordinary clients ask each machine");
+    std::thread::sleep(Duration::from_secs(2));
+    let mut crowds: Vec<Crowd> = (0..COUNTED_MACHINES)
+        .map(|_| Crowd::new(if has_trouble { crowd_size } else { 0 }, bytes))
+        .collect();
+    record.tell(&format!(
+        "crowds of {crowd_size} clients come to {COUNTED_MACHINES} machines: {has_trouble}"
+    ));
+    let end = record.seconds() + if has_trouble { TIME } else { CALM_TIME }.as_secs_f64();
+    let mut told_at = 0.0;
+    while record.seconds() < end {
+        for (crowd, machine) in crowds.iter_mut().zip(&mut deployment.machines) {
+            if machine.ends < COUNTED_ENDS {
+                crowd.fill(machine.front, Duration::from_millis(100));
+            }
+        }
+        for machine in &mut deployment.machines {
+            machine.enforce_memory(RESTART_DELAY)?;
+        }
+        if record.seconds() - told_at >= 1.0 {
+            told_at = record.seconds();
+            for (crowd, machine) in crowds.iter().zip(&deployment.machines) {
+                let memory = machine.memory().unwrap_or_default();
+                let (node, size) = (machine.spec.node, crowd.len());
+                record.add(&format!("{node} has {memory} bytes; clients of its crowd: {size}"));
+            }
+        }
+        if deployment.machines.iter().filter(|machine| machine.ends >= COUNTED_ENDS).count()
+            >= COUNTED_MACHINES
+        {
+            break;
+        }
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    ordinary.iter().for_each(OrdinaryClients::stop);
+    for (machine, clients) in deployment.machines.iter().zip(&ordinary) {
+        let (node, ends, most) = (machine.spec.node, machine.ends, machine.most_memory);
+        let load = |count: &std::sync::atomic::AtomicUsize| {
+            count.load(std::sync::atomic::Ordering::Relaxed)
+        };
+        record.tell(&format!(
+            "{node}: {ends} ends, at most {most} bytes; ordinary clients: {} served, {} failed",
+            load(&clients.tally.served),
+            load(&clients.tally.failed)
+        ));
+    }
+    tell_runs(record, &deployment.runners);
+    let ended = deployment.machines.iter().filter(|machine| machine.ends >= COUNTED_ENDS).count();
+    let holds = ended < COUNTED_MACHINES;
+    record.tell(&format!(
+        "machines whose process ended {COUNTED_ENDS} times: {ended}; the rule held: {holds}"
+    ));
+    Ok(holds)
+}
+
+fn tell_runs(record: &Record, runners: &[Arc<Runner>]) {
+    for runner in runners {
+        let load = |count: &std::sync::atomic::AtomicUsize| {
+            count.load(std::sync::atomic::Ordering::Relaxed)
+        };
+        record.add(&format!(
+            "runner at {}: {} runs, at most {} requests at once",
+            runner.address,
+            load(&runner.runs),
+            load(&runner.most_held)
+        ));
+    }
+}
+
+/// Whether a machine that says it is ready answers new connections within `contact_ms`, while a crowd holds
+/// requests at sound runners.
+fn use_descriptors(record: &Record, has_trouble: bool) -> Result<bool> {
+    const CROWD: usize = 2_700;
+    const CLIENTS: usize = 8;
+    const TIME: f64 = 25.0;
+    let mut deployment = Deployment::start(&CCKC_ROUTER, record)?;
+    let machine = &mut deployment.machines[0];
+    let mut probe = ReadyProbe::new(machine.ready)?;
+    let clients = OrdinaryClients::start(machine.front, CLIENTS, ORDINARY_INTERVAL, record);
+    record.tell(&format!("{CLIENTS} ordinary clients ask {}", machine.spec.node));
+    std::thread::sleep(Duration::from_secs(2));
+    let mut crowd = Crowd::new(if has_trouble { CROWD } else { 0 }, whole_request);
+    record.tell(&format!("a crowd of {CROWD} clients comes: {has_trouble}"));
+    let load =
+        |count: &std::sync::atomic::AtomicU64| count.load(std::sync::atomic::Ordering::Relaxed);
+    let end = record.seconds() + TIME;
+    let (mut ready_since, mut longest) = (None, 0.0f64);
+    while record.seconds() < end {
+        let filled = record.seconds();
+        crowd.fill(machine.front, Duration::from_millis(700));
+        let asked = record.seconds();
+        let is_ready = probe.is_ready();
+        let now = record.seconds();
+        if !is_ready && let Ok(new) = ReadyProbe::new(machine.ready) {
+            probe = new;
+        }
+        ready_since = if is_ready { ready_since.or(Some(asked)) } else { None };
+        let answered = load(&clients.tally.last_answer_ms) as f64 / 1_000.0;
+        let silent = ready_since.map_or(0.0, |since| now - answered.max(since));
+        longest = longest.max(silent);
+        let (descriptors, memory) =
+            (machine.descriptors().unwrap_or(0), machine.memory().unwrap_or(0));
+        record.add(&format!(
+            "ready: {is_ready}; last answer to an ordinary client {:.1} s ago; {descriptors} descriptors, {memory} bytes; crowd: {} open, {} answered",
+            now - answered,
+            crowd.len(),
+            crowd.answered()
+        ));
+        let left = 1.0 - (record.seconds() - filled);
+        std::thread::sleep(Duration::from_secs_f64(left.max(0.0)));
+    }
+    clients.stop();
+    let is_running = machine.is_running();
+    let count =
+        |count: &std::sync::atomic::AtomicUsize| count.load(std::sync::atomic::Ordering::Relaxed);
+    record.tell(&format!(
+        "ordinary clients: {} served, {} failed; process runs: {is_running}",
+        count(&clients.tally.served),
+        count(&clients.tally.failed)
+    ));
+    tell_runs(record, &deployment.runners);
+    let holds = longest <= CONTACT_SECONDS;
+    record.tell(&format!(
+        "longest time in which the machine said it was ready and answered no new connection: {longest:.1} s; the rule held: {holds}"
+    ));
+    Ok(holds)
+}
