Start the clock of a process later than all ages told to it

What callers saw: after a rolling restart with never two hosts down, a part that had crashed five upstreams and was blocked everywhere reached upstreams 8 times more (bound 3), and crashed them under the streams of sound callers.

Cause: hosts tell each other crashes with their ages. The clock of a process started at one second and ages were subtracted down to zero, so for a new process all crashes before its start fell on one moment and counted as one; four are asked for. The same held for each age that is told: ends under requests, limits, brittle upstreams, reach, loads.

`Timestamp::before` is the one place that subtracts ages.

--- a/crates/core/src/limit_division.rs
+++ b/crates/core/src/limit_division.rs
@@ -165,10 +165,8 @@
         for report in reports {
             let age = Duration::from_millis(u64::from(report.age) * AGE_UNIT_MS);
             if age < RETENTION {
-                let observed_at =
-                    Timestamp::from_millis(now.as_millis().saturating_sub(age.as_millis() as u64));
                 let rate = report.rate.map(|rate| RequestRate::new(f64::from(rate) / RATE_UNITS));
-                self.observe(report.key, rate, observed_at, now);
+                self.observe(report.key, rate, now.before(age), now);
             }
         }
     }
--- a/crates/core/src/part_quarantine.rs
+++ b/crates/core/src/part_quarantine.rs
@@ -309,9 +309,7 @@
 
     /// Takes over what another host tells.
     pub fn merge(&mut self, report: &PartReport, now: Timestamp) {
-        let at = |age: u32| {
-            Timestamp::from_millis(now.as_millis().saturating_sub(u64::from(age) * AGE_UNIT_MS))
-        };
+        let at = |age: u32| now.before(Duration::from_millis(u64::from(age) * AGE_UNIT_MS));
         for crash in &report.crashes {
             let crashed_at = at(crash.age);
             if now.since(crashed_at) < CRASH_RETENTION + self.trial_delay {
--- a/crates/core/src/place_division.rs
+++ b/crates/core/src/place_division.rs
@@ -178,10 +178,7 @@
 
     /// Takes over what another host tells.
     pub fn merge(&mut self, reports: &[ReportedPlaces], now: Timestamp) {
-        let at = |age: u16| {
-            let age = u64::from(age) * AGE_UNIT_MS;
-            Timestamp::from_millis(now.as_millis().saturating_sub(age))
-        };
+        let at = |age: u16| now.before(Duration::from_millis(u64::from(age) * AGE_UNIT_MS));
         for report in reports {
             if now.since(at(report.age)) >= RETENTION {
                 continue;
--- a/crates/core/src/reach_view.rs
+++ b/crates/core/src/reach_view.rs
@@ -380,9 +380,8 @@
             peer.reached_at.clear();
         }
         for reached in &report.services {
-            let age = u64::from(reached.age) * AGE_UNIT_MS;
-            let at = Timestamp::from_millis(now.as_millis().saturating_sub(age));
-            peer.reached_at.insert(reached.service, at);
+            let age = Duration::from_millis(u64::from(reached.age) * AGE_UNIT_MS);
+            peer.reached_at.insert(reached.service, now.before(age));
         }
         peer.reached_at.retain(|_, at| now.since(*at) < MAX_REACH_AGE);
     }
--- a/crates/core/src/request_quarantine.rs
+++ b/crates/core/src/request_quarantine.rs
@@ -448,9 +448,8 @@
         if report.is_empty() {
             return;
         }
-        let before = |at: Timestamp, units: u64| {
-            Timestamp::from_millis(at.as_millis().saturating_sub(units * TIME_UNIT_MS))
-        };
+        let before =
+            |at: Timestamp, units: u64| at.before(Duration::from_millis(units * TIME_UNIT_MS));
         for reported in &report.suspects {
             for end in &reported.ends {
                 let lost_at = before(now, end.age.into());
--- a/crates/core/src/units.rs
+++ b/crates/core/src/units.rs
@@ -42,6 +42,21 @@
     pub const fn since(self, earlier: Self) -> Duration {
         Duration::from_millis(self.0.saturating_sub(earlier.0))
     }
+
+    /// The time `age` ago, such as that of an event which another host has told with its age. The
+    /// zero of the clock if it would be earlier, so a clock has to start later than anything told.
+    ///
+    /// ```
+    /// use oleander_core::units::Timestamp;
+    /// use std::time::Duration;
+    ///
+    /// let now = Timestamp::from_millis(90_000);
+    /// assert_eq!(now.before(Duration::from_secs(60)), Timestamp::from_millis(30_000));
+    /// ```
+    #[must_use]
+    pub const fn before(self, age: Duration) -> Self {
+        Self(self.0.saturating_sub(age.as_millis() as u64))
+    }
 }
 
 impl Add<Duration> for Timestamp {
--- a/crates/gateway/src/gateway_process.rs
+++ b/crates/gateway/src/gateway_process.rs
@@ -49,6 +49,11 @@
 /// Time between checks for expired entries and idle sessions.
 const EXPIRY_INTERVAL: Duration = Duration::from_millis(250);
 
+/// When the clock of each process starts: a thousand days, more than the oldest age that a datagram
+/// or a row of the store can hold (2^32 units of 10 ms). What happened before the start of a process
+/// would otherwise fall on one moment.
+const CLOCK_START: Timestamp = Timestamp::from_millis(1_000 * 24 * 3_600 * 1_000);
+
 /// How a gateway stopped.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum GatewayStop {
@@ -218,8 +223,7 @@
     let host = settings.host.clone();
     let connections = ConnectionLedger::new(settings.connection_limits()).with_metrics(registry);
     let settings: SharedSettings = Arc::new(ArcSwap::from_pointee(settings));
-    // The clock starts at one second, so that no time lies before the start.
-    let clock: Arc<dyn ClockPort> = Arc::new(RuntimeClock::new(Timestamp::from_millis(1_000)));
+    let clock: Arc<dyn ClockPort> = Arc::new(RuntimeClock::new(CLOCK_START));
     let snapshot: SharedSnapshot = Arc::new(ArcSwap::default());
     Arc::new(GatewayState {
         snapshot,
--- a/crates/gateway/src/upstream_pool.rs
+++ b/crates/gateway/src/upstream_pool.rs
@@ -324,9 +324,7 @@
         };
         for handle in lock(&self.handles).values() {
             if let Some(report) = by_upstream.get(&handle.hash) {
-                let at = Timestamp::from_millis(
-                    now.as_millis().saturating_sub(report.age().as_millis() as u64),
-                );
+                let at = now.before(report.age());
                 let (load, prefill) = (report.load(handle.entry.slots), prefill(handle));
                 handle.record_told_load(load, report.lag(), at, is_authentic);
                 handle.record_start(load, report.lag(), prefill, at);
