--- a/crates/core/src/part_quarantine.rs
+++ b/crates/core/src/part_quarantine.rs
@@ -111,7 +111,7 @@
 pub struct PartReport {
     /// Implicated parts.
     pub crashes: Vec<ReportedCrash>,
-    /// Answers that clear parts.
+    /// While parts are blocked, the newest answer and the last ones with these; those that clear parts.
     pub answers: Vec<ReportedAnswer>,
 }
 
@@ -297,14 +297,27 @@
             };
             newest.into_iter().map(crash).collect::<Vec<_>>()
         });
-        let answers = self.cleared.keys().filter_map(|part| {
-            let answered = self.answers.get(part)?;
-            Some(ReportedAnswer { part: *part, age: age(*answered) })
+        let crashes: Vec<ReportedCrash> = crashes.take(MAX_REPORTED_CRASHES).collect();
+        let mut answered: Vec<PartHash> = Vec::new();
+        if !self.blocked.is_empty() {
+            answered.extend(self.newest_answered());
+            answered.extend(self.blocked.keys());
+        }
+        let mut cleared: Vec<PartHash> = self.cleared.keys().copied().collect();
+        cleared.sort_by_key(|part| std::cmp::Reverse(self.answers.get(part)));
+        answered.extend(cleared);
+        let mut told = BTreeSet::new();
+        let answers = answered.into_iter().filter_map(|part| {
+            let answered = self.answers.get(&part)?;
+            told.insert(part).then(|| ReportedAnswer { part, age: age(*answered) })
         });
-        let mut answers: Vec<ReportedAnswer> = answers.collect();
-        answers.sort_by_key(|answer| answer.age);
-        answers.truncate(MAX_REPORTED_ANSWERS);
-        PartReport { crashes: crashes.take(MAX_REPORTED_CRASHES).collect(), answers }
+        PartReport { answers: answers.take(MAX_REPORTED_ANSWERS).collect(), crashes }
+    }
+
+    /// The part that was answered last. That anything is answered shows that a crash has its cause in
+    /// a part; a host that has just started cannot have seen it.
+    fn newest_answered(&self) -> Option<PartHash> {
+        self.answers.iter().max_by_key(|(_, at)| **at).map(|(part, _)| *part)
     }
 
     /// Takes over what another host tells.
--- a/crates/core/tests/part_quarantine.rs
+++ b/crates/core/tests/part_quarantine.rs
@@ -420,3 +420,43 @@
     assert!(other.is_blocked(&[guilty]), "a host that saw nothing is told");
     assert!(!other.is_blocked(&[shared]));
 }
+
+/// A quarantine in which the guilty part crashed upstreams at these times, and another part was answered
+/// half a second after each.
+fn implicated(crashes: impl IntoIterator<Item = u64>) -> PartQuarantine {
+    let mut quarantine = PartQuarantine::new();
+    for at in crashes {
+        let (run, now) = (RunHash::new("i-1", at), Timestamp::from_millis(at));
+        quarantine.record_loss(run, &[part("guilty", 0)], now);
+        quarantine.record_end(run, now);
+        quarantine.record_answer(&[part("other", 0)], Timestamp::from_millis(at + 500));
+    }
+    quarantine
+}
+
+/// Guards against a host that has just started and lets a part through until it has answered another
+/// request itself.
+#[test]
+fn a_host_that_has_answered_nothing_believes_that_others_are_answered() {
+    let now = Timestamp::from_millis(60_000);
+    let mut old = implicated([50_000, 51_000, 52_000, 53_000]);
+    let mut young = PartQuarantine::new();
+    young.merge(&old.report(now), now);
+    assert!(young.is_blocked(&[part("guilty", 0)]));
+}
+
+/// Guards against taking a part that was answered before for one that never was, and blocking sound
+/// requests for 300 s where 20 s are meant.
+#[test]
+fn a_host_that_has_just_started_knows_that_a_part_was_answered() {
+    let now = Timestamp::from_millis(60_000);
+    let mut old = PartQuarantine::new();
+    old.record_answer(&[part("guilty", 0)], Timestamp::from_millis(40_000));
+    old.merge(&implicated([50_000, 51_000, 52_000, 53_000]).report(now), now);
+    let mut young = PartQuarantine::new();
+    young.merge(&old.report(now), now);
+    for quarantine in [&old, &young] {
+        let until = quarantine.blocked_until(&[part("guilty", 0)]);
+        assert_eq!(until, Some(Timestamp::from_millis(50_000 + 20_000)));
+    }
+}
