--- a/crates/core/src/part_quarantine.rs
+++ b/crates/core/src/part_quarantine.rs
@@ -45,6 +45,8 @@
 const MAX_REPORTED_CRASHES: usize = 16;
 const MAX_REPORTED_CRASHES_PER_PART: usize = 6;
 const MAX_REPORTED_ANSWERS: usize = 8;
+/// Maximum number of blocked parts that are kept for hosts that start later.
+const MAX_KEPT_PARTS: usize = 64;
 /// Time for which an answer is told to others that clears a part.
 const CLEARED_RETENTION: Duration = Duration::from_secs(5);
 /// Maximum number of parts that were cleared.
@@ -159,6 +161,8 @@
     pending: BTreeMap<RunHash, PendingLoss>,
     ended: BTreeMap<RunHash, Timestamp>,
     crashes: BTreeMap<PartHash, BTreeMap<RunHash, Timestamp>>,
+    /// Runs in whose crash this host lost a request, and when.
+    observed: BTreeMap<RunHash, Timestamp>,
     answers: BTreeMap<PartHash, Timestamp>,
     /// Answered parts that this or another host held to be implicated, and when it was said last.
     cleared: BTreeMap<PartHash, Timestamp>,
@@ -193,8 +197,7 @@
             return false;
         }
         if self.ended.contains_key(&run) {
-            self.implicate(run, parts, now, now);
-            self.evaluate(now);
+            self.observe(run, parts, now, now);
             return false;
         }
         let is_first = !self.pending.contains_key(&run);
@@ -214,11 +217,18 @@
         let Some(loss) = self.pending.remove(&run) else { return };
         if now.since(loss.at) <= LOSS_TIME {
             let parts: Vec<PartHash> = loss.parts.into_iter().collect();
-            self.implicate(run, &parts, loss.at, now);
-            self.evaluate(now);
+            self.observe(run, &parts, loss.at, now);
         }
     }
 
+    /// Records a crash at `at` in which this host lost requests with these parts.
+    fn observe(&mut self, run: RunHash, parts: &[PartHash], at: Timestamp, now: Timestamp) {
+        self.observed.insert(run, at);
+        evict_oldest(&mut self.observed, MAX_UPSTREAMS, |at| *at);
+        self.implicate(run, parts, at, now);
+        self.evaluate(now);
+    }
+
     /// Records that a request with these parts was answered: completely, or for [`SERVED_TIME`].
     pub fn record_answer(&mut self, parts: &[PartHash], now: Timestamp) {
         self.last_answer = self.last_answer.max(Some(now));
@@ -249,12 +259,32 @@
         self.blocked.keys().copied()
     }
 
+    /// Whether this host has lost a request with a part in a crash itself.
+    #[must_use]
+    pub fn is_observed(&self, part: PartHash) -> bool {
+        let runs = self.crashes.get(&part);
+        runs.is_some_and(|runs| runs.keys().any(|run| self.observed.contains_key(run)))
+    }
+
+    /// The blocked parts with what they are blocked for, the latest ones.
+    #[must_use]
+    pub fn blocked_report(&self, now: Timestamp) -> PartReport {
+        let mut latest: Vec<(&PartHash, &Timestamp)> = self.blocked.iter().collect();
+        latest.sort_by_key(|(_, until)| std::cmp::Reverse(**until));
+        latest.truncate(MAX_KEPT_PARTS);
+        let crashes = latest.iter().flat_map(|(part, _)| self.told_crashes(**part, now)).collect();
+        let parts = latest.iter().map(|(part, _)| **part);
+        let answers = self.told_answers(self.newest_answered().into_iter().chain(parts), now);
+        PartReport { crashes, answers: answers.collect() }
+    }
+
     /// Number of entries that are kept.
     #[must_use]
     pub fn retained_entries(&self) -> usize {
         let pending: usize = self.pending.values().map(|loss| loss.parts.len()).sum();
         let crashes: usize = self.crashes.values().map(BTreeMap::len).sum();
-        pending + crashes + self.ended.len() + self.answers.len() + self.cleared.len()
+        let runs = self.ended.len() + self.observed.len();
+        pending + crashes + runs + self.answers.len() + self.cleared.len()
     }
 
     /// Forgets what is too old.
@@ -263,6 +293,7 @@
         let is_recent = |at: &Timestamp| now.since(*at) < retention;
         self.pending.retain(|_, loss| now.since(loss.at) <= LOSS_TIME);
         self.ended.retain(|_, at| is_recent(at));
+        self.observed.retain(|_, at| is_recent(at));
         self.answers.retain(|_, at| is_recent(at));
         self.cleared.retain(|_, at| now.since(*at) < CLEARED_RETENTION);
         self.crashes.values_mut().for_each(|runs| runs.retain(|_, at| is_recent(at)));
@@ -280,24 +311,8 @@
             parts.rotate_left(start);
         }
         parts.sort_by_key(|(_, runs)| std::cmp::Reverse(runs.len()));
-        let age = |at: Timestamp| {
-            u32::try_from(now.since(at).as_millis() as u64 / AGE_UNIT_MS).unwrap_or(u32::MAX)
-        };
-        let crashes = parts.iter().flat_map(|(part, runs)| {
-            // Crashes at the same time would not add to what others know.
-            let times = separate_times(runs.values());
-            let mut newest: Vec<(&RunHash, &Timestamp)> =
-                runs.iter().filter(|(_, at)| times.contains(at)).collect();
-            newest.sort_by_key(|(_, at)| std::cmp::Reverse(**at));
-            newest.truncate(MAX_REPORTED_CRASHES_PER_PART);
-            let crash = |(run, at): (&RunHash, &Timestamp)| ReportedCrash {
-                part: **part,
-                run: *run,
-                age: age(*at),
-            };
-            newest.into_iter().map(crash).collect::<Vec<_>>()
-        });
-        let crashes: Vec<ReportedCrash> = crashes.take(MAX_REPORTED_CRASHES).collect();
+        let crashes = parts.iter().flat_map(|(part, _)| self.told_crashes(**part, now));
+        let crashes = crashes.take(MAX_REPORTED_CRASHES).collect();
         let mut answered: Vec<PartHash> = Vec::new();
         if !self.blocked.is_empty() {
             answered.extend(self.newest_answered());
@@ -306,12 +321,37 @@
         let mut cleared: Vec<PartHash> = self.cleared.keys().copied().collect();
         cleared.sort_by_key(|part| std::cmp::Reverse(self.answers.get(part)));
         answered.extend(cleared);
+        let answers = self.told_answers(answered.into_iter(), now).take(MAX_REPORTED_ANSWERS);
+        PartReport { answers: answers.collect(), crashes }
+    }
+
+    /// The newest crashes of a part. Those at the same time would not add to what others know.
+    fn told_crashes(&self, part: PartHash, now: Timestamp) -> Vec<ReportedCrash> {
+        let Some(runs) = self.crashes.get(&part) else { return Vec::new() };
+        let times = separate_times(runs.values());
+        let mut newest: Vec<(&RunHash, &Timestamp)> =
+            runs.iter().filter(|(_, at)| times.contains(at)).collect();
+        newest.sort_by_key(|(_, at)| std::cmp::Reverse(**at));
+        newest.truncate(MAX_REPORTED_CRASHES_PER_PART);
+        let crash = |(run, at): (&RunHash, &Timestamp)| ReportedCrash {
+            part,
+            run: *run,
+            age: age(*at, now),
+        };
+        newest.into_iter().map(crash).collect()
+    }
+
+    /// The last answers with those of the parts that were answered, each once.
+    fn told_answers(
+        &self,
+        parts: impl Iterator<Item = PartHash>,
+        now: Timestamp,
+    ) -> impl Iterator<Item = ReportedAnswer> {
         let mut told = BTreeSet::new();
-        let answers = answered.into_iter().filter_map(|part| {
+        parts.filter_map(move |part| {
             let answered = self.answers.get(&part)?;
-            told.insert(part).then(|| ReportedAnswer { part, age: age(*answered) })
-        });
-        PartReport { answers: answers.take(MAX_REPORTED_ANSWERS).collect(), crashes }
+            told.insert(part).then(|| ReportedAnswer { part, age: age(*answered, now) })
+        })
     }
 
     /// The part that was answered last. That anything is answered shows that a crash has its cause in
@@ -429,6 +469,10 @@
     }
 }
 
+fn age(at: Timestamp, now: Timestamp) -> u32 {
+    u32::try_from(now.since(at).as_millis() as u64 / AGE_UNIT_MS).unwrap_or(u32::MAX)
+}
+
 /// Times of crashes, ascending, without those that follow another one closely.
 fn separate_times<'a>(times: impl Iterator<Item = &'a Timestamp>) -> Vec<Timestamp> {
     let mut times: Vec<Timestamp> = times.copied().collect();
--- a/crates/gateway/src/control_port.rs
+++ b/crates/gateway/src/control_port.rs
@@ -14,6 +14,7 @@
 use oleander_core::units::Timestamp;
 use oleander_ports::{PlatformError, PortFuture};
 use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
 use std::fmt;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -110,13 +111,36 @@
     pub peers: Option<SocketAddr>,
 }
 
+/// A row for what hosts have learnt and must not forget when all of their processes end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum SharedRow {
+    /// Requests that crash upstreams.
+    Requests,
+    /// Parts of prompts that crash upstreams.
+    Parts,
+}
+
+impl SharedRow {
+    /// All rows.
+    pub const ALL: [Self; 2] = [Self::Requests, Self::Parts];
+}
+
+impl fmt::Display for SharedRow {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.pad(match self {
+            Self::Requests => "blocked requests",
+            Self::Parts => "blocked parts",
+        })
+    }
+}
+
 /// What hosts share through the store.
 #[derive(Clone, Debug)]
 pub struct HostAgreement {
     /// The key that they authenticate each other by.
     pub key: GossipKey,
-    /// The blocked requests, as the last host wrote them.
-    pub blocked: Option<Vec<u8>>,
+    /// The rows that exist, as the last host wrote them.
+    pub rows: BTreeMap<SharedRow, Vec<u8>>,
 }
 
 /// Result of a conditional write.
@@ -167,11 +191,15 @@
     fn hosts(&self) -> PortFuture<'_, Result<Vec<HostRecord>, PlatformError>>;
 
     /// Writes the key that hosts authenticate each other by, unless there is one; returns the one that
-    /// is in force, and the blocked requests.
+    /// is in force, and the shared rows.
     fn agree(&self, proposed: GossipKey) -> PortFuture<'_, Result<HostAgreement, PlatformError>>;
 
-    /// Writes the requests that are blocked.
-    fn write_blocked(&self, report: Vec<u8>) -> PortFuture<'_, Result<(), PlatformError>>;
+    /// Writes a shared row.
+    fn write_shared(
+        &self,
+        row: SharedRow,
+        value: Vec<u8>,
+    ) -> PortFuture<'_, Result<(), PlatformError>>;
 
     /// Whether the answer to a call that reads a topic is arriving now.
     fn is_receiving(&self, _topic: Topic) -> bool {
--- a/crates/gateway/src/crash_guard.rs
+++ b/crates/gateway/src/crash_guard.rs
@@ -1,6 +1,7 @@
 //! Blocks requests that crash upstreams, by themselves or by a part in their prompts, as all hosts
 //! report them.
 
+use crate::control_port::SharedRow;
 use crate::state::GatewayState;
 use crate::upstream_entry::UpstreamEntry;
 use crate::wire_format::CallerHead;
@@ -32,7 +33,8 @@
 pub struct CrashGuard {
     parts: Mutex<PartQuarantine>,
     requests: Mutex<RequestQuarantine>,
-    /// Notified when what the store should hold of blocked requests has changed.
+    /// Rows of which the store should hold something else now; notified when there are any.
+    changed_rows: Mutex<BTreeSet<SharedRow>>,
     changed: Notify,
 }
 
@@ -54,7 +56,12 @@
         let delay = TRIAL_SPREAD.mul_f64(unit_point(seed));
         let parts = Mutex::new(PartQuarantine::new().with_trial_delay(delay));
         let requests = Mutex::new(RequestQuarantine::new(HostHash::new(host)));
-        Self { parts, requests, changed: Notify::new() }
+        Self { parts, requests, changed_rows: Mutex::default(), changed: Notify::new() }
+    }
+
+    fn record_change(&self, row: SharedRow) {
+        lock(&self.changed_rows).insert(row);
+        self.changed.notify_one();
     }
 
     /// Performs `work` and logs which requests it blocked or unblocked.
@@ -69,7 +76,7 @@
                 "request blocked, since it crashes upstreams"
             );
             if quarantine.is_observed(*request) {
-                self.changed.notify_one();
+                self.record_change(SharedRow::Requests);
             }
         }
         for request in before.difference(&after) {
@@ -89,6 +96,9 @@
                 target: "belief", part:% = part;
                 "prompt part blocked, since requests with it crash upstreams"
             );
+            if quarantine.is_observed(*part) {
+                self.record_change(SharedRow::Parts);
+            }
         }
         for part in before.difference(&after) {
             log::info!(target: "belief", part:% = part; "prompt part no longer blocked");
@@ -146,15 +156,52 @@
         self.update_requests(|quarantine| quarantine.record_end(run, now));
     }
 
-    /// Whether any request is blocked.
+    /// Resolves when something was blocked for crashes that this host has seen, with the rows that
+    /// should hold it.
+    pub async fn next_change(&self) -> BTreeSet<SharedRow> {
+        self.changed.notified().await;
+        std::mem::take(&mut lock(&self.changed_rows))
+    }
+
+    /// Whether a row should hold anything.
     #[must_use]
-    pub fn has_blocked(&self) -> bool {
-        lock(&self.requests).blocked().next().is_some()
+    pub fn has_blocked(&self, row: SharedRow) -> bool {
+        match row {
+            SharedRow::Requests => lock(&self.requests).blocked().next().is_some(),
+            SharedRow::Parts => lock(&self.parts).blocked().next().is_some(),
+        }
     }
 
-    /// Resolves when a request was blocked for ends that this host has seen.
-    pub async fn next_change(&self) {
-        self.changed.notified().await;
+    /// What a row should hold for hosts that start later.
+    #[must_use]
+    pub fn shared_value(&self, row: SharedRow, now: Timestamp) -> Vec<u8> {
+        let encoded = match row {
+            SharedRow::Requests => postcard::to_allocvec(&self.blocked_report(now)),
+            SharedRow::Parts => postcard::to_allocvec(&lock(&self.parts).blocked_report(now)),
+        };
+        // Plain data is always encoded.
+        encoded.unwrap_or_default()
+    }
+
+    /// Takes over what a row holds.
+    ///
+    /// # Errors
+    ///
+    /// When it cannot be decoded.
+    pub fn restore(
+        &self,
+        row: SharedRow,
+        value: &[u8],
+        now: Timestamp,
+    ) -> Result<(), postcard::Error> {
+        match row {
+            SharedRow::Requests => self.merge_requests(&postcard::from_bytes(value)?, now),
+            SharedRow::Parts => {
+                let report = postcard::from_bytes(value)?;
+                self.update_parts(|quarantine| quarantine.merge(&report, now));
+            }
+        }
+        Ok(())
     }
 
     /// The blocked requests, for hosts that start later.
@@ -163,8 +210,7 @@
         lock(&self.requests).blocked_report(now)
     }
 
-    /// Takes over what another host tells of requests.
-    pub fn merge_requests(&self, report: &RequestReport, now: Timestamp) {
+    fn merge_requests(&self, report: &RequestReport, now: Timestamp) {
         self.update_requests(|quarantine| quarantine.merge(report, now));
     }
 
--- a/crates/gateway/src/shared_state.rs
+++ b/crates/gateway/src/shared_state.rs
@@ -1,10 +1,9 @@
 //! Keeps in the store what hosts share beyond their processes: the key that they authenticate each
-//! other by, and which requests crash upstreams.
+//! other by, and which requests and parts of prompts crash upstreams.
 
-use crate::control_port::{ControlPort, HostAgreement};
+use crate::control_port::{ControlPort, HostAgreement, SharedRow};
 use crate::gossip_seal::GossipKey;
 use crate::state::GatewayState;
-use oleander_core::request_quarantine::RequestReport;
 use std::time::Duration;
 
 /// Delay after a failed call.
@@ -16,8 +15,10 @@
 pub async fn share_state(state: &GatewayState, control: &dyn ControlPort) {
     loop {
         let agreement = agree(state, control).await;
-        if agreement.blocked.is_none() && state.crashes.has_blocked() {
-            write_blocked(state, control).await;
+        for row in SharedRow::ALL {
+            if !agreement.rows.contains_key(&row) && state.crashes.has_blocked(row) {
+                write(state, control, row).await;
+            }
         }
         let reread = async {
             tokio::time::sleep(REREAD_INTERVAL).await;
@@ -27,14 +28,18 @@
         loop {
             tokio::select! {
                 () = reread.as_mut() => break,
-                () = state.crashes.next_change() => write_blocked(state, control).await,
+                rows = state.crashes.next_change() => {
+                    for row in rows {
+                        write(state, control, row).await;
+                    }
+                }
             }
         }
     }
 }
 
 /// Reads the key that hosts share, or writes the one that this host knows, since a store that came back
-/// from an older copy may have lost it; and reads the blocked requests.
+/// from an older copy may have lost it; and takes over the shared rows.
 async fn agree(state: &GatewayState, control: &dyn ControlPort) -> HostAgreement {
     let proposed = state.seal.key().unwrap_or_else(GossipKey::random);
     loop {
@@ -42,8 +47,10 @@
             Ok(agreement) => {
                 log::info!(target: "dependency", "datagrams between hosts are authenticated");
                 state.seal.set_key(agreement.key.clone());
-                if let Some(bytes) = &agreement.blocked {
-                    merge_blocked(state, bytes);
+                for (row, value) in &agreement.rows {
+                    if let Err(error) = state.crashes.restore(*row, value, state.clock.now()) {
+                        log::warn!(target: "belief", row:%, error:%; "undecodable row skipped");
+                    }
                 }
                 return agreement;
             }
@@ -55,20 +62,9 @@
     }
 }
 
-fn merge_blocked(state: &GatewayState, bytes: &[u8]) {
-    match postcard::from_bytes::<RequestReport>(bytes) {
-        Ok(report) => state.crashes.merge_requests(&report, state.clock.now()),
-        Err(error) => {
-            log::warn!(target: "belief", error:%; "undecodable row of blocked requests skipped");
-        }
-    }
-}
-
-async fn write_blocked(state: &GatewayState, control: &dyn ControlPort) {
-    let report = state.crashes.blocked_report(state.clock.now());
-    // Plain data is always encoded.
-    let bytes = postcard::to_allocvec(&report).unwrap_or_default();
-    if let Err(error) = control.write_blocked(bytes).await {
-        log::warn!(target: "dependency", error:%; "cannot write blocked requests to the store");
+async fn write(state: &GatewayState, control: &dyn ControlPort, row: SharedRow) {
+    let value = state.crashes.shared_value(row, state.clock.now());
+    if let Err(error) = control.write_shared(row, value).await {
+        log::warn!(target: "dependency", row:%, error:%; "cannot write what hosts share");
     }
 }
--- a/crates/gateway/tests/store_silence.rs
+++ b/crates/gateway/tests/store_silence.rs
@@ -12,8 +12,8 @@
 use oleander_gateway::carrier_client::CarrierLinks;
 use oleander_gateway::carrier_server::CarrierLoad;
 use oleander_gateway::control_port::{
-    ControlPort, HostAgreement, HostRecord, Topic, TopicChange, TopicRow, TopicUpdate, TopicValue,
-    WriteOutcome,
+    ControlPort, HostAgreement, HostRecord, SharedRow, Topic, TopicChange, TopicRow, TopicUpdate,
+    TopicValue, WriteOutcome,
 };
 use oleander_gateway::crash_guard::CrashGuard;
 use oleander_gateway::gossip::{GOSSIP_INTERVAL, GossipNode};
@@ -41,6 +41,7 @@
 use oleander_gateway::wire_format::{AnswerHead, CallerHead, WireFormat};
 use oleander_ports::clock::RuntimeClock;
 use oleander_ports::{PlatformError, PortFuture};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -177,10 +178,10 @@
     }
 
     fn agree(&self, key: GossipKey) -> PortFuture<'_, Result<HostAgreement, PlatformError>> {
-        Box::pin(async move { Ok(HostAgreement { key, blocked: None }) })
+        Box::pin(async move { Ok(HostAgreement { key, rows: BTreeMap::new() }) })
     }
 
-    fn write_blocked(&self, _: Vec<u8>) -> PortFuture<'_, Result<(), PlatformError>> {
+    fn write_shared(&self, _: SharedRow, _: Vec<u8>) -> PortFuture<'_, Result<(), PlatformError>> {
         Box::pin(async { Ok(()) })
     }
 
--- a/crates/gateway/tests/topic_calls.rs
+++ b/crates/gateway/tests/topic_calls.rs
@@ -3,7 +3,8 @@
 use oleander_core::store_era::{StoreEra, StoreRevision};
 use oleander_core::units::Timestamp;
 use oleander_gateway::control_port::{
-    ControlPort, HostAgreement, HostRecord, Topic, TopicChange, TopicUpdate, WriteOutcome,
+    ControlPort, HostAgreement, HostRecord, SharedRow, Topic, TopicChange, TopicUpdate,
+    WriteOutcome,
 };
 use oleander_gateway::gateway_process::GatewayProcess;
 use oleander_gateway::gossip_seal::GossipKey;
@@ -12,6 +13,7 @@
 use oleander_gateway::settings::{GatewayBounds, GatewaySettings};
 use oleander_gateway::wire_format::{AnswerHead, CallerHead, WireFormat};
 use oleander_ports::{PlatformError, PortFuture};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -87,10 +89,10 @@
     }
 
     fn agree(&self, key: GossipKey) -> PortFuture<'_, Result<HostAgreement, PlatformError>> {
-        Box::pin(async move { Ok(HostAgreement { key, blocked: None }) })
+        Box::pin(async move { Ok(HostAgreement { key, rows: BTreeMap::new() }) })
     }
 
-    fn write_blocked(&self, _: Vec<u8>) -> PortFuture<'_, Result<(), PlatformError>> {
+    fn write_shared(&self, _: SharedRow, _: Vec<u8>) -> PortFuture<'_, Result<(), PlatformError>> {
         Box::pin(async { Ok(()) })
     }
 
