Write again what the store has not taken of blocked requests and parts

Cause: the row was written once, when something was blocked. A write that failed was logged and dropped until something else was blocked; and only hosts that had seen an end wrote, so what a replaced host had failed to write was gone with it.

The first live host in the order of the key writes for others, as does one that hears no other. While nothing lacks no call is made.

--- a/crates/core/src/part_quarantine.rs
+++ b/crates/core/src/part_quarantine.rs
@@ -170,6 +170,8 @@
     /// Blocked parts, with the time at which each is tried again.
     blocked: BTreeMap<PartHash, Timestamp>,
     trial_delay: Duration,
+    /// Crashes that the store holds, as far as this host knows.
+    saved: BTreeMap<PartHash, BTreeSet<RunHash>>,
     /// Rotates the crashes that are reported.
     reports: usize,
 }
@@ -260,12 +262,42 @@
     }
 
     /// Whether this host has lost a request with a part in a crash itself.
-    #[must_use]
-    pub fn is_observed(&self, part: PartHash) -> bool {
+    fn is_observed(&self, part: PartHash) -> bool {
         let runs = self.crashes.get(&part);
         runs.is_some_and(|runs| runs.keys().any(|run| self.observed.contains_key(run)))
     }
 
+    /// Takes over what the store holds.
+    pub fn restore(&mut self, report: &PartReport, now: Timestamp) {
+        self.record_saved(report);
+        self.merge(report, now);
+    }
+
+    /// Records that the store holds a report and nothing else.
+    pub fn record_saved(&mut self, report: &PartReport) {
+        self.saved.clear();
+        for crash in &report.crashes {
+            self.saved.entry(crash.part).or_default().insert(crash.run);
+        }
+    }
+
+    /// What the store should hold, if it lacks anything that this host has to write: what it has seen
+    /// itself, and the parts whose key it is `responsible` for, since hosts that saw it may be gone.
+    #[must_use]
+    pub fn unsaved_report(
+        &self,
+        responsible: impl Fn(u64) -> bool,
+        now: Timestamp,
+    ) -> Option<PartReport> {
+        let report = self.blocked_report(now);
+        let is_due = report.crashes.iter().any(|crash| {
+            let runs = self.saved.get(&crash.part);
+            !runs.is_some_and(|runs| runs.contains(&crash.run))
+                && (self.is_observed(crash.part) || responsible(u64::from(crash.part.0)))
+        });
+        is_due.then_some(report)
+    }
+
     /// The blocked parts with what they are blocked for, the latest ones.
     #[must_use]
     pub fn blocked_report(&self, now: Timestamp) -> PartReport {
--- a/crates/core/src/request_quarantine.rs
+++ b/crates/core/src/request_quarantine.rs
@@ -261,6 +261,8 @@
     /// Cleared requests, with the time at which one was last held to be implicated.
     cleared: BTreeMap<RequestHash, Timestamp>,
     blocked: BTreeMap<RequestHash, RequestBlock>,
+    /// Ends that the store holds, as far as this host knows.
+    saved: BTreeMap<RequestHash, BTreeSet<RunHash>>,
     /// Rotates the requests that are reported.
     reports: usize,
 }
@@ -277,6 +279,7 @@
             answers: BTreeMap::new(),
             cleared: BTreeMap::new(),
             blocked: BTreeMap::new(),
+            saved: BTreeMap::new(),
             reports: 0,
         }
     }
@@ -372,9 +375,40 @@
         self.blocked.keys().copied()
     }
 
-    /// Whether this host has seen an end under a request itself.
+    /// Takes over what the store holds.
+    pub fn restore(&mut self, report: &RequestReport, now: Timestamp) {
+        self.record_saved(report);
+        self.merge(report, now);
+    }
+
+    /// Records that the store holds a report and nothing else.
+    pub fn record_saved(&mut self, report: &RequestReport) {
+        let runs = |suspect: &ReportedSuspect| suspect.ends.iter().map(|end| end.run).collect();
+        let suspects = report.suspects.iter();
+        self.saved = suspects.map(|suspect| (suspect.request, runs(suspect))).collect();
+    }
+
+    /// What the store should hold, if it lacks anything that this host has to write: what it has seen
+    /// itself, and the requests whose key it is `responsible` for, since hosts that saw it may be
+    /// gone.
     #[must_use]
-    pub fn is_observed(&self, request: RequestHash) -> bool {
+    pub fn unsaved_report(
+        &self,
+        responsible: impl Fn(u64) -> bool,
+        now: Timestamp,
+    ) -> Option<RequestReport> {
+        let report = self.blocked_report(now);
+        let is_due = report.suspects.iter().any(|suspect| {
+            let saved = self.saved.get(&suspect.request);
+            let is_saved = |run| saved.is_some_and(|runs: &BTreeSet<RunHash>| runs.contains(run));
+            !suspect.ends.iter().all(|end| is_saved(&end.run))
+                && (self.is_observed(suspect.request) || responsible(suspect.request.get()))
+        });
+        is_due.then_some(report)
+    }
+
+    /// Whether this host has seen an end under a request itself.
+    fn is_observed(&self, request: RequestHash) -> bool {
         let suspect = self.suspects.get(&request);
         suspect.is_some_and(|suspect| suspect.ends.values().any(|loss| loss.observer == self.me))
     }
--- a/crates/gateway/src/crash_guard.rs
+++ b/crates/gateway/src/crash_guard.rs
@@ -12,6 +12,7 @@
 use oleander_core::request_quarantine::{RequestPermission, RequestQuarantine, RequestReport};
 use oleander_core::stable_hash::unit_point;
 use oleander_core::units::Timestamp;
+use serde::de::DeserializeOwned;
 use std::collections::BTreeSet;
 use std::io::ErrorKind;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -33,8 +34,7 @@
 pub struct CrashGuard {
     parts: Mutex<PartQuarantine>,
     requests: Mutex<RequestQuarantine>,
-    /// Rows of which the store should hold something else now; notified when there are any.
-    changed_rows: Mutex<BTreeSet<SharedRow>>,
+    /// Notified when something is blocked.
     changed: Notify,
 }
 
@@ -56,12 +56,7 @@
         let delay = TRIAL_SPREAD.mul_f64(unit_point(seed));
         let parts = Mutex::new(PartQuarantine::new().with_trial_delay(delay));
         let requests = Mutex::new(RequestQuarantine::new(HostHash::new(host)));
-        Self { parts, requests, changed_rows: Mutex::default(), changed: Notify::new() }
-    }
-
-    fn record_change(&self, row: SharedRow) {
-        lock(&self.changed_rows).insert(row);
-        self.changed.notify_one();
+        Self { parts, requests, changed: Notify::new() }
     }
 
     /// Performs `work` and logs which requests it blocked or unblocked.
@@ -75,9 +70,7 @@
                 target: "belief", request:% = request;
                 "request blocked, since it crashes upstreams"
             );
-            if quarantine.is_observed(*request) {
-                self.record_change(SharedRow::Requests);
-            }
+            self.changed.notify_one();
         }
         for request in before.difference(&after) {
             log::info!(target: "belief", request:% = request; "request no longer blocked");
@@ -96,9 +89,7 @@
                 target: "belief", part:% = part;
                 "prompt part blocked, since requests with it crash upstreams"
             );
-            if quarantine.is_observed(*part) {
-                self.record_change(SharedRow::Parts);
-            }
+            self.changed.notify_one();
         }
         for part in before.difference(&after) {
             log::info!(target: "belief", part:% = part; "prompt part no longer blocked");
@@ -156,52 +147,50 @@
         self.update_requests(|quarantine| quarantine.record_end(run, now));
     }
 
-    /// Resolves when something was blocked for crashes that this host has seen, with the rows that
-    /// should hold it.
-    pub async fn next_change(&self) -> BTreeSet<SharedRow> {
+    /// Resolves when something was blocked.
+    pub async fn next_change(&self) {
         self.changed.notified().await;
-        std::mem::take(&mut lock(&self.changed_rows))
     }
 
-    /// Whether a row should hold anything.
+    /// What a shared row should hold, if it lacks anything that this host has to write; `responsible`
+    /// tells whether this host writes for others which have seen it, by a key.
     #[must_use]
-    pub fn has_blocked(&self, row: SharedRow) -> bool {
+    pub fn unsaved(
+        &self,
+        row: SharedRow,
+        responsible: impl Fn(u64) -> bool,
+        now: Timestamp,
+    ) -> Option<Vec<u8>> {
         match row {
-            SharedRow::Requests => lock(&self.requests).blocked().next().is_some(),
-            SharedRow::Parts => lock(&self.parts).blocked().next().is_some(),
+            SharedRow::Requests => {
+                postcard::to_allocvec(&lock(&self.requests).unsaved_report(responsible, now)?).ok()
+            }
+            SharedRow::Parts => {
+                postcard::to_allocvec(&lock(&self.parts).unsaved_report(responsible, now)?).ok()
+            }
         }
     }
 
-    /// What a row should hold for hosts that start later.
-    #[must_use]
-    pub fn shared_value(&self, row: SharedRow, now: Timestamp) -> Vec<u8> {
-        let encoded = match row {
-            SharedRow::Requests => postcard::to_allocvec(&self.blocked_report(now)),
-            SharedRow::Parts => postcard::to_allocvec(&lock(&self.parts).blocked_report(now)),
-        };
-        // Plain data is always encoded.
-        encoded.unwrap_or_default()
+    /// Records that the store holds a value of a shared row.
+    pub fn record_saved(&self, row: SharedRow, value: &[u8]) {
+        match row {
+            SharedRow::Requests => lock(&self.requests).record_saved(&decode_row(row, value)),
+            SharedRow::Parts => lock(&self.parts).record_saved(&decode_row(row, value)),
+        }
     }
 
-    /// Takes over what a row holds.
-    ///
-    /// # Errors
-    ///
-    /// When it cannot be decoded.
-    pub fn restore(
-        &self,
-        row: SharedRow,
-        value: &[u8],
-        now: Timestamp,
-    ) -> Result<(), postcard::Error> {
+    /// Takes over what the store holds of a shared row; an empty value if there is no row.
+    pub fn restore(&self, row: SharedRow, value: &[u8], now: Timestamp) {
         match row {
-            SharedRow::Requests => self.merge_requests(&postcard::from_bytes(value)?, now),
+            SharedRow::Requests => {
+                let report = decode_row(row, value);
+                self.update_requests(|quarantine| quarantine.restore(&report, now));
+            }
             SharedRow::Parts => {
-                let report = postcard::from_bytes(value)?;
-                self.update_parts(|quarantine| quarantine.merge(&report, now));
+                let report = decode_row(row, value);
+                self.update_parts(|quarantine| quarantine.restore(&report, now));
             }
         }
-        Ok(())
     }
 
     /// The blocked requests, for hosts that start later.
@@ -283,6 +272,17 @@
     shared.iter().map(|part| PartHash::new(&part.id)).collect()
 }
 
+/// Decodes a shared row; one that cannot be decoded is written anew.
+fn decode_row<T: Default + DeserializeOwned>(row: SharedRow, value: &[u8]) -> T {
+    if value.is_empty() {
+        return T::default();
+    }
+    postcard::from_bytes(value).unwrap_or_else(|error| {
+        log::warn!(target: "belief", row:%, error:%; "undecodable row skipped");
+        T::default()
+    })
+}
+
 fn run_hash(entry: &UpstreamEntry) -> RunHash {
     RunHash::new(entry.name.as_str(), entry.started_ms)
 }
--- a/crates/gateway/src/shared_limits.rs
+++ b/crates/gateway/src/shared_limits.rs
@@ -98,6 +98,14 @@
         lock(&self.hosts).is_first(key, now)
     }
 
+    /// Whether this host writes to the store for hosts that may be gone: if it is the first live one
+    /// in the order of a key, or cannot tell since it hears no other.
+    #[must_use]
+    pub fn writes_for(&self, key: u64, now: Timestamp) -> bool {
+        let hosts = lock(&self.hosts);
+        hosts.is_first(key, now) || !hosts.is_in_touch(now)
+    }
+
     /// Number of live hosts, this one included.
     #[must_use]
     pub fn live_hosts(&self, now: Timestamp) -> usize {
