Merge what other hosts wrote to the shared rows instead of replacing it

What callers would see after the end of all processes: a part that crashes upstreams is forgotten since another host wrote the row at the same moment; or sound requests are refused for a part that an answer had cleared, since the row was not written again.

Cause: hosts wrote the rows of blocked requests and parts without a condition, so the last writer replaced what others had written, also with a write that was planned before the store came back from an older copy.

Why it works: a row is written under the revision that was read and under the guard of the store's era. On a conflict a host merges what it finds, which is evidence and merges in any order, and writes the union; it keeps what it does not block itself. What an answer has cleared is taken out, by the host that wrote the row last or the first live one in the order of the key.

--- a/crates/core/src/part_quarantine.rs
+++ b/crates/core/src/part_quarantine.rs
@@ -45,8 +45,9 @@
 const MAX_REPORTED_CRASHES: usize = 16;
 const MAX_REPORTED_CRASHES_PER_PART: usize = 6;
 const MAX_REPORTED_ANSWERS: usize = 8;
-/// Maximum number of blocked parts that are kept for hosts that start later.
+/// Maximum number of parts that are kept for hosts that start later, and of their answers.
 const MAX_KEPT_PARTS: usize = 64;
+const MAX_KEPT_ANSWERS: usize = 128;
 /// Time for which an answer is told to others that clears a part.
 const CLEARED_RETENTION: Duration = Duration::from_secs(5);
 /// Maximum number of parts that were cleared.
@@ -170,8 +171,10 @@
     /// Blocked parts, with the time at which each is tried again.
     blocked: BTreeMap<PartHash, Timestamp>,
     trial_delay: Duration,
-    /// Crashes that the store holds, as far as this host knows.
+    /// Parts of which the store holds crashes or answers, and the crashes, as far as this host knows.
     saved: BTreeMap<PartHash, BTreeSet<RunHash>>,
+    /// Whether this host was the last one to write it.
+    is_saved_here: bool,
     /// Rotates the crashes that are reported.
     reports: usize,
 }
@@ -269,45 +272,60 @@
 
     /// Takes over what the store holds.
     pub fn restore(&mut self, report: &PartReport, now: Timestamp) {
-        self.record_saved(report);
+        self.record_saved(report, false);
         self.merge(report, now);
     }
 
-    /// Records that the store holds a report and nothing else.
-    pub fn record_saved(&mut self, report: &PartReport) {
+    /// Records that the store holds a report and nothing else, which this host has written if `is_own`.
+    pub fn record_saved(&mut self, report: &PartReport, is_own: bool) {
         self.saved.clear();
+        self.is_saved_here = is_own;
+        for answer in &report.answers {
+            self.saved.entry(answer.part).or_default();
+        }
         for crash in &report.crashes {
             self.saved.entry(crash.part).or_default().insert(crash.run);
         }
     }
 
-    /// What the store should hold, if it lacks anything that this host has to write: what it has seen
-    /// itself, and the parts whose key it is `responsible` for, since hosts that saw it may be gone.
+    /// What the store should hold, if that differs by anything that this host has to write: what it has
+    /// seen or written itself, and the parts whose key it is `responsible` for, since hosts that
+    /// saw it may be gone.
     #[must_use]
     pub fn unsaved_report(
         &self,
         responsible: impl Fn(u64) -> bool,
         now: Timestamp,
     ) -> Option<PartReport> {
-        let report = self.blocked_report(now);
-        let is_due = report.crashes.iter().any(|crash| {
+        let report = self.kept_report(now);
+        let responsible = |part: PartHash| responsible(u64::from(part.0));
+        let is_lacking = report.crashes.iter().any(|crash| {
             let runs = self.saved.get(&crash.part);
             !runs.is_some_and(|runs| runs.contains(&crash.run))
-                && (self.is_observed(crash.part) || responsible(u64::from(crash.part.0)))
+                && (self.is_observed(crash.part) || responsible(crash.part))
         });
-        is_due.then_some(report)
+        let is_outdated = self.saved.iter().any(|(part, runs)| {
+            let is_cleared = self.answers.contains_key(part) && !self.crashes.contains_key(part);
+            !runs.is_empty() && is_cleared && (self.is_saved_here || responsible(*part))
+        });
+        (is_lacking || is_outdated).then_some(report)
     }
 
-    /// The blocked parts with what they are blocked for, the latest ones.
+    /// What the store should hold: the blocked parts, the latest ones, and what it holds already and no
+    /// answer has cleared, since another host may know more of it.
     #[must_use]
-    pub fn blocked_report(&self, now: Timestamp) -> PartReport {
+    pub fn kept_report(&self, now: Timestamp) -> PartReport {
         let mut latest: Vec<(&PartHash, &Timestamp)> = self.blocked.iter().collect();
         latest.sort_by_key(|(_, until)| std::cmp::Reverse(**until));
-        latest.truncate(MAX_KEPT_PARTS);
-        let crashes = latest.iter().flat_map(|(part, _)| self.told_crashes(**part, now)).collect();
-        let parts = latest.iter().map(|(part, _)| **part);
-        let answers = self.told_answers(self.newest_answered().into_iter().chain(parts), now);
-        PartReport { crashes, answers: answers.collect() }
+        let blocked = latest.into_iter().map(|(part, _)| *part);
+        let saved = self.saved.keys().filter(|part| !self.blocked.contains_key(part));
+        let implicated = saved.copied().filter(|part| self.crashes.contains_key(part));
+        let kept: Vec<PartHash> = blocked.chain(implicated).take(MAX_KEPT_PARTS).collect();
+        let crashes = kept.iter().flat_map(|part| self.told_crashes(*part, now)).collect();
+        let answered = self.newest_answered().into_iter().chain(kept);
+        let answered = answered.chain(self.saved.keys().copied());
+        let answers = self.told_answers(answered, now).take(MAX_KEPT_ANSWERS);
+        PartReport { answers: answers.collect(), crashes }
     }
 
     /// Number of entries that are kept.
--- a/crates/core/src/request_quarantine.rs
+++ b/crates/core/src/request_quarantine.rs
@@ -54,7 +54,7 @@
 const MAX_REPORTED_ENDS: usize = 14;
 const MAX_REPORTED_ENDS_PER_SUSPECT: usize = 4;
 const MAX_REPORTED_ANSWERS: usize = 6;
-/// Maximum number of blocked requests that are kept for hosts that start later.
+/// Maximum number of requests that are kept for hosts that start later.
 const MAX_KEPT_SUSPECTS: usize = 64;
 /// Unit of times in reports, in milliseconds.
 const TIME_UNIT_MS: u64 = 10;
@@ -261,8 +261,10 @@
     /// Cleared requests, with the time at which one was last held to be implicated.
     cleared: BTreeMap<RequestHash, Timestamp>,
     blocked: BTreeMap<RequestHash, RequestBlock>,
-    /// Ends that the store holds, as far as this host knows.
+    /// Requests of which the store holds ends or an answer, and the ends, as far as this host knows.
     saved: BTreeMap<RequestHash, BTreeSet<RunHash>>,
+    /// Whether this host was the last one to write it.
+    is_saved_here: bool,
     /// Rotates the requests that are reported.
     reports: usize,
 }
@@ -280,6 +282,7 @@
             cleared: BTreeMap::new(),
             blocked: BTreeMap::new(),
             saved: BTreeMap::new(),
+            is_saved_here: false,
             reports: 0,
         }
     }
@@ -377,52 +380,76 @@
 
     /// Takes over what the store holds.
     pub fn restore(&mut self, report: &RequestReport, now: Timestamp) {
-        self.record_saved(report);
+        self.record_saved(report, false);
         self.merge(report, now);
     }
 
-    /// Records that the store holds a report and nothing else.
-    pub fn record_saved(&mut self, report: &RequestReport) {
-        let runs = |suspect: &ReportedSuspect| suspect.ends.iter().map(|end| end.run).collect();
-        let suspects = report.suspects.iter();
-        self.saved = suspects.map(|suspect| (suspect.request, runs(suspect))).collect();
+    /// Records that the store holds a report and nothing else, which this host has written if `is_own`.
+    pub fn record_saved(&mut self, report: &RequestReport, is_own: bool) {
+        self.saved.clear();
+        self.is_saved_here = is_own;
+        for clearance in &report.clearances {
+            self.saved.entry(clearance.request).or_default();
+        }
+        for suspect in &report.suspects {
+            let runs = suspect.ends.iter().map(|end| end.run);
+            self.saved.entry(suspect.request).or_default().extend(runs);
+        }
     }
 
-    /// What the store should hold, if it lacks anything that this host has to write: what it has seen
-    /// itself, and the requests whose key it is `responsible` for, since hosts that saw it may be
-    /// gone.
+    /// What the store should hold, if that differs by anything that this host has to write: what it has
+    /// seen or written itself, and the requests whose key it is `responsible` for, since hosts that
+    /// saw it may be gone.
     #[must_use]
     pub fn unsaved_report(
         &self,
         responsible: impl Fn(u64) -> bool,
         now: Timestamp,
     ) -> Option<RequestReport> {
-        let report = self.blocked_report(now);
-        let is_due = report.suspects.iter().any(|suspect| {
+        let report = self.kept_report(now);
+        let is_lacking = report.suspects.iter().any(|suspect| {
             let saved = self.saved.get(&suspect.request);
             let is_saved = |run| saved.is_some_and(|runs: &BTreeSet<RunHash>| runs.contains(run));
             !suspect.ends.iter().all(|end| is_saved(&end.run))
                 && (self.is_observed(suspect.request) || responsible(suspect.request.get()))
         });
-        is_due.then_some(report)
-    }
-
-    /// Whether this host has seen an end under a request itself.
-    fn is_observed(&self, request: RequestHash) -> bool {
-        let suspect = self.suspects.get(&request);
-        suspect.is_some_and(|suspect| suspect.ends.values().any(|loss| loss.observer == self.me))
+        let is_outdated = self.saved.iter().any(|(request, runs)| {
+            let is_cleared =
+                self.answers.contains_key(request) && !self.suspects.contains_key(request);
+            !runs.is_empty() && is_cleared && (self.is_saved_here || responsible(request.get()))
+        });
+        (is_lacking || is_outdated).then_some(report)
     }
 
-    /// The blocked requests with what they are blocked for, the latest ones.
+    /// What the store should hold: the blocked requests with what they are blocked for, the latest ones,
+    /// and what it holds already and no answer has cleared, since another host may know more of it.
     #[must_use]
-    pub fn blocked_report(&self, now: Timestamp) -> RequestReport {
+    pub fn kept_report(&self, now: Timestamp) -> RequestReport {
         let mut latest: Vec<(&RequestHash, &RequestBlock)> = self.blocked.iter().collect();
         latest.sort_by_key(|(_, block)| std::cmp::Reverse(block.since));
-        let suspects = latest.into_iter().take(MAX_KEPT_SUSPECTS).filter_map(|(request, _)| {
+        let blocked = latest.into_iter().map(|(request, _)| request);
+        let saved = self.saved.keys().filter(|request| !self.blocked.contains_key(request));
+        let suspects = blocked.chain(saved).filter_map(|request| {
             let suspect = self.suspects.get(request)?;
             Some(reported_suspect(*request, suspect, usize::MAX, now))
         });
-        RequestReport { suspects: suspects.collect(), clearances: Vec::new() }
+        let clearances = self.saved.keys().filter_map(|request| self.clearance(*request, now));
+        RequestReport {
+            suspects: suspects.take(MAX_KEPT_SUSPECTS).collect(),
+            clearances: clearances.take(MAX_KEPT_SUSPECTS).collect(),
+        }
+    }
+
+    /// The last answer of a request, if it has any.
+    fn clearance(&self, request: RequestHash, now: Timestamp) -> Option<ReportedClearance> {
+        let answered = self.answers.get(&request)?;
+        Some(ReportedClearance { request, age: age_units(*answered, now) })
+    }
+
+    /// Whether this host has seen an end under a request itself.
+    fn is_observed(&self, request: RequestHash) -> bool {
+        let suspect = self.suspects.get(&request);
+        suspect.is_some_and(|suspect| suspect.ends.values().any(|loss| loss.observer == self.me))
     }
 
     /// Number of entries that are kept.
@@ -469,10 +496,7 @@
                 break;
             }
         }
-        let clearances = self.cleared.keys().filter_map(|request| {
-            let answered = self.answers.get(request)?;
-            Some(ReportedClearance { request: *request, age: age_units(*answered, now) })
-        });
+        let clearances = self.cleared.keys().filter_map(|request| self.clearance(*request, now));
         let clearances = clearances.take(MAX_REPORTED_ANSWERS).collect();
         RequestReport { suspects, clearances }
     }
--- a/crates/core/tests/part_quarantine.rs
+++ b/crates/core/tests/part_quarantine.rs
@@ -440,7 +440,7 @@
 fn a_host_that_has_answered_nothing_believes_that_others_are_answered() {
     let now = Timestamp::from_millis(60_000);
     let mut old = implicated([50_000, 51_000, 52_000, 53_000]);
-    for report in [old.report(now), old.blocked_report(now)] {
+    for report in [old.report(now), old.kept_report(now)] {
         let mut young = PartQuarantine::new();
         young.merge(&report, now);
         assert!(young.is_blocked(&[part("guilty", 0)]));
@@ -457,7 +457,7 @@
     old.merge(&implicated([50_000, 51_000, 52_000, 53_000]).report(now), now);
     let until = Some(Timestamp::from_millis(50_000 + 20_000));
     assert_eq!(old.blocked_until(&[part("guilty", 0)]), until);
-    for report in [old.report(now), old.blocked_report(now)] {
+    for report in [old.report(now), old.kept_report(now)] {
         let mut young = PartQuarantine::new();
         young.merge(&report, now);
         assert_eq!(young.blocked_until(&[part("guilty", 0)]), until);
--- a/crates/gateway/src/control_port.rs
+++ b/crates/gateway/src/control_port.rs
@@ -134,13 +134,32 @@
     }
 }
 
+/// What a shared row holds.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct SharedValue {
+    /// As the last host wrote it.
+    pub bytes: Vec<u8>,
+    /// Revision of the row.
+    pub revision: StoreRevision,
+}
+
+/// Result of a write of a shared row.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum SharedWrite {
+    /// The write was applied.
+    Applied,
+    /// The row had another revision, or the store has begun a new era; nothing was applied. With what
+    /// the row holds, if it exists.
+    Conflict(Option<SharedValue>),
+}
+
 /// What hosts share through the store.
 #[derive(Clone, Debug)]
 pub struct HostAgreement {
     /// The key that they authenticate each other by.
     pub key: GossipKey,
-    /// The rows that exist, as the last host wrote them.
-    pub rows: BTreeMap<SharedRow, Vec<u8>>,
+    /// The rows that exist.
+    pub rows: BTreeMap<SharedRow, SharedValue>,
 }
 
 /// Result of a conditional write.
@@ -194,12 +213,14 @@
     /// is in force, and the shared rows.
     fn agree(&self, proposed: GossipKey) -> PortFuture<'_, Result<HostAgreement, PlatformError>>;
 
-    /// Writes a shared row.
+    /// Writes a shared row if it has revision `expected`, or does not exist if that is `None`. Never
+    /// applies in a later era than that in which it was called.
     fn write_shared(
         &self,
         row: SharedRow,
         value: Vec<u8>,
-    ) -> PortFuture<'_, Result<(), PlatformError>>;
+        expected: Option<StoreRevision>,
+    ) -> PortFuture<'_, Result<SharedWrite, PlatformError>>;
 
     /// Whether the answer to a call that reads a topic is arriving now.
     fn is_receiving(&self, _topic: Topic) -> bool {
--- a/crates/gateway/src/crash_guard.rs
+++ b/crates/gateway/src/crash_guard.rs
@@ -171,11 +171,11 @@
         }
     }
 
-    /// Records that the store holds a value of a shared row.
+    /// Records that the store holds a value of a shared row, which this host has written.
     pub fn record_saved(&self, row: SharedRow, value: &[u8]) {
         match row {
-            SharedRow::Requests => lock(&self.requests).record_saved(&decode_row(row, value)),
-            SharedRow::Parts => lock(&self.parts).record_saved(&decode_row(row, value)),
+            SharedRow::Requests => lock(&self.requests).record_saved(&decode_row(row, value), true),
+            SharedRow::Parts => lock(&self.parts).record_saved(&decode_row(row, value), true),
         }
     }
 
@@ -193,10 +193,10 @@
         }
     }
 
-    /// The blocked requests, for hosts that start later.
+    /// The blocked requests.
     #[must_use]
-    pub fn blocked_report(&self, now: Timestamp) -> RequestReport {
-        lock(&self.requests).blocked_report(now)
+    pub fn blocked_requests(&self) -> Vec<RequestHash> {
+        lock(&self.requests).blocked().collect()
     }
 
     fn merge_requests(&self, report: &RequestReport, now: Timestamp) {
--- a/crates/gateway/tests/store_silence.rs
+++ b/crates/gateway/tests/store_silence.rs
@@ -12,8 +12,8 @@
 use oleander_gateway::carrier_client::CarrierLinks;
 use oleander_gateway::carrier_server::CarrierLoad;
 use oleander_gateway::control_port::{
-    ControlPort, HostAgreement, HostRecord, SharedRow, Topic, TopicChange, TopicRow, TopicUpdate,
-    TopicValue, WriteOutcome,
+    ControlPort, HostAgreement, HostRecord, SharedRow, SharedWrite, Topic, TopicChange, TopicRow,
+    TopicUpdate, TopicValue, WriteOutcome,
 };
 use oleander_gateway::crash_guard::CrashGuard;
 use oleander_gateway::gossip::{GOSSIP_INTERVAL, GossipNode};
@@ -181,8 +181,13 @@
         Box::pin(async move { Ok(HostAgreement { key, rows: BTreeMap::new() }) })
     }
 
-    fn write_shared(&self, _: SharedRow, _: Vec<u8>) -> PortFuture<'_, Result<(), PlatformError>> {
-        Box::pin(async { Ok(()) })
+    fn write_shared(
+        &self,
+        _: SharedRow,
+        _: Vec<u8>,
+        _: Option<StoreRevision>,
+    ) -> PortFuture<'_, Result<SharedWrite, PlatformError>> {
+        Box::pin(async { Ok(SharedWrite::Applied) })
     }
 
     fn reset_connections(&self) {}
--- a/crates/gateway/tests/topic_calls.rs
+++ b/crates/gateway/tests/topic_calls.rs
@@ -3,8 +3,8 @@
 use oleander_core::store_era::{StoreEra, StoreRevision};
 use oleander_core::units::Timestamp;
 use oleander_gateway::control_port::{
-    ControlPort, HostAgreement, HostRecord, SharedRow, Topic, TopicChange, TopicUpdate,
-    WriteOutcome,
+    ControlPort, HostAgreement, HostRecord, SharedRow, SharedWrite, Topic, TopicChange,
+    TopicUpdate, WriteOutcome,
 };
 use oleander_gateway::gateway_process::GatewayProcess;
 use oleander_gateway::gossip_seal::GossipKey;
@@ -92,8 +92,13 @@
         Box::pin(async move { Ok(HostAgreement { key, rows: BTreeMap::new() }) })
     }
 
-    fn write_shared(&self, _: SharedRow, _: Vec<u8>) -> PortFuture<'_, Result<(), PlatformError>> {
-        Box::pin(async { Ok(()) })
+    fn write_shared(
+        &self,
+        _: SharedRow,
+        _: Vec<u8>,
+        _: Option<StoreRevision>,
+    ) -> PortFuture<'_, Result<SharedWrite, PlatformError>> {
+        Box::pin(async { Ok(SharedWrite::Applied) })
     }
 
     fn reset_connections(&self) {}
