Let what the store keeps of blocked requests and parts grow old

What callers would see: sound requests refused for a part that an answer had cleared, after the store came back from an older copy; and a blocked part or request that is blocked for its whole time anew at each start of a process.

Cause: rows held ages as of their writing, and were read as if just written.

Why it works: a row also states when it was written, by the store's monotonic clock, and the reader adds what has passed since. The time follows the report, so earlier builds leave it unread; theirs are taken as they were (tested both ways).

--- a/crates/core/src/part_quarantine.rs
+++ b/crates/core/src/part_quarantine.rs
@@ -125,6 +125,17 @@
         self.crashes.len() + self.answers.len()
     }
 
+    /// The report as it is when it was made this long ago.
+    #[must_use]
+    pub fn aged(mut self, by: Duration) -> Self {
+        let units = u32::try_from(by.as_millis() as u64 / AGE_UNIT_MS).unwrap_or(u32::MAX);
+        let crashes = self.crashes.iter_mut().map(|crash| &mut crash.age);
+        for age in crashes.chain(self.answers.iter_mut().map(|answer| &mut answer.age)) {
+            *age = age.saturating_add(units);
+        }
+        self
+    }
+
     /// Whether there is nothing to tell.
     #[must_use]
     pub const fn is_empty(&self) -> bool {
--- a/crates/core/src/request_quarantine.rs
+++ b/crates/core/src/request_quarantine.rs
@@ -105,6 +105,18 @@
         ends + self.clearances.len()
     }
 
+    /// The report as it is when it was made this long ago.
+    #[must_use]
+    pub fn aged(mut self, by: Duration) -> Self {
+        let units = u32::try_from(time_units(by)).unwrap_or(u32::MAX);
+        let ends = self.suspects.iter_mut().flat_map(|suspect| &mut suspect.ends);
+        let ages = ends.map(|end| &mut end.age);
+        for age in ages.chain(self.clearances.iter_mut().map(|clearance| &mut clearance.age)) {
+            *age = age.saturating_add(units);
+        }
+        self
+    }
+
     /// Whether there is nothing to tell.
     #[must_use]
     pub const fn is_empty(&self) -> bool {
--- a/crates/gateway/src/control_port.rs
+++ b/crates/gateway/src/control_port.rs
@@ -141,6 +141,8 @@
     pub bytes: Vec<u8>,
     /// Revision of the row.
     pub revision: StoreRevision,
+    /// The store's monotonic clock when the row was read, if the answer states it.
+    pub store_now: Option<Timestamp>,
 }
 
 /// Result of a write of a shared row.
--- a/crates/gateway/src/crash_guard.rs
+++ b/crates/gateway/src/crash_guard.rs
@@ -12,6 +12,7 @@
 use oleander_core::request_quarantine::{RequestPermission, RequestQuarantine, RequestReport};
 use oleander_core::stable_hash::unit_point;
 use oleander_core::units::Timestamp;
+use serde::Serialize;
 use serde::de::DeserializeOwned;
 use std::collections::BTreeSet;
 use std::io::ErrorKind;
@@ -153,20 +154,24 @@
     }
 
     /// What a shared row should hold, if it lacks anything that this host has to write; `responsible`
-    /// tells whether this host writes for others which have seen it, by a key.
+    /// tells whether this host writes for others which have seen it, by a key. `store_now` is the
+    /// store's monotonic clock.
     #[must_use]
     pub fn unsaved(
         &self,
         row: SharedRow,
         responsible: impl Fn(u64) -> bool,
         now: Timestamp,
+        store_now: Timestamp,
     ) -> Option<Vec<u8>> {
         match row {
             SharedRow::Requests => {
-                postcard::to_allocvec(&lock(&self.requests).unsaved_report(responsible, now)?).ok()
+                let report = lock(&self.requests).unsaved_report(responsible, now)?;
+                Some(encode_row(&report, store_now))
             }
             SharedRow::Parts => {
-                postcard::to_allocvec(&lock(&self.parts).unsaved_report(responsible, now)?).ok()
+                let report = lock(&self.parts).unsaved_report(responsible, now)?;
+                Some(encode_row(&report, store_now))
             }
         }
     }
@@ -174,20 +179,25 @@
     /// Records that the store holds a value of a shared row, which this host has written.
     pub fn record_saved(&self, row: SharedRow, value: &[u8]) {
         match row {
-            SharedRow::Requests => lock(&self.requests).record_saved(&decode_row(row, value), true),
-            SharedRow::Parts => lock(&self.parts).record_saved(&decode_row(row, value), true),
+            SharedRow::Requests => {
+                lock(&self.requests).record_saved(&decode_row(row, value).0, true);
+            }
+            SharedRow::Parts => lock(&self.parts).record_saved(&decode_row(row, value).0, true),
         }
     }
 
-    /// Takes over what the store holds of a shared row; an empty value if there is no row.
-    pub fn restore(&self, row: SharedRow, value: &[u8], now: Timestamp) {
+    /// Takes over what the store holds of a shared row; an empty value if there is no row. `store_now`
+    /// is the store's monotonic clock, by which the row has aged since it was written.
+    pub fn restore(&self, row: SharedRow, value: &[u8], store_now: Timestamp, now: Timestamp) {
         match row {
             SharedRow::Requests => {
-                let report = decode_row(row, value);
+                let (report, written_at) = decode_row::<RequestReport>(row, value);
+                let report = report.aged(store_now.since(written_at.unwrap_or(store_now)));
                 self.update_requests(|quarantine| quarantine.restore(&report, now));
             }
             SharedRow::Parts => {
-                let report = decode_row(row, value);
+                let (report, written_at) = decode_row::<PartReport>(row, value);
+                let report = report.aged(store_now.since(written_at.unwrap_or(store_now)));
                 self.update_parts(|quarantine| quarantine.restore(&report, now));
             }
         }
@@ -272,14 +282,28 @@
     shared.iter().map(|part| PartHash::new(&part.id)).collect()
 }
 
+/// Encodes a shared row: a report, and when it was written by the store's monotonic clock. Earlier
+/// builds write the report alone, and leave what follows it unread.
+fn encode_row<T: Serialize>(report: &T, store_now: Timestamp) -> Vec<u8> {
+    // Plain data is always encoded.
+    postcard::to_allocvec(&(report, store_now)).unwrap_or_default()
+}
+
 /// Decodes a shared row; one that cannot be decoded is written anew.
-fn decode_row<T: Default + DeserializeOwned>(row: SharedRow, value: &[u8]) -> T {
+fn decode_row<T: Default + DeserializeOwned>(
+    row: SharedRow,
+    value: &[u8],
+) -> (T, Option<Timestamp>) {
     if value.is_empty() {
-        return T::default();
+        return (T::default(), None);
     }
-    postcard::from_bytes(value).unwrap_or_else(|error| {
+    let decoded = postcard::take_from_bytes::<T>(value).and_then(|(report, rest)| {
+        let written_at = (!rest.is_empty()).then(|| postcard::from_bytes(rest)).transpose()?;
+        Ok((report, written_at))
+    });
+    decoded.unwrap_or_else(|error| {
         log::warn!(target: "belief", row:%, error:%; "undecodable row skipped");
-        T::default()
+        (T::default(), None)
     })
 }
 
--- a/crates/gateway/src/shared_state.rs
+++ b/crates/gateway/src/shared_state.rs
@@ -68,8 +68,10 @@
     found: Option<&SharedValue>,
     revisions: &mut RowRevisions,
 ) {
-    let bytes = found.map_or(&[][..], |value| &value.bytes);
-    state.crashes.restore(row, bytes, state.clock.now());
+    let (bytes, now) = (found.map_or(&[][..], |value| &value.bytes), state.clock.now());
+    let store_now = found.and_then(|value| value.store_now);
+    let store_now = store_now.unwrap_or_else(|| state.snapshot.load().store_time(now));
+    state.crashes.restore(row, bytes, store_now, now);
     match found {
         Some(value) => revisions.insert(row, value.revision),
         None => revisions.remove(&row),
@@ -104,7 +106,14 @@
     for _ in 0..MAX_CONFLICTS {
         let now = state.clock.now();
         let responsible = |key| state.pool.limits().writes_for(key, now);
-        let Some(value) = state.crashes.unsaved(row, responsible, now) else { return true };
+        let snapshot = state.snapshot.load();
+        if !snapshot.complete {
+            // The store's clock is not known yet.
+            return true;
+        }
+        let store_now = snapshot.store_time(now);
+        let unsaved = state.crashes.unsaved(row, responsible, now, store_now);
+        let Some(value) = unsaved else { return true };
         // The revision that the row has after a write is not known: the next one reads it.
         let expected = revisions.remove(&row);
         match control.write_shared(row, value.clone(), expected).await {
