Keep in the store how often a blocked request was tried

What callers would see: a request that crashes upstreams is tried twice in all after it was blocked; after the end of all processes it was tried twice more, up to four sends where three are allowed.

Cause: the row was written when something was blocked, and a trial changes none of the ends that are compared with it.

--- a/crates/core/src/request_quarantine.rs
+++ b/crates/core/src/request_quarantine.rs
@@ -159,6 +159,21 @@
 struct RequestSuspect {
     ends: BTreeMap<RunHash, RequestLoss>,
     trials: u8,
+    /// Whether this host has tried it.
+    is_tried_here: bool,
+}
+
+/// What the store holds of a request.
+#[derive(Clone, Debug, Default)]
+struct SavedRequest {
+    runs: BTreeSet<RunHash>,
+    trials: u8,
+}
+
+impl SavedRequest {
+    fn covers(&self, suspect: &ReportedSuspect) -> bool {
+        suspect.trials <= self.trials && suspect.ends.iter().all(|end| self.runs.contains(&end.run))
+    }
 }
 
 impl RequestSuspect {
@@ -273,8 +288,8 @@
     /// Cleared requests, with the time at which one was last held to be implicated.
     cleared: BTreeMap<RequestHash, Timestamp>,
     blocked: BTreeMap<RequestHash, RequestBlock>,
-    /// Requests of which the store holds ends or an answer, and the ends, as far as this host knows.
-    saved: BTreeMap<RequestHash, BTreeSet<RunHash>>,
+    /// Requests of which the store holds ends or an answer, as far as this host knows.
+    saved: BTreeMap<RequestHash, SavedRequest>,
     /// Whether this host was the last one to write it.
     is_saved_here: bool,
     /// Rotates the requests that are reported.
@@ -382,6 +397,7 @@
     pub fn begin_trial(&mut self, request: RequestHash) {
         if let Some(suspect) = self.suspects.get_mut(&request) {
             suspect.trials = suspect.trials.saturating_add(1);
+            suspect.is_tried_here = true;
         }
     }
 
@@ -404,8 +420,9 @@
             self.saved.entry(clearance.request).or_default();
         }
         for suspect in &report.suspects {
-            let runs = suspect.ends.iter().map(|end| end.run);
-            self.saved.entry(suspect.request).or_default().extend(runs);
+            let saved = self.saved.entry(suspect.request).or_default();
+            saved.runs.extend(suspect.ends.iter().map(|end| end.run));
+            saved.trials = suspect.trials;
         }
     }
 
@@ -421,14 +438,15 @@
         let report = self.kept_report(now);
         let is_lacking = report.suspects.iter().any(|suspect| {
             let saved = self.saved.get(&suspect.request);
-            let is_saved = |run| saved.is_some_and(|runs: &BTreeSet<RunHash>| runs.contains(run));
-            !suspect.ends.iter().all(|end| is_saved(&end.run))
+            !saved.is_some_and(|saved| saved.covers(suspect))
                 && (self.is_observed(suspect.request) || responsible(suspect.request.get()))
         });
-        let is_outdated = self.saved.iter().any(|(request, runs)| {
+        let is_outdated = self.saved.iter().any(|(request, saved)| {
             let is_cleared =
                 self.answers.contains_key(request) && !self.suspects.contains_key(request);
-            !runs.is_empty() && is_cleared && (self.is_saved_here || responsible(request.get()))
+            !saved.runs.is_empty()
+                && is_cleared
+                && (self.is_saved_here || responsible(request.get()))
         });
         (is_lacking || is_outdated).then_some(report)
     }
@@ -458,10 +476,12 @@
         Some(ReportedClearance { request, age: age_units(*answered, now) })
     }
 
-    /// Whether this host has seen an end under a request itself.
+    /// Whether this host has seen an end under a request or tried it itself.
     fn is_observed(&self, request: RequestHash) -> bool {
-        let suspect = self.suspects.get(&request);
-        suspect.is_some_and(|suspect| suspect.ends.values().any(|loss| loss.observer == self.me))
+        self.suspects.get(&request).is_some_and(|suspect| {
+            let has_seen = suspect.ends.values().any(|loss| loss.observer == self.me);
+            suspect.is_tried_here || has_seen
+        })
     }
 
     /// Number of entries that are kept.
--- a/crates/core/tests/request_quarantine.rs
+++ b/crates/core/tests/request_quarantine.rs
@@ -8,6 +8,7 @@
 };
 use oleander_core::stable_hash::{mix, unit_point};
 use oleander_core::units::Timestamp;
+use std::time::Duration;
 
 const STEP_MS: u64 = 5;
 const GOSSIP_MS: u64 = 250;
@@ -534,3 +535,28 @@
     told.merge(&in_turn.report(at(1_307)), at(1_360));
     assert!(matches!(permission(&told), RequestPermission::Blocked(_)));
 }
+
+/// Guards against trials that are forgotten when all processes end: the request would be tried twice more.
+#[test]
+fn a_trial_outlives_all_hosts() {
+    let at = Timestamp::from_millis;
+    let host = |name: &str| RequestQuarantine::new(HostHash::new(&name.parse().unwrap()));
+    let (mut first, request) = (host("host-1"), RequestHash::new(&[b"guilty"]));
+    for number in 1..=3 {
+        let (run, now) = (RunHash::new("i-1", number), at(number * 1_000));
+        first.record_loss(run, request, now, now);
+        first.record_end(run, now);
+    }
+    let written = first.unsaved_report(|_| false, at(4_000)).expect("a request to write");
+    first.record_saved(&written, true);
+    assert_eq!(first.unsaved_report(|_| false, at(5_000)), None);
+    let tried_at = at(3_000) + TRIAL_DELAYS[0];
+    assert_eq!(first.permission(request, |_| true, tried_at), RequestPermission::Trial);
+    first.begin_trial(request);
+    let written = first.unsaved_report(|_| false, tried_at).expect("a trial to write");
+    let mut next = host("host-2");
+    next.restore(&written, tried_at);
+    let permission = next.permission(request, |_| true, tried_at + Duration::from_secs(10));
+    let second_trial = at(3_000) + TRIAL_DELAYS[1];
+    assert_eq!(permission, RequestPermission::Blocked(second_trial));
+}
--- a/crates/gateway/src/crash_guard.rs
+++ b/crates/gateway/src/crash_guard.rs
@@ -35,7 +35,7 @@
 pub struct CrashGuard {
     parts: Mutex<PartQuarantine>,
     requests: Mutex<RequestQuarantine>,
-    /// Notified when something is blocked.
+    /// Notified when something is blocked, or tried.
     changed: Notify,
 }
 
@@ -148,7 +148,7 @@
         self.update_requests(|quarantine| quarantine.record_end(run, now));
     }
 
-    /// Resolves when something was blocked.
+    /// Resolves when something was blocked or tried.
     pub async fn next_change(&self) {
         self.changed.notified().await;
     }
@@ -239,6 +239,8 @@
         if permission == RequestPermission::Trial {
             log::info!(target: "belief", request:% = request; "blocked request is tried again");
             quarantine.begin_trial(request);
+            // All hosts together have two, also if their processes end.
+            self.changed.notify_one();
         }
         permission
     }
