Take no early answer for complete whose request was not written

Cause: the end of the connection was the end of such an answer, whatever had become of the request. But an upstream that closes its side and is gone ends the read in order, and only the write meets the reset.

Why it works: the end of an answer without a length waits until the request was written completely, and is a fault if that fails. An upstream that closes its side early and still takes the request is served as before (tested).

--- a/crates/gateway/src/carrier_server.rs
+++ b/crates/gateway/src/carrier_server.rs
@@ -283,7 +283,7 @@
                     let frame = frame.map_data(|bytes| bytes);
                     Some((Ok::<Frame<Bytes>, BodyError>(frame), Some((answer, count))))
                 }
-                Some(Err(error)) => Some((Err(error.into()), None)),
+                Some(Err(error)) => Some((Err(error), None)),
                 None => {
                     tokio::spawn(answer.release_connection(state));
                     None
--- a/crates/gateway/src/upstream_connection.rs
+++ b/crates/gateway/src/upstream_connection.rs
@@ -6,11 +6,13 @@
 use crate::socket_dialer::SocketDialer;
 use crate::upstream_socket::DeliveryState;
 use bytes::Bytes;
+use http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use http::{Request, Response};
 use http_body_util::Full;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
+use oleander_adapters::http_server::BodyError;
 use oleander_adapters::read_meter::ReadMeter;
 use oleander_adapters::socket_keepalive::SocketKeepalive;
 use oleander_core::attempt_retry::FaultKind;
@@ -19,7 +21,7 @@
 use oleander_ports::clock::{ClockPort, SystemClock};
 use std::net::SocketAddr;
 use std::pin::Pin;
-use std::task::{Context, Poll};
+use std::task::{Context, Poll, ready};
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
@@ -54,24 +56,69 @@
 }
 
 /// The body of an answer. Its connection fails when it receives too much that is no content.
+///
+/// An answer without a length ends with its connection. The end of the connection is the end of the
+/// answer only if the upstream has taken the whole request: otherwise it may as well have been lost.
 pub struct AnswerBody {
     inner: Incoming,
     meter: ReadMeter,
+    /// Whether the request was written completely, if the end of the answer depends on it.
+    request_written: Option<Pin<Box<dyn Future<Output = bool> + Send>>>,
+    has_ended: bool,
+}
+
+impl AnswerBody {
+    fn new(
+        response: Response<Incoming>,
+        meter: ReadMeter,
+        delivery: &DeliveryState,
+    ) -> Response<Self> {
+        let headers = response.headers();
+        let is_framed =
+            headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING);
+        response.map(|inner| {
+            let ends_with_connection = !is_framed && !inner.is_end_stream();
+            let request_written = ends_with_connection.then(|| Box::pin(delivery.written()) as _);
+            Self { inner, meter, request_written, has_ended: false }
+        })
+    }
+
+    fn poll_end(
+        &mut self,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        let Some(written) = &mut self.request_written else { return Poll::Ready(None) };
+        let is_written = ready!(written.as_mut().poll(context));
+        self.request_written = None;
+        Poll::Ready((!is_written).then(|| {
+            Err("the connection ended before the request was written, and its answer with it"
+                .into())
+        }))
+    }
 }
 
 impl Body for AnswerBody {
     type Data = Bytes;
-    type Error = hyper::Error;
+    type Error = BodyError;
 
     fn poll_frame(
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
-        let polled = Pin::new(&mut self.inner).poll_frame(context);
-        if let Poll::Ready(Some(Ok(frame))) = &polled {
-            self.meter.record_content(frame.data_ref().map_or(0, Bytes::len));
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        if self.has_ended {
+            return self.poll_end(context);
+        }
+        match ready!(Pin::new(&mut self.inner).poll_frame(context)) {
+            Some(Ok(frame)) => {
+                self.meter.record_content(frame.data_ref().map_or(0, Bytes::len));
+                Poll::Ready(Some(Ok(frame)))
+            }
+            Some(Err(error)) => Poll::Ready(Some(Err(error.into()))),
+            None => {
+                self.has_ended = true;
+                self.poll_end(context)
+            }
         }
-        polled
     }
 
     fn is_end_stream(&self) -> bool {
@@ -156,8 +203,7 @@
             AttemptFault::new(kind, error.into_error().to_string())
         })?;
         self.delivery.record_answer();
-        let meter = self.meter.clone();
-        Ok(response.map(|inner| AnswerBody { inner, meter }))
+        Ok(AnswerBody::new(response, self.meter.clone(), &self.delivery))
     }
 
     /// Waits until the last response is read; `true` when the connection accepts another request.
--- a/crates/gateway/src/upstream_socket.rs
+++ b/crates/gateway/src/upstream_socket.rs
@@ -1,4 +1,5 @@
-//! A socket that is reset instead of closed while its request may not have been delivered.
+//! A socket that is reset instead of closed while its request may not have been delivered, and that tells
+//! whether the request was written completely.
 
 use std::io;
 use std::pin::Pin;
@@ -7,6 +8,21 @@
 use std::task::{Context, Poll};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
+use tokio::sync::watch;
+
+/// How far the latest request on a connection was written.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+enum WriteState {
+    /// No byte was.
+    #[default]
+    Begun,
+    /// Some bytes were.
+    Partial,
+    /// All bytes were.
+    Complete,
+    /// The connection ended before.
+    Failed,
+}
 
 /// Whether the peer has answered the latest request on a connection, and so has received it.
 ///
@@ -31,12 +47,51 @@
 #[derive(Clone, Debug, Default)]
 pub struct DeliveryState {
     is_unanswered: Arc<AtomicBool>,
+    written: Arc<watch::Sender<WriteState>>,
 }
 
 impl DeliveryState {
     /// Records that a request is sent.
     pub fn begin_request(&self) {
         self.is_unanswered.store(true, Ordering::Relaxed);
+        self.written.send_replace(WriteState::Begun);
+    }
+
+    /// Resolves when the latest request was written completely; `false` if the connection ended before.
+    pub fn written(&self) -> impl Future<Output = bool> + Send + 'static {
+        let mut written = self.written.subscribe();
+        async move {
+            let is_over =
+                |state: &WriteState| matches!(state, WriteState::Complete | WriteState::Failed);
+            written.wait_for(is_over).await.is_ok_and(|state| *state == WriteState::Complete)
+        }
+    }
+
+    fn advance(&self, from: &[WriteState], to: WriteState) {
+        self.written.send_if_modified(|state| {
+            let is_due = from.contains(state);
+            if is_due {
+                *state = to;
+            }
+            is_due
+        });
+    }
+
+    fn record_write(&self, polled: &Poll<io::Result<usize>>) {
+        match polled {
+            Poll::Ready(Ok(_)) => self.advance(&[WriteState::Begun], WriteState::Partial),
+            Poll::Ready(Err(_)) => self.record_failure(),
+            Poll::Pending => {}
+        }
+    }
+
+    /// Records that everything was written that was to be.
+    fn record_flush(&self) {
+        self.advance(&[WriteState::Partial], WriteState::Complete);
+    }
+
+    fn record_failure(&self) {
+        self.advance(&[WriteState::Begun, WriteState::Partial], WriteState::Failed);
     }
 
     /// Records that its answer has begun.
@@ -64,6 +119,7 @@
 
 impl Drop for UpstreamSocket {
     fn drop(&mut self) {
+        self.delivery.record_failure();
         if self.delivery.is_unanswered.load(Ordering::Relaxed) {
             // Fails if the connection has ended already.
             let _ = self.socket.set_zero_linger();
@@ -87,10 +143,14 @@
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.socket).poll_write(context, bytes)
+        let polled = Pin::new(&mut self.socket).poll_write(context, bytes);
+        self.delivery.record_write(&polled);
+        polled
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        // The HTTP client flushes once it has written all that it holds, which is the whole request.
+        self.delivery.record_flush();
         Pin::new(&mut self.socket).poll_flush(context)
     }
 
@@ -107,6 +167,8 @@
         context: &mut Context<'_>,
         buffers: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.socket).poll_write_vectored(context, buffers)
+        let polled = Pin::new(&mut self.socket).poll_write_vectored(context, buffers);
+        self.delivery.record_write(&polled);
+        polled
     }
 }
