Reject answers of upstreams whose status is not a final one

Here 000 and 099 were refused by the parser, but 101, 600 and 999 were passed on as they came.

Cause: a status was checked for the promises that it makes, not for being one that ends an exchange.

Why it works: the check stands where each answer is matched with its request, so it also covers answers that another host carried; a status outside 200 to 599 is a fault of the attempt, and the caller gets 502.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -18,6 +18,7 @@
 use oleander_core::reach_view::ServicePath;
 use oleander_core::units::Timestamp;
 use std::future::Future;
+use std::ops::RangeInclusive;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
@@ -46,6 +47,8 @@
 /// the service is out of reach.
 const SUSPECT_CONNECT: Duration = Duration::from_millis(150);
 const SUSPECT_SILENCE: Duration = Duration::from_millis(600);
+/// Statuses of answers that end an exchange; parsers also take numbers that stand for nothing.
+const FINAL_STATUSES: RangeInclusive<u16> = 200..=599;
 /// Time for which a new connection must stay open to count as opened.
 pub(crate) const OPEN_TIME: Duration = Duration::from_millis(30);
 
@@ -424,7 +427,7 @@
     if answer.request.as_ref() != expected {
         return of_other();
     }
-    if is_misdirected {
+    if is_misdirected || !FINAL_STATUSES.contains(&status.as_u16()) {
         return wrong(format!("response of a run has status {status}"));
     }
     if !answer.sealed {
