Take crashes out of the store that an answer came after

What callers would see: a part that was answered and crashed upstreams again later is blocked too soon after the end of all processes, by crashes that the answer had cleared. Found by reading.

Cause: the row was cleared only once nothing was left of a part; where later crashes followed, those before the answer stayed.

Evidence: crashes_before_an_answer_leave_the_store failed before.

Why it works: whatever the row holds of an answered part or request and the host no longer does counts as outdated. While nothing is blocked or saved, the check returns at once.

--- a/crates/core/src/part_quarantine.rs
+++ b/crates/core/src/part_quarantine.rs
@@ -308,6 +308,9 @@
         responsible: impl Fn(u64) -> bool,
         now: Timestamp,
     ) -> Option<PartReport> {
+        if self.blocked.is_empty() && self.saved.is_empty() {
+            return None;
+        }
         let report = self.kept_report(now);
         let responsible = |part: PartHash| responsible(u64::from(part.0));
         let is_lacking = report.crashes.iter().any(|crash| {
@@ -316,8 +319,10 @@
                 && (self.is_observed(crash.part) || responsible(crash.part))
         });
         let is_outdated = self.saved.iter().any(|(part, runs)| {
-            let is_cleared = self.answers.contains_key(part) && !self.crashes.contains_key(part);
-            !runs.is_empty() && is_cleared && (self.is_saved_here || responsible(*part))
+            let known = self.crashes.get(part);
+            let is_kept = |run| known.is_some_and(|known| known.contains_key(run));
+            let is_cleared = self.answers.contains_key(part) && !runs.iter().all(is_kept);
+            is_cleared && (self.is_saved_here || responsible(*part))
         });
         (is_lacking || is_outdated).then_some(report)
     }
--- a/crates/core/src/request_quarantine.rs
+++ b/crates/core/src/request_quarantine.rs
@@ -435,6 +435,9 @@
         responsible: impl Fn(u64) -> bool,
         now: Timestamp,
     ) -> Option<RequestReport> {
+        if self.blocked.is_empty() && self.saved.is_empty() {
+            return None;
+        }
         let report = self.kept_report(now);
         let is_lacking = report.suspects.iter().any(|suspect| {
             let saved = self.saved.get(&suspect.request);
@@ -442,11 +445,10 @@
                 && (self.is_observed(suspect.request) || responsible(suspect.request.get()))
         });
         let is_outdated = self.saved.iter().any(|(request, saved)| {
-            let is_cleared =
-                self.answers.contains_key(request) && !self.suspects.contains_key(request);
-            !saved.runs.is_empty()
-                && is_cleared
-                && (self.is_saved_here || responsible(request.get()))
+            let known = self.suspects.get(request);
+            let is_kept = |run| known.is_some_and(|known| known.ends.contains_key(run));
+            let is_cleared = self.answers.contains_key(request) && !saved.runs.iter().all(is_kept);
+            is_cleared && (self.is_saved_here || responsible(request.get()))
         });
         (is_lacking || is_outdated).then_some(report)
     }
--- a/crates/core/tests/part_quarantine.rs
+++ b/crates/core/tests/part_quarantine.rs
@@ -463,3 +463,28 @@
         assert_eq!(young.blocked_until(&[part("guilty", 0)]), until);
     }
 }
+
+/// Guards against crashes that stay in the store although the part was answered after them, beside later
+/// ones: a host that starts would count both.
+#[test]
+fn crashes_before_an_answer_leave_the_store() {
+    let at = Timestamp::from_millis;
+    let mut first = implicated([50_000, 51_000, 52_000, 53_000]);
+    first.expire(at(54_000));
+    let written = first.unsaved_report(|_| false, at(54_000)).expect("a part to write");
+    first.record_saved(&written, true);
+    first.record_answer(&[part("guilty", 0)], at(55_000));
+    // Another host tells of a later crash.
+    first.merge(&implicated([56_000]).report(at(57_000)), at(57_000));
+    let written = first.unsaved_report(|_| false, at(57_000)).expect("a part to clear");
+    first.record_saved(&written, true);
+    assert_eq!(first.unsaved_report(|_| false, at(57_500)), None);
+    let mut next = PartQuarantine::new();
+    next.restore(&written, at(57_000));
+    next.merge(&implicated([57_000, 57_500, 58_000]).report(at(58_000)), at(58_000));
+    next.record_answer(&[part("other", 0)], at(58_500));
+    next.expire(at(59_000));
+    // The first of four crashes, and the 20 s of a part that was answered.
+    let until = next.blocked_until(&[part("guilty", 0)]);
+    assert_eq!(until, Some(at(56_000 + 20_000)));
+}
