Answer requests that were sent ahead in turns over all connections

Cause: a connection was served as fast as it had sent, up to 16 requests in one turn of the event loop, and an ordinary request needs several turns.

Why it works: a request that was read together with an earlier one waits for its turn, one each 2 ms over all connections, as large headers do. A caller that waits for its answer before it asks again never waits for a turn. The cost of one request is left as it was, which shows that the turns are the cause.

--- a/crates/adapters/src/connection_ledger.rs
+++ b/crates/adapters/src/connection_ledger.rs
@@ -23,6 +23,10 @@
 /// Time between large headers that are read. The smallest hosts need about a millisecond for each.
 const LARGE_HEADERS_INTERVAL: Duration = Duration::from_millis(5);
 
+/// Time between requests that were sent ahead, over all connections. The smallest hosts need a fraction of a
+/// millisecond for each.
+const SENT_AHEAD_INTERVAL: Duration = Duration::from_millis(2);
+
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct ReasonLabel {
     reason: &'static str,
@@ -56,6 +60,8 @@
     unlogged: HashMap<&'static str, u64>,
     /// When the next large headers may be read on.
     next_large: Instant,
+    /// When the next request that was sent ahead may be answered.
+    next_ahead: Instant,
     logged: Option<Instant>,
 }
 
@@ -68,6 +74,7 @@
             signals: HashMap::new(),
             unlogged: HashMap::new(),
             next_large: Instant::now(),
+            next_ahead: Instant::now(),
             logged: None,
         };
         Self {
@@ -194,6 +201,15 @@
         turn
     }
 
+    /// When a request of the connection may be answered that its client sent ahead.
+    #[must_use]
+    pub fn sent_ahead_turn(&self) -> Instant {
+        let mut state = self.ledger.lock();
+        let turn = state.next_ahead.max(Instant::now());
+        state.next_ahead = turn + SENT_AHEAD_INTERVAL;
+        turn
+    }
+
     /// Records that bytes of a body arrived.
     pub fn receive(&self, bytes: usize) {
         let bytes = ByteCount::new(bytes as u64);
--- a/crates/adapters/src/head_timer.rs
+++ b/crates/adapters/src/head_timer.rs
@@ -29,6 +29,8 @@
     in_progress: u32,
     /// Whether the caller has yet to take bytes that were written.
     is_blocked: bool,
+    /// Whether bytes were read since the last headers were complete.
+    has_read: bool,
     /// Whether bytes arrived that the server does not read on from, so that it does not see the end of the
     /// connection behind them.
     has_excess: bool,
@@ -58,11 +60,26 @@
 }
 
 /// A request in progress, until dropped.
-pub struct RequestGuard(HeadTimer);
+pub struct RequestGuard {
+    timer: HeadTimer,
+    is_ahead: bool,
+}
+
+impl RequestGuard {
+    /// Waits until the caller has taken the answers before, and for its turn if the request was sent ahead.
+    /// Otherwise a few callers that send many requests ahead would keep the process from everyone else.
+    pub async fn may_be_answered(&self) {
+        self.timer.written().await;
+        let connection = self.timer.connection.as_ref().filter(|_| self.is_ahead);
+        if let Some(turn) = connection.map(|connection| connection.sent_ahead_turn()) {
+            sleep_until(turn).await;
+        }
+    }
+}
 
 impl Drop for RequestGuard {
     fn drop(&mut self) {
-        self.0.end_request();
+        self.timer.end_request();
     }
 }
 
@@ -91,6 +108,7 @@
                 state.started = Some(Instant::now());
             }
             is_head = may_start;
+            state.has_read = true;
             let is_new = !state.has_excess;
             state.has_excess = true;
             starts || is_new
@@ -133,14 +151,18 @@
         });
     }
 
-    /// Records that the headers of a request are complete.
-    pub fn begin_request(&self) {
+    /// Records that the headers of a request are complete; whether the caller sent them ahead, together
+    /// with an earlier request.
+    pub fn begin_request(&self) -> bool {
+        let mut is_ahead = false;
         self.modify(|state| {
             state.in_progress += 1;
             state.started = None;
+            is_ahead = !std::mem::take(&mut state.has_read);
             true
         });
         self.held.lock().unwrap_or_else(PoisonError::into_inner).take();
+        is_ahead
     }
 
     /// Changes the state, and tells the budget of a new phase.
@@ -160,8 +182,8 @@
     /// Records that the headers of a request are complete; the guard ends the request.
     #[must_use]
     pub fn guard_request(&self) -> RequestGuard {
-        self.begin_request();
-        RequestGuard(self.clone())
+        let is_ahead = self.begin_request();
+        RequestGuard { timer: self.clone(), is_ahead }
     }
 
     /// Records that the answer to a request ended.
--- a/crates/adapters/src/http_server.rs
+++ b/crates/adapters/src/http_server.rs
@@ -151,7 +151,7 @@
         let (handler, timer) = (Arc::clone(&handler), requests.clone());
         let guard = timer.guard_request();
         async move {
-            timer.written().await;
+            guard.may_be_answered().await;
             let response = handler(request, peer).await;
             Ok::<_, Infallible>(response.map(|body| CountedBody::new(body, guard)))
         }
--- a/crates/gateway/src/caller_server.rs
+++ b/crates/gateway/src/caller_server.rs
@@ -193,12 +193,11 @@
     let counted = Arc::clone(&open);
     let service = service_fn(move |mut request: Request<Incoming>| {
         let (state, end) = (Arc::clone(&state), request_end.clone());
-        let timer = requests.clone();
-        let guard = timer.guard_request();
+        let guard = requests.guard_request();
         request.extensions_mut().insert(Arc::clone(&counted));
         // An idle connection does not take the memory of a request.
         Box::pin(async move {
-            timer.written().await;
+            guard.may_be_answered().await;
             let response = answer(state, end, request).await;
             Ok::<_, Infallible>(response.map(|body| CountedBody::new(body, guard)))
         })
