--- a/review/standin-3/standin.py
+++ b/review/standin-3/standin.py
@@ -384,6 +384,9 @@
 
 def run_case(case, folder, limit=110):
     """Runs a case, which returns whether the rule held, and exits with 0, 1 or 2."""
+    # Callers and runners of a case live in this process.
+    most = resource.getrlimit(resource.RLIMIT_NOFILE)[1]
+    resource.setrlimit(resource.RLIMIT_NOFILE, (most, most))
     async def bounded():
         # Tasks that are cancelled at the end are no result.
         asyncio.get_running_loop().set_exception_handler(lambda loop, context: None)
